--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, fault scripts and checker."""
--- /dev/null
+++ b/samphirestand/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: HTTP, keys, session tokens and rates."""
--- /dev/null
+++ b/samphirestand/clock.py
@@ -0,0 +1,89 @@
+"""The clock: monotonic and wall time in integer milliseconds."""
+
+import asyncio
+import heapq
+import itertools
+import time
+
+
+class Clock:
+    """Source of time and of delays.
+
+    Durations and instants are integer milliseconds. ``now`` is monotonic and
+    is the only source for time-outs; ``wall`` is for records that people
+    read and is never compared between hosts.
+    """
+
+    def now(self) -> int:
+        """Return the monotonic time in milliseconds."""
+        raise NotImplementedError
+
+    def wall(self) -> int:
+        """Return the time since the Unix epoch in milliseconds."""
+        raise NotImplementedError
+
+    async def sleep(self, duration_ms: int) -> None:
+        """Wait for ``duration_ms`` milliseconds."""
+        raise NotImplementedError
+
+
+class SystemClock(Clock):
+    """The clock of the operating system."""
+
+    def now(self) -> int:
+        return time.monotonic_ns() // 1_000_000
+
+    def wall(self) -> int:
+        return time.time_ns() // 1_000_000
+
+    async def sleep(self, duration_ms: int) -> None:
+        await asyncio.sleep(max(0, duration_ms) / 1000)
+
+
+class ManualClock(Clock):
+    """A clock for tests that moves only when told to."""
+
+    def __init__(self, start_ms: int = 1_000_000) -> None:
+        self._now = start_ms
+        self._order = itertools.count()
+        self._sleepers: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    def now(self) -> int:
+        return self._now
+
+    def wall(self) -> int:
+        return self._now
+
+    async def sleep(self, duration_ms: int) -> None:
+        if duration_ms <= 0:
+            await asyncio.sleep(0)
+            return
+        future = asyncio.get_running_loop().create_future()
+        entry = (self._now + duration_ms, next(self._order), future)
+        heapq.heappush(self._sleepers, entry)
+        await future
+
+    def set(self, now_ms: int) -> None:
+        """Move to ``now_ms`` without waking tasks between the two instants.
+
+        Models a process that was paused.
+        """
+        self._now = max(self._now, now_ms)
+
+    async def advance(self, duration_ms: int) -> None:
+        """Move forward, waking each sleeper at its own instant."""
+        end = self._now + duration_ms
+        await self.settle()
+        while self._sleepers and self._sleepers[0][0] <= end:
+            due, _, future = heapq.heappop(self._sleepers)
+            self._now = max(self._now, due)
+            if not future.done():
+                future.set_result(None)
+            await self.settle()
+        self._now = end
+        await self.settle()
+
+    async def settle(self, rounds: int = 50) -> None:
+        """Let tasks that are ready run until they wait again."""
+        for _ in range(rounds):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/samphirestand/exceptions.py
@@ -0,0 +1,68 @@
+"""Errors of samphirestand and sentinel values that carry a reason."""
+
+
+class SamphirestandError(Exception):
+    """Base of all errors; names the step and the peer where it arose."""
+
+    def __init__(self, message: str, *, step: str, peer: str = '') -> None:
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        place = f'{self.step} ({self.peer})' if self.peer else self.step
+        return f'{place}: {self.message}'
+
+
+class SettingsError(SamphirestandError):
+    """A settings file is missing, unreadable or invalid."""
+
+
+class PlatformError(SamphirestandError):
+    """The platform refused a request or answered nonsense."""
+
+
+class PlatformUnavailable(PlatformError):
+    """The platform didn't answer; a write may have taken effect."""
+
+
+class TableConflict(PlatformError):
+    """A conditional write found another version of the row."""
+
+
+class TargetError(SamphirestandError):
+    """A target failed before the request could reach it."""
+
+
+class TargetConnectError(TargetError):
+    """A connection to a target couldn't be opened; nothing was sent."""
+
+
+class AnswerLost(TargetError):
+    """A request was sent to a target and no usable answer came."""
+
+
+class HostError(SamphirestandError):
+    """Another host couldn't be reached; nothing was sent."""
+
+
+class HostAnswerLost(HostError):
+    """A request was sent to another host and no answer came."""
+
+
+class CommandError(SamphirestandError):
+    """An operator's command can't be parsed or carried out."""
+
+
+class Sentinel:
+    """A falsy marker that says why a value is missing."""
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+    def __bool__(self) -> bool:
+        return False
+
+    def __repr__(self) -> str:
+        return f'<{self.reason}>'
--- /dev/null
+++ b/samphirestand/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Other hosts: RPC, membership and gossip."""
--- /dev/null
+++ b/samphirestand/hosts/peer.capnp
@@ -0,0 +1,121 @@
+# Messages between hosts. Lists of entries replace maps, and every duration
+# is relative: clocks of two hosts are never compared.
+@0xbd0b1c6a4f27e9d5;
+
+struct Position {
+  term @0 :UInt64;
+  offset @1 :UInt64;
+}
+
+struct Request {
+  operation @0 :Text;
+  service @1 :Text;
+  targetId @2 :Text;
+  account @3 :Text;
+  keyId @4 :Text;
+  requestId @5 :Text;
+  statement @6 :Text;
+  mode @7 :Text;
+  repeatable @8 :Bool;
+  deadlineMs @9 :UInt32;
+  maxAgeMs @10 :UInt32;
+  session :union {
+    none @11 :Void;
+    position @12 :Position;
+  }
+  transactionId @13 :Text;
+}
+
+struct Done {
+  rows @0 :Text;  # JSON array exactly as the target gave it
+  position :union {
+    none @1 :Void;
+    at @2 :Position;
+  }
+  targetId @3 :Text;
+  role @4 :Text;
+  transactionId @5 :Text;
+  replayed @6 :Bool;
+  ageMs @7 :UInt32;
+}
+
+struct NotRun {
+  code @0 :Text;
+  reason @1 :Text;
+  retryAfterMs @2 :Int64 = -1;
+  hint @3 :Text;
+}
+
+struct Unknown {
+  code @0 :Text;
+  reason @1 :Text;
+}
+
+struct Outcome {
+  union {
+    done @0 :Done;
+    notRun @1 :NotRun;
+    unknown @2 :Unknown;
+  }
+}
+
+struct TermStart {
+  term @0 :UInt64;
+  offset @1 :UInt64;
+}
+
+struct TargetState {
+  server @0 :Text;
+  term @1 :UInt64;
+  role @2 :Text;
+  starts @3 :List(TermStart);
+  end @4 :UInt64;
+  primaryUrl @5 :Text;
+}
+
+struct HostEntry {
+  hostId @0 :Text;
+  zone @1 :Text;
+  incarnation @2 :UInt64;
+  heartbeat @3 :UInt64;
+  status @4 :Text;
+  callerUrl @5 :Text;
+  peerAddress @6 :Text;
+  peerPort @7 :UInt16;
+  configurationVersion @8 :UInt64;
+}
+
+struct RouteEntry {
+  service @0 :Text;
+  term @1 :UInt64;
+  primaryTargetId @2 :Text;
+}
+
+struct Gossip {
+  hosts @0 :List(HostEntry);
+  routes @1 :List(RouteEntry);
+  configurationVersion @2 :UInt64;
+  platformEvidenceAgeMs @3 :Int64 = -1;
+}
+
+struct ConfigurationChange {
+  version @0 :UInt64;
+  document @1 :Text;  # JSON of the stored row
+}
+
+interface Peer {
+  run @0 (request :Request) -> (outcome :Outcome);
+  gossip @1 (state :Gossip) -> (state :Gossip);
+  takeTokens @2 (account :Text, wanted :UInt32, collect :Bool)
+      -> (tokens :UInt32, validMs :UInt32);
+  targetStatus @3 (targetId :Text, forWrite :Position, waitMs :UInt32)
+      -> (known :Bool, state :TargetState, ageMs :UInt32, suspect :Bool);
+  configurationChanges @4 (after :UInt64)
+      -> (changes :List(ConfigurationChange));
+  explain @5 (kind :Text, id :Text) -> (found :Bool, text :Text);
+}
+
+interface Login {
+  hello @0 (hostId :Text, zone :Text, incarnation :UInt64, secret :Text)
+      -> (hostId :Text, incarnation :UInt64, peer :Peer);
+}
--- /dev/null
+++ b/samphirestand/metrics.py
@@ -0,0 +1,56 @@
+"""Metrics: counters and latency percentiles."""
+
+import collections
+from typing import Any
+
+from hdrh import histogram
+
+# Latencies from 1 us to 60 s with two significant digits: about 0.2 MB for
+# all histograms of a host.
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+
+
+class Metrics:
+    """Counters and histograms of one process, by name."""
+
+    def __init__(self) -> None:
+        self._counters_by_name: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._histograms_by_name: dict[str, histogram.HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add ``amount`` to the counter ``name``."""
+        self._counters_by_name[name] += amount
+
+    def counter(self, name: str) -> int:
+        """Return the counter ``name``, 0 if it was never counted."""
+        return self._counters_by_name[name]
+
+    def record(self, name: str, duration_us: int) -> None:
+        """Record a duration in microseconds."""
+        if name not in self._histograms_by_name:
+            self._histograms_by_name[name] = histogram.HdrHistogram(
+                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+            )
+        value = min(max(duration_us, LOWEST_US), HIGHEST_US)
+        self._histograms_by_name[name].record_value(value)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return counters and percentiles (microseconds) for JSON."""
+        return {
+            'counters': dict(sorted(self._counters_by_name.items())),
+            'latencies_us': {
+                name: {
+                    'count': each.get_total_count(),
+                    **{
+                        f'p{percent:g}': each.get_value_at_percentile(percent)
+                        for percent in PERCENTILES
+                    },
+                }
+                for name, each in sorted(self._histograms_by_name.items())
+            },
+        }
--- /dev/null
+++ b/samphirestand/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: the query and command language."""
--- /dev/null
+++ b/samphirestand/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: tables, objects and configuration."""
--- /dev/null
+++ b/samphirestand/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: connections, gateways and failover."""
