--- a/samphirestand/config.py
+++ b/samphirestand/config.py
@@ -46,7 +46,7 @@
     operator_keys_file: pathlib.Path
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     max_body_bytes: int = pydantic.Field(1_048_576, ge=1_024, le=16_777_216)
-    stop_limit_ms: int = pydantic.Field(30_000, ge=1_000, le=600_000)
+    stop_limit_ms: int = pydantic.Field(65_000, ge=1_000, le=600_000)
     caller_tls: TlsModel | None = None
     peer_tls: TlsModel | None = None
 
--- a/samphirestand/types.py
+++ b/samphirestand/types.py
@@ -179,3 +179,83 @@
 
 
 Outcome = Done | NotRun | Unknown
+
+
+@dataclasses.dataclass(frozen=True)
+class TargetStatus:
+    """A target's state as its gateway knows it.
+
+    ``age_ms`` counts from the moment the gateway asked the target, on the
+    clock of whoever holds this value; the sender's clock is never compared.
+    """
+
+    state: TargetState
+    age_ms: int
+    suspects_primary: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Which target is the primary of a service since ``term``."""
+
+    service: str
+    term: int
+    primary_target_id: str
+
+
+class HostStatus(enum.StrEnum):
+    """What a host says about itself."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    CUT_OFF = 'cut_off'
+
+
+@dataclasses.dataclass(frozen=True)
+class Host:
+    """An entry host as other hosts know it."""
+
+    host_id: str
+    zone: str
+    incarnation: int
+    caller_url: str
+    peer_address: str
+    peer_port: int
+    status: HostStatus = HostStatus.READY
+    configuration_version: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class TokenGrant:
+    """Rate tokens moved from one host to another.
+
+    ``valid_ms`` counts from the moment the receiver sent its request.
+    """
+
+    tokens: int
+    valid_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ChangeRow:
+    """One accepted configuration change as it is stored."""
+
+    version: int
+    change_id: str
+    author: str
+    reason: str
+    wall_ms: int
+    command: str
+    document: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """A request that was refused or failed, kept for explanations."""
+
+    request_id: str
+    account: str
+    code: str
+    reason: str
+    step: str
+    wall_ms: int
