--- a/samphirestand/interfaces.py
+++ b/samphirestand/interfaces.py
@@ -5,6 +5,7 @@
 
 from samphirestand import exceptions
 from samphirestand import types
+from samphirestand.targets import messages
 
 
 class ConfigurationSource(Protocol):
@@ -112,3 +113,40 @@
 
     def held(self) -> int:
         """Return how many slots this host may use at this moment."""
+
+
+class TargetConnection(Protocol):
+    """One session with a target; one call is outstanding at a time."""
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection can be used."""
+
+    async def call(
+        self, call: messages.Call, timeout_ms: int
+    ) -> messages.Answer:
+        """Send ``call`` and await its answer.
+
+        Raises ``TargetError`` if nothing was sent, and ``AnswerLost`` if the
+        call was sent and no matching answer came in time; the connection is
+        then closed.
+        """
+
+    def close(self) -> None:
+        """Close without waiting."""
+
+
+class TargetConnector(Protocol):
+    """Opens connections to targets."""
+
+    async def connect(
+        self, url: str, application: str, timeout_ms: int
+    ) -> TargetConnection:
+        """Open a connection; raises ``TargetConnectError``."""
+
+
+class StatusRecorder(Protocol):
+    """Receives events worth explaining later; never blocks."""
+
+    def record(self, kind: str, subject: str, reason: str) -> None:
+        """Add an audit row, for example kind ``failover``."""
