--- a/samphirestand/interfaces.py
+++ b/samphirestand/interfaces.py
@@ -4,8 +4,8 @@
 from typing import Protocol
 
 from samphirestand import exceptions
-from samphirestand import types
 from samphirestand.targets import messages
+from samphirestand import types
 
 
 class ConfigurationSource(Protocol):
