Add the request path of an entry host

Callers need a server before the fleet can be tried end to end.

tornado answers a body over its limit by closing the connection, so the handlers count the body themselves and answer 413.

--- /dev/null
+++ b/samphirestand/callers/server.py
@@ -0,0 +1,433 @@
+"""The HTTP server for callers and operators."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import json
+import ssl
+from typing import Any
+from typing import Protocol
+
+from tornado import httpserver
+from tornado import httputil
+from tornado import web
+
+from samphirestand.callers import authentication
+from samphirestand.callers import entry as entry_module
+from samphirestand.callers import models
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand import interfaces
+from samphirestand import log
+from samphirestand import metrics as metrics_module
+from samphirestand import types
+
+# A connection may be idle, or slow with its headers, for this long.
+IDLE_TIMEOUT_S = 120.0
+# A body must arrive within this time.
+BODY_TIMEOUT_S = 10.0
+LARGEST_HEADER_BYTES = 16_384
+
+# Between the last answer and the close of the listener, callers whose next
+# request is under way on an idle connection can still be answered.
+QUIET_MS = 200
+DRAIN_CHECK_MS = 20
+
+NOT_RUN_STATUSES = {
+    'bad_request': 400,
+    'bad_statement': 400,
+    'bad_session': 400,
+    'key_missing': 401,
+    'key_unknown': 401,
+    'key_withdrawn': 401,
+    'key_role_mismatch': 403,
+    'session_account_mismatch': 403,
+    'transaction_account_mismatch': 403,
+    'service_unknown': 404,
+    'transaction_unknown': 404,
+    'session_position_discarded': 409,
+    'transaction_lost': 409,
+    'conflict': 409,
+    'body_too_large': 413,
+    'rate_exceeded': 429,
+}
+NOT_RUN_STATUS = 503
+UNKNOWN_STATUS = 504
+
+_log = log.get_logger(__name__)
+
+
+class OperatorCommands(Protocol):
+    """Executes operators' commands."""
+
+    async def execute(self, command: str, operator: str) -> dict[str, Any]:
+        """Carry out a command; raises ``CommandError``."""
+
+
+@dataclasses.dataclass
+class State:
+    """What the handlers of one server share."""
+
+    entry: entry_module.Entry
+    configuration: interfaces.ConfigurationSource
+    membership: interfaces.Membership
+    metrics: metrics_module.Metrics
+    operators: OperatorCommands
+    clock: clock_module.Clock
+    max_body_bytes: int
+    operator_keys_by_id: collections.abc.Mapping[str, types.Key]
+    is_draining: bool = False
+    running: int = 0
+
+
+class Server:
+    """Listens for callers; stops without interrupting a request."""
+
+    def __init__(
+        self,
+        state: State,
+        tls: ssl.SSLContext | None = None,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+        body_timeout_s: float = BODY_TIMEOUT_S,
+    ) -> None:
+        self._state = state
+        self._http = httpserver.HTTPServer(
+            application(state),
+            ssl_options=tls,
+            idle_connection_timeout=idle_timeout_s,
+            body_timeout=body_timeout_s,
+            max_header_size=LARGEST_HEADER_BYTES,
+            # The handlers refuse large bodies themselves, with an answer;
+            # tornado would only close the connection.
+            max_body_size=2 * state.max_body_bytes,
+        )
+
+    def listen(self, port: int, address: str) -> None:
+        """Listen on an IP number and a port."""
+        self._http.listen(port, address)
+
+    def add_sockets(self, sockets: collections.abc.Iterable[Any]) -> None:
+        """Listen on sockets that are bound already."""
+        self._http.add_sockets(sockets)
+
+    async def drain(self, limit_ms: int) -> int:
+        """Wait until no request runs; returns how many still do.
+
+        Answers tell callers to use a new connection, which another host
+        should take. New requests are served until the listener closes.
+        """
+        self._state.is_draining = True
+        end_ms = self._state.clock.now() + limit_ms
+        quiet_since_ms = self._state.clock.now()
+        while self._state.clock.now() < end_ms:
+            if self._state.running:
+                quiet_since_ms = self._state.clock.now()
+            elif self._state.clock.now() - quiet_since_ms >= QUIET_MS:
+                break
+            await self._state.clock.sleep(DRAIN_CHECK_MS)
+        self._http.stop()
+        while self._state.running and self._state.clock.now() < end_ms:
+            await self._state.clock.sleep(DRAIN_CHECK_MS)
+        return self._state.running
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        self._http.stop()
+        await self._http.close_all_connections()
+
+
+def application(state: State) -> web.Application:
+    """Return the tornado application of ``state``."""
+    settings: dict[str, Any] = {'state': state}
+    return web.Application(
+        [
+            (r'/v1/statements', StatementHandler, settings),
+            (r'/v1/transactions', BeginHandler, settings),
+            (
+                r'/v1/transactions/([^/]{1,256})/(commit|rollback)',
+                EndHandler,
+                settings,
+            ),
+            (r'/v1/operator', OperatorHandler, settings),
+            (r'/v1/health', HealthHandler, settings),
+            (r'/v1/metrics', MetricsHandler, settings),
+        ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=settings,
+        log_function=_no_log,
+    )
+
+
+class Handler(web.RequestHandler):
+    """Writes JSON; counts itself as running until its answer is out."""
+
+    def initialize(self, state: State) -> None:
+        self.state = state
+
+    def set_default_headers(self) -> None:
+        self.set_header('Content-Type', 'application/json')
+        self.clear_header('Server')
+
+    def compute_etag(self) -> None:
+        """Return no entity tag; hashing each answer would be wasted."""
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        if status_code >= 500:
+            outcome: types.Outcome = types.Unknown(
+                'internal_error', 'internal error'
+            )
+            status_code = UNKNOWN_STATUS
+        else:
+            outcome = types.NotRun(
+                'bad_request', httputil.responses.get(status_code, 'refused')
+            )
+        self.set_status(status_code)
+        self.finish(body(outcome))
+
+    async def reply(
+        self, outcome: types.Outcome, document: dict[str, Any]
+    ) -> None:
+        """Send an answer and wait until it is written out."""
+        code = status(outcome)
+        self.set_status(code)
+        if code == 401:
+            self.set_header('WWW-Authenticate', 'Bearer')
+        await self.send(document)
+
+    async def send(self, document: dict[str, Any]) -> None:
+        """Send ``document`` and wait until it is written out."""
+        if self.state.is_draining:
+            self.set_header('Connection', 'close')
+        await self.finish(json.dumps(document, separators=(',', ':')).encode())
+
+
+class UnknownPathHandler(Handler):
+    """Answers requests for paths that don't exist."""
+
+    def prepare(self) -> None:
+        self.set_status(404)
+        self.finish(body(types.NotRun('bad_request', 'no such path')))
+
+
+@web.stream_request_body
+class BodyHandler(Handler):
+    """Reads a body up to the limit and abandons work of lost callers."""
+
+    def initialize(self, state: State) -> None:
+        super().initialize(state)
+        self.ticket = entry_module.Ticket()
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._is_counted = False
+        self._is_answering = False
+
+    async def prepare(self) -> None:
+        # A stop waits for requests whose body is under way, too.
+        self.state.running += 1
+        self._is_counted = True
+        length = self.request.headers.get('Content-Length', '0')
+        if length.isdecimal() and int(length) > self.state.max_body_bytes:
+            await self._refuse_size()
+
+    async def data_received(self, chunk: bytes) -> None:
+        self._size += len(chunk)
+        if self._size <= self.state.max_body_bytes:
+            self._chunks.append(chunk)
+            return
+        self._chunks.clear()
+        if not self._finished:
+            await self._refuse_size()
+
+    async def post(self, *arguments: str) -> None:
+        self._is_answering = True
+        try:
+            await self.respond(b''.join(self._chunks), *arguments)
+        except models.BadRequest as error:
+            refused = types.NotRun(error.code, error.message)
+            self.state.metrics.count(f'callers.not_run.{error.code}')
+            await self.reply(refused, body(refused))
+        except asyncio.CancelledError:
+            # The caller has gone and its work had not been sent; any other
+            # cancellation is passed on.
+            if not self.ticket.is_abandoned:
+                raise
+            self.state.metrics.count('callers.abandoned')
+        finally:
+            self._uncount()
+
+    async def respond(self, content: bytes, *arguments: str) -> None:
+        """Answer the request whose body is ``content``."""
+        raise NotImplementedError
+
+    def on_connection_close(self) -> None:
+        super().on_connection_close()
+        self.ticket.abandon()
+        if not self._is_answering:
+            self._uncount()
+
+    def on_finish(self) -> None:
+        if not self._is_answering:
+            self._uncount()
+
+    def _uncount(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self.state.running -= 1
+
+    async def _refuse_size(self) -> None:
+        error = models.BodyTooLarge(
+            f'the body exceeds {self.state.max_body_bytes} bytes'
+        )
+        refused = types.NotRun(error.code, error.message)
+        self.state.metrics.count(f'callers.not_run.{error.code}')
+        self._is_answering = True
+        # The rest of the body isn't read, so the connection can't go on.
+        self.set_header('Connection', 'close')
+        try:
+            await self.reply(refused, body(refused))
+        finally:
+            self._uncount()
+
+
+class CallHandler(BodyHandler):
+    """Hands a checked call to the entry."""
+
+    async def run(self, call: models.Call) -> None:
+        """Run ``call`` and send its outcome."""
+        reply = await self.state.entry.handle(
+            call, self.request.headers.get('Authorization'), self.ticket
+        )
+        document = body(reply.outcome)
+        if reply.session:
+            document['session'] = reply.session
+        await self.reply(reply.outcome, document)
+
+
+class StatementHandler(CallHandler):
+    """``POST /v1/statements``"""
+
+    async def respond(self, content: bytes, *arguments: str) -> None:
+        await self.run(models.parse_statement(content))
+
+
+class BeginHandler(CallHandler):
+    """``POST /v1/transactions``"""
+
+    async def respond(self, content: bytes, *arguments: str) -> None:
+        await self.run(models.parse_begin(content))
+
+
+class EndHandler(CallHandler):
+    """``POST /v1/transactions/<id>/commit`` and ``/rollback``"""
+
+    async def respond(self, content: bytes, *arguments: str) -> None:
+        transaction_id, operation = arguments
+        await self.run(models.parse_end(operation, transaction_id, content))
+
+
+class OperatorHandler(BodyHandler):
+    """``POST /v1/operator``"""
+
+    async def respond(self, content: bytes, *arguments: str) -> None:
+        operator = self._operator()
+        if isinstance(operator, types.NotRun):
+            await self.reply(operator, body(operator))
+            return
+        command = models.parse(models.OperatorBody, content).command
+        try:
+            document = await self.state.operators.execute(command, operator)
+        except exceptions.CommandError as error:
+            refused = types.NotRun('bad_request', error.message)
+            await self.reply(refused, body(refused))
+            return
+        await self.send(document)
+
+    def _operator(self) -> str | types.NotRun:
+        configuration = self.state.configuration.current
+        # A key of the configuration comes first, so that an operator can
+        # withdraw one of the keys in the settings.
+        keys = {
+            **self.state.operator_keys_by_id,
+            **configuration.keys_by_id,
+        }
+        caller = authentication.authenticate(
+            self.request.headers.get('Authorization'),
+            dataclasses.replace(configuration, keys_by_id=keys),
+            role=authentication.OPERATOR,
+        )
+        if isinstance(caller, types.NotRun):
+            return caller
+        return caller.key_id
+
+
+class HealthHandler(Handler):
+    """``GET /v1/health``"""
+
+    async def get(self) -> None:
+        status_name = self.state.membership.local.status.value
+        if self.state.is_draining:
+            status_name = types.HostStatus.DRAINING.value
+        elif not self.state.configuration.is_confirmed():
+            status_name = types.HostStatus.CUT_OFF.value
+        ready = status_name == types.HostStatus.READY.value
+        self.set_status(200 if ready else 503)
+        await self.send(
+            {
+                'status': status_name,
+                'host': self.state.membership.local.host_id,
+                'zone': self.state.membership.local.zone,
+                'version': self.state.configuration.current.version,
+            }
+        )
+
+
+class MetricsHandler(Handler):
+    """``GET /v1/metrics``"""
+
+    async def get(self) -> None:
+        await self.send(self.state.metrics.snapshot())
+
+
+def status(outcome: types.Outcome) -> int:
+    """Return the HTTP status of an outcome."""
+    match outcome:
+        case types.Done():
+            return 200
+        case types.NotRun(code=code):
+            return NOT_RUN_STATUSES.get(code, NOT_RUN_STATUS)
+        case types.Unknown():
+            return UNKNOWN_STATUS
+
+
+def body(outcome: types.Outcome) -> dict[str, Any]:
+    """Return the JSON document of an outcome, without the session."""
+    match outcome:
+        case types.Done():
+            document = {
+                'outcome': 'done',
+                'rows': outcome.rows,
+                'served_by': outcome.target_id,
+                'role': outcome.role,
+                'age_ms': outcome.age_ms,
+                'replayed': outcome.replayed,
+            }
+            if outcome.transaction_id:
+                document['transaction'] = outcome.transaction_id
+            return document
+        case types.NotRun():
+            return {
+                'outcome': 'not_run',
+                'code': outcome.code,
+                'reason': outcome.reason,
+                'retry_after_ms': outcome.retry_after_ms,
+            }
+        case types.Unknown():
+            return {
+                'outcome': 'unknown',
+                'code': outcome.code,
+                'reason': outcome.reason,
+            }
+
+
+def _no_log(handler: web.RequestHandler) -> None:
+    """Log no line per request; metrics count them."""
