--- a/tests/callers/fleet.py
+++ b/tests/callers/fleet.py
@@ -118,6 +118,13 @@
             self.refused += 1
         return refusal
 
+    async def request_now(self, number):
+        """Ask one host for admission without letting time pass."""
+        task = asyncio.create_task(self.request(number, deadline_ms=0))
+        await self.clock.settle()
+        assert task.done()
+        return task.result()
+
     def move_slot(self, giver, taker):
         """Let one host lose a slot and another one claim it, empty."""
         if not self.hosts[giver].slots:
--- a/tests/callers/measure_limiter.py
+++ b/tests/callers/measure_limiter.py
@@ -31,13 +31,13 @@
 }
 
 
-async def run(hosts, share, numbers):
+async def run(hosts, share, numbers, duration_ms=DURATION_MS):
     """Return the admitted and refused requests and the worst window."""
     rng = random.Random(SEED)
     numbers = list(numbers)
     tasks = []
     at_ms = 0.0
-    while at_ms < DURATION_MS:
+    while at_ms < duration_ms:
         gap_ms = rng.expovariate(share * hosts.rate / 1_000)
         await hosts.clock.advance(int(at_ms + gap_ms) - int(at_ms))
         at_ms += gap_ms
--- /dev/null
+++ b/tests/callers/test_limiter.py
@@ -0,0 +1,358 @@
+"""Tests of the rate limiter on a simulated fleet."""
+
+import asyncio
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from samphirestand.callers import collector
+from samphirestand import types
+from tests.callers import fleet
+from tests.callers import measure_limiter
+
+HOSTS = 4
+
+NUMBERS = strategies.integers(0, HOSTS - 1)
+STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just('wait'), strategies.integers(1, 2_500)
+        ),
+        strategies.tuples(
+            strategies.just('requests'), NUMBERS, strategies.integers(1, 30)
+        ),
+        strategies.tuples(strategies.just('move'), NUMBERS, NUMBERS),
+        strategies.tuples(
+            strategies.just('return'),
+            NUMBERS,
+            NUMBERS,
+            strategies.integers(0, 9),
+        ),
+        strategies.tuples(strategies.just('cut'), NUMBERS, NUMBERS),
+        strategies.tuples(strategies.just('heal')),
+        strategies.tuples(strategies.just('lose'), strategies.integers(0, 9)),
+        strategies.tuples(
+            strategies.just('delay'), strategies.integers(0, 400)
+        ),
+        strategies.tuples(
+            strategies.just('pause'), strategies.integers(1, 900)
+        ),
+        strategies.tuples(strategies.just('owner'), NUMBERS),
+        strategies.tuples(strategies.just('flood')),
+    ),
+    min_size=5,
+    max_size=40,
+)
+
+
+async def play(hosts, steps, rng):
+    """Carry out the steps of an example."""
+    tasks = []
+    cut = set()
+    hosts.linked = lambda left, right: frozenset((left, right)) not in cut
+
+    def ask(number, count):
+        for _ in range(count):
+            tasks.append(asyncio.create_task(hosts.request(number)))
+
+    for step in steps:
+        match step:
+            case 'wait', duration_ms:
+                await hosts.clock.advance(duration_ms)
+            case 'requests', number, count:
+                ask(number, count)
+                await hosts.clock.settle()
+            case 'move', giver, taker:
+                hosts.move_slot(giver, taker)
+            case 'return', giver, taker, count:
+                # The giver doesn't notice that it was without the slot.
+                hosts.move_slot(giver, taker)
+                ask(taker, count)
+                await hosts.clock.advance(300)
+                hosts.move_slot(taker, giver)
+                ask(giver, count)
+            case 'cut', left, right:
+                cut.add(frozenset((left, right)))
+            case ('heal',):
+                cut.clear()
+            case 'lose', tenths:
+                hosts.loses = lambda tenths=tenths: rng.random() < tenths / 10
+            case 'delay', most_ms:
+                hosts.delay = lambda most_ms=most_ms: rng.randint(0, most_ms)
+            case 'pause', duration_ms:
+                hosts.clock.set(hosts.clock.now() + duration_ms)
+            case ('flood',):
+                for number in range(HOSTS):
+                    ask(number, hosts.burst)
+            case 'owner', number:
+                hosts.owner = hosts.hosts[number]
+        for number in range(HOSTS):
+            ask(number, rng.randint(0, 3))
+    await hosts.clock.advance(2_000)
+    await asyncio.gather(*tasks)
+
+
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.given(
+    rate=strategies.integers(1, 200),
+    burst=strategies.integers(1, 100),
+    slots=strategies.lists(
+        strategies.integers(0, 3), min_size=HOSTS, max_size=HOSTS
+    ).filter(any),
+    steps=STEPS,
+    seed=strategies.integers(0, 1_000),
+)
+def test_fleet_never_passes_the_limit(rate, burst, slots, steps, seed):
+    """Guards against tokens that are made by transfers, faults or slots."""
+    hosts = fleet.Fleet(rate, burst, slots)
+    asyncio.run(play(hosts, steps, random.Random(seed)))
+    assert hosts.excess() <= 0
+
+
+@pytest.mark.parametrize('numbers', [[3, 4, 5], [8], [0]])
+def test_one_zone_gets_the_whole_rate(numbers):
+    """Guards against refusals of an account whose callers are in one zone."""
+    hosts = fleet.Fleet(300, 150, [1] * 9)
+    results = asyncio.run(measure_limiter.run(hosts, 0.95, numbers, 3_000))
+    admitted, refused, excess = results
+    assert excess <= 0
+    assert refused <= 0.005 * admitted
+
+
+def test_small_account_gets_tokens_in_fractions():
+    """Guards against buckets too small for a token that never admit."""
+    hosts = fleet.Fleet(20, 10, [1] * 9)
+    results = asyncio.run(measure_limiter.run(hosts, 0.9, range(9), 10_000))
+    admitted, refused, _ = results
+    assert refused <= 0.15 * admitted
+
+
+def test_small_account_keeps_its_rate_under_overload():
+    """Guards against hosts that each wait with a fraction of a token."""
+    hosts = fleet.Fleet(20, 10, [1] * 9)
+    results = asyncio.run(measure_limiter.run(hosts, 5.0, range(9), 5_000))
+    admitted, _, excess = results
+    assert excess <= 0
+    assert admitted >= 0.8 * 20 * 5
+
+
+def test_giver_keeps_what_its_own_callers_need():
+    """Guards against a giver whose own callers are refused after it gave."""
+
+    async def main():
+        hosts = fleet.Fleet(100, 100, [1, 1])
+        for _ in range(10):
+            await hosts.request(1)
+        asked = hosts.hosts[1].limiter.give(fleet.ACCOUNT, 100_000, False)
+        grant = await asked
+        assert grant.tokens > 0
+        for _ in range(4):
+            assert await hosts.request_now(1) is None
+
+    asyncio.run(main())
+
+
+def test_shortage_is_asked_for_once():
+    """Guards against one question for each waiting request."""
+
+    async def main():
+        hosts = fleet.Fleet(10, 20, [0, 1])
+        asked = []
+
+        async def take(account, wanted):
+            asked.append(wanted)
+            await hosts.clock.sleep(50)
+            return types.TokenGrant(0, 0)
+
+        hosts.hosts[0].take = take
+        tasks = [asyncio.create_task(hosts.request(0)) for _ in range(5)]
+        await hosts.clock.advance(40)
+        assert len(asked) == 1
+        await hosts.clock.advance(200)
+        await asyncio.gather(*tasks)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('deadline_ms', 'waited_ms'), [(5_000, 100), (30, 30), (1, 1)]
+)
+def test_refusal_after_a_bounded_wait(deadline_ms, waited_ms):
+    """Guards against waits over 100 ms or past the caller's deadline."""
+
+    async def main():
+        hosts = fleet.Fleet(1, 2, [1], transfers=False)
+        assert await hosts.request(0) is None
+        started_ms = hosts.clock.now()
+        task = asyncio.create_task(hosts.request(0, deadline_ms))
+        while not task.done():
+            await hosts.clock.advance(1)
+        refusal = task.result()
+        assert hosts.clock.now() - started_ms == waited_ms
+        assert refusal.code == 'rate_exceeded'
+        assert refusal.retry_after_ms > 0
+
+    asyncio.run(main())
+
+
+def test_waiting_requests_are_served_in_order():
+    """Guards against a late request that takes an earlier one's token."""
+
+    async def main():
+        hosts = fleet.Fleet(50, 2, [1], transfers=False)
+        order = []
+
+        async def ask(name):
+            if await hosts.request(0) is None:
+                order.append(name)
+
+        tasks = [asyncio.create_task(ask(name)) for name in range(5)]
+        await hosts.clock.advance(200)
+        await asyncio.gather(*tasks)
+        assert order == list(range(5))
+
+    asyncio.run(main())
+
+
+def test_claimed_slot_starts_empty_and_lost_slot_takes_its_tokens():
+    """Guards against tokens that two holders of a slot both have."""
+
+    async def main():
+        hosts = fleet.Fleet(10, 20, [2, 0], transfers=False)
+        for _ in range(2):
+            hosts.move_slot(0, 1)
+        for number in range(2):
+            refusal = await hosts.request_now(number)
+            assert refusal.code == 'rate_exceeded'
+
+    asyncio.run(main())
+
+
+def test_slot_that_came_back_unnoticed_is_emptied():
+    """Guards against a refill for the time in which others had the slot."""
+
+    async def main():
+        hosts = fleet.Fleet(10, 20, [1, 0], transfers=False)
+        limiter = hosts.hosts[0].limiter
+        assert await hosts.request(0) is None
+        await hosts.clock.advance(5_000)
+        # ``held`` is 1 again before anyone looked at it.
+        limiter.slots_claimed(1)
+        grant = await limiter.give(fleet.ACCOUNT, 20_000, False)
+        assert grant.tokens == 0
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(('delay_ms', 'left'), [(10, True), (150, False)])
+def test_validity_counts_from_the_question(delay_ms, left):
+    """Guards against tokens that live longer for a slow link."""
+
+    async def main():
+        hosts = fleet.Fleet(10, 20, [0, 1])
+        hosts.owner = hosts.hosts[1]
+        hosts.delay = lambda: delay_ms
+        tasks = [asyncio.create_task(hosts.request(0)) for _ in range(5)]
+        await hosts.clock.advance(2 * delay_ms + 5)
+        await asyncio.gather(*tasks)
+        assert bool(hosts.admitted_ms) is left
+        # The validity of this account's tokens is 500 ms.
+        await hosts.clock.advance(505 - 2 * delay_ms - 5)
+        assert await hosts.request_now(0) is not None
+
+    asyncio.run(main())
+
+
+def test_lost_slot_takes_its_share():
+    """Guards against a holder that keeps the tokens of a lost slot."""
+
+    async def main():
+        hosts = fleet.Fleet(10, 20, [2, 0])
+        hosts.move_slot(0, 1)
+        give = hosts.hosts[0].limiter.give
+        grant = await give(fleet.ACCOUNT, 20_000, False)
+        # Half of the burst of 20 less the rate in the validity of 500 ms.
+        assert grant.tokens == 7_500
+
+    asyncio.run(main())
+
+
+def test_idle_account_saves_no_more_than_its_burst():
+    """Guards against buckets without a depth."""
+
+    async def main():
+        hosts = fleet.Fleet(10, 20, [1, 1])
+        await hosts.clock.advance(60_000)
+        for number in (0, 1) * 20:
+            await hosts.request_now(number)
+        assert len(hosts.admitted_ms) == 14
+
+    asyncio.run(main())
+
+
+def test_late_request_waits_behind_earlier_ones():
+    """Guards against a new request that takes a waiting one's token."""
+
+    async def main():
+        hosts = fleet.Fleet(50, 2, [1], transfers=False)
+        await hosts.request_now(0)
+        early = asyncio.create_task(hosts.request(0))
+        await hosts.clock.settle()
+        hosts.clock.set(hosts.clock.now() + 25)
+        late = asyncio.create_task(hosts.request(0, deadline_ms=1))
+        await hosts.clock.advance(15)
+        assert await early is None
+        assert await late is not None
+
+    asyncio.run(main())
+
+
+async def collect_twice(pause_ms, wanted):
+    """Collect 900, too little for the first host, then for a second one."""
+    given = [900, 0, 0, 0, 0, 0, 0, 0]
+
+    class Source:
+        async def collect(self, account, wanted):
+            return types.TokenGrant(given.pop(0) if given else 0, 500)
+
+    manual = fleet.Clock()
+    owner = collector.Collector('a', manual, Source(), lambda wanted: 0)
+    first = asyncio.create_task(owner.collect(1_000, 500))
+    await manual.advance(100)
+    assert (await first).tokens == 0
+    await manual.advance(pause_ms - 100)
+    second = asyncio.create_task(owner.collect(wanted, 500))
+    await manual.advance(100)
+    return await second
+
+
+@pytest.mark.parametrize(
+    ('pause_ms', 'wanted', 'grant'),
+    [
+        (200, 900, types.TokenGrant(900, 300)),
+        (200, 950, types.TokenGrant(0, 0)),
+        (501, 900, types.TokenGrant(0, 0)),
+    ],
+)
+def test_pooled_tokens_expire(pause_ms, wanted, grant):
+    """Guards against tokens that become younger in the owner's pool."""
+    assert asyncio.run(collect_twice(pause_ms, wanted)) == grant
+
+
+@pytest.mark.parametrize(
+    ('total', 'wanted', 'parts'),
+    [
+        (3_000, [1_000, 1_000], [1_000, 1_000]),
+        (2_900, [2_000, 2_000], [1_000, 1_000]),
+        (900, [1_000, 1_000], [0, 0]),
+        (1_500, [700, 700, 700], [700, 700, 0]),
+        (0, [500], [0]),
+        (10_000, [30_000, 10_000], [8_000, 2_000]),
+    ],
+)
+def test_division_of_collected_tokens(total, wanted, parts):
+    """Guards against parts that no host can use, and against more tokens."""
+    assert collector.divide(total, wanted) == parts
+    assert sum(parts) <= total
