--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -1,5 +1,6 @@
 """In-memory stand-ins of what the entry uses, and a ready-made entry."""
 
+import asyncio
 import random
 
 from samphirestand.callers import authentication
@@ -55,6 +56,13 @@
     return types.NotRun(code, f'reason of {code}')
 
 
+class Clock(clock.ManualClock):
+    """Settles in fewer rounds; the chains of tasks here are short."""
+
+    async def settle(self, rounds=15):
+        await super().settle(rounds)
+
+
 class Configuration:
     """A configuration that tests change."""
 
@@ -136,7 +144,7 @@
     """An entry together with the stand-ins around it."""
 
     def __init__(self, folder, outcomes=(), real_clock=False):
-        self.clock = clock.SystemClock() if real_clock else clock.ManualClock()
+        self.clock = clock.SystemClock() if real_clock else Clock()
         self.configuration = Configuration()
         self.routes = Routes()
         self.router = Router(self.clock, outcomes)
@@ -165,7 +173,7 @@
 
     async def handle(self, call, header=HEADER, step_ms=10):
         """Handle ``call`` while time passes; returns the reply."""
-        task = entry.asyncio.create_task(
+        task = asyncio.create_task(
             self.entry.handle(call, header, entry.Ticket())
         )
         await self.clock.settle()
--- a/tests/callers/fleet.py
+++ b/tests/callers/fleet.py
@@ -4,22 +4,15 @@
 import random
 
 from samphirestand.callers import limiter
-from samphirestand import clock
 from samphirestand import metrics
 from samphirestand import types
+from tests.callers import fakes
 
 ACCOUNT = 'feldwacht-1'
 DELAY_MS = 4
 TIMEOUT_MS = 150
 
 
-class Clock(clock.ManualClock):
-    """Settles in fewer rounds; the chains of tasks here are short."""
-
-    async def settle(self, rounds=15):
-        await super().settle(rounds)
-
-
 class Configuration:
     """A configuration with one account."""
 
@@ -68,11 +61,17 @@
         )
 
 
+def results(tasks):
+    """Return the results of tasks that must be done by now."""
+    assert all(task.done() for task in tasks)
+    return [task.result() for task in tasks]
+
+
 class Fleet:
     """Hosts that share one account; the first host is the rate owner."""
 
     def __init__(self, rate, burst, slots_by_host, transfers=True):
-        self.clock = Clock()
+        self.clock = fakes.Clock()
         self.rate = rate
         self.burst = burst
         slots = sum(slots_by_host)
--- a/tests/callers/measure_limiter.py
+++ b/tests/callers/measure_limiter.py
@@ -44,7 +44,7 @@
         number = rng.choice(numbers)
         tasks.append(asyncio.create_task(hosts.request(number)))
     await hosts.clock.advance(200)
-    await asyncio.gather(*tasks)
+    fleet.results(tasks)
     return len(hosts.admitted_ms), hosts.refused, max(0, hosts.excess())
 
 
--- a/tests/callers/test_limiter.py
+++ b/tests/callers/test_limiter.py
@@ -9,6 +9,7 @@
 
 from samphirestand.callers import collector
 from samphirestand import types
+from tests.callers import fakes
 from tests.callers import fleet
 from tests.callers import measure_limiter
 
@@ -91,7 +92,7 @@
         for number in range(HOSTS):
             ask(number, rng.randint(0, 3))
     await hosts.clock.advance(2_000)
-    await asyncio.gather(*tasks)
+    fleet.results(tasks)
 
 
 @hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
@@ -144,7 +145,7 @@
     async def main():
         hosts = fleet.Fleet(100, 100, [1, 1])
         for _ in range(10):
-            await hosts.request(1)
+            await hosts.request_now(1)
         asked = hosts.hosts[1].limiter.give(fleet.ACCOUNT, 100_000, False)
         grant = await asked
         assert grant.tokens > 0
@@ -171,7 +172,7 @@
         await hosts.clock.advance(40)
         assert len(asked) == 1
         await hosts.clock.advance(200)
-        await asyncio.gather(*tasks)
+        fleet.results(tasks)
 
     asyncio.run(main())
 
@@ -184,7 +185,7 @@
 
     async def main():
         hosts = fleet.Fleet(1, 2, [1], transfers=False)
-        assert await hosts.request(0) is None
+        assert await hosts.request_now(0) is None
         started_ms = hosts.clock.now()
         task = asyncio.create_task(hosts.request(0, deadline_ms))
         while not task.done():
@@ -210,7 +211,7 @@
 
         tasks = [asyncio.create_task(ask(name)) for name in range(5)]
         await hosts.clock.advance(200)
-        await asyncio.gather(*tasks)
+        fleet.results(tasks)
         assert order == list(range(5))
 
     asyncio.run(main())
@@ -236,7 +237,7 @@
     async def main():
         hosts = fleet.Fleet(10, 20, [1, 0], transfers=False)
         limiter = hosts.hosts[0].limiter
-        assert await hosts.request(0) is None
+        assert await hosts.request_now(0) is None
         await hosts.clock.advance(5_000)
         # ``held`` is 1 again before anyone looked at it.
         limiter.slots_claimed(1)
@@ -256,7 +257,7 @@
         hosts.delay = lambda: delay_ms
         tasks = [asyncio.create_task(hosts.request(0)) for _ in range(5)]
         await hosts.clock.advance(2 * delay_ms + 5)
-        await asyncio.gather(*tasks)
+        fleet.results(tasks)
         assert bool(hosts.admitted_ms) is left
         # The validity of this account's tokens is 500 ms.
         await hosts.clock.advance(505 - 2 * delay_ms - 5)
@@ -270,8 +271,9 @@
 
     async def main():
         hosts = fleet.Fleet(10, 20, [2, 0])
-        hosts.move_slot(0, 1)
         give = hosts.hosts[0].limiter.give
+        await give(fleet.ACCOUNT, 0, False)
+        hosts.move_slot(0, 1)
         grant = await give(fleet.ACCOUNT, 20_000, False)
         # Half of the burst of 20 less the rate in the validity of 500 ms.
         assert grant.tokens == 7_500
@@ -303,8 +305,8 @@
         hosts.clock.set(hosts.clock.now() + 25)
         late = asyncio.create_task(hosts.request(0, deadline_ms=1))
         await hosts.clock.advance(15)
-        assert await early is None
-        assert await late is not None
+        assert fleet.results([early])[0] is None
+        assert fleet.results([late])[0] is not None
 
     asyncio.run(main())
 
@@ -317,7 +319,7 @@
         async def collect(self, account, wanted):
             return types.TokenGrant(given.pop(0) if given else 0, 500)
 
-    manual = fleet.Clock()
+    manual = fakes.Clock()
     owner = collector.Collector('a', manual, Source(), lambda wanted: 0)
     first = asyncio.create_task(owner.collect(1_000, 500))
     await manual.advance(100)
--- /dev/null
+++ b/tests/callers/test_server.py
@@ -0,0 +1,363 @@
+"""Tests of the HTTP server on the loopback address."""
+
+import asyncio
+import json
+import pathlib
+import tempfile
+
+import pytest
+from tornado import iostream
+from tornado import tcpclient
+from tornado import testing
+
+from samphirestand.callers import server
+from samphirestand import exceptions
+from samphirestand import types
+from tests.callers import fakes
+
+LIMIT = 4_096
+STATEMENT = {
+    'service': 's',
+    'statement': 'SET x 1',
+    'mode': 'write',
+    'request_id': 'r1',
+}
+
+
+class Operators:
+    """Echoes commands; refuses the command ``BAD``."""
+
+    async def execute(self, command, operator):
+        if command == 'BAD':
+            raise exceptions.CommandError('no such command', step='parse')
+        return {'command': command, 'operator': operator}
+
+
+class ServerTest(testing.AsyncHTTPTestCase):
+    """Runs a server around the stand-ins of the entry."""
+
+    idle_timeout_s = 60.0
+    body_timeout_s = 60.0
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        super().setUp()
+
+    def tearDown(self):
+        super().tearDown()
+        self.folder.cleanup()
+
+    def get_app(self):
+        return None
+
+    def get_http_server(self):
+        self.world = fakes.World(
+            pathlib.Path(self.folder.name), real_clock=True
+        )
+        self.state = server.State(
+            entry=self.world.entry,
+            configuration=self.world.configuration,
+            membership=fakes.Membership(),
+            metrics=self.world.metrics,
+            operators=Operators(),
+            clock=self.world.clock,
+            max_body_bytes=LIMIT,
+            operator_keys_by_id={
+                'key-file': types.Key(
+                    'key-file', '', fakes.SHA256, role='operator'
+                )
+            },
+        )
+        self.server = server.Server(
+            self.state,
+            idle_timeout_s=self.idle_timeout_s,
+            body_timeout_s=self.body_timeout_s,
+        )
+        return self.server._http
+
+    def post(self, path, document, header=fakes.HEADER):
+        """Post a document; returns status, headers and the answer."""
+        body = document
+        if not isinstance(document, bytes):
+            body = json.dumps(document)
+        response = self.fetch(
+            path,
+            method='POST',
+            body=body,
+            headers={'Authorization': header} if header else {},
+        )
+        return response.code, response.headers, json.loads(response.body)
+
+    async def connect(self):
+        """Open a bare connection."""
+        client = tcpclient.TCPClient()
+        return await client.connect('127.0.0.1', self.get_http_port())
+
+    async def send(self, stream, document):
+        """Send a statement over a bare connection that is kept alive."""
+        body = json.dumps(document).encode()
+        head = (
+            'POST /v1/statements HTTP/1.1\r\nHost: x\r\n'
+            f'Authorization: {fakes.HEADER}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        await stream.write(head.encode() + body)
+
+    async def until(self, condition):
+        """Wait for something that is certain to happen."""
+        for _ in range(4_000):
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+        raise AssertionError('it did not happen')
+
+
+class AnswerTest(ServerTest):
+    def test_done(self):
+        """Guards against answers that lack rows, session or server."""
+        code, _, answer = self.post('/v1/statements', STATEMENT)
+        assert code == 200
+        assert answer['outcome'] == 'done'
+        assert answer['rows'] == [{'value': 1}]
+        assert answer['served_by'] == 't1'
+        again = {**STATEMENT, 'session': answer['session']}
+        assert self.post('/v1/statements', again)[0] == 200
+        assert self.world.router.requests[1].session == types.Position(2, 10)
+
+    def test_transaction(self):
+        """Guards against transaction requests that lose their id."""
+        self.world.router.outcomes = [
+            types.Done(transaction_id='s.t1.h2.x', target_id='t1')
+        ]
+        begin = {'service': 's', 'request_id': 'r1'}
+        code, _, answer = self.post('/v1/transactions', begin)
+        assert (code, answer['transaction']) == (200, 's.t1.h2.x')
+        inside = {**STATEMENT, 'transaction': 's.t1.h2.x'}
+        assert self.post('/v1/statements', inside)[0] == 200
+        for end in ('commit', 'rollback'):
+            path = f'/v1/transactions/s.t1.h2.x/{end}'
+            assert self.post(path, {'request_id': end})[0] == 200
+        sent = self.world.router.requests
+        assert [each.operation for each in sent] == [
+            'begin',
+            'statement',
+            'commit',
+            'rollback',
+        ]
+        assert {each.transaction_id for each in sent[1:]} == {'s.t1.h2.x'}
+
+    def test_outcomes_to_statuses(self):
+        """Guards against an unknown outcome that looks like a refusal."""
+        cases = [
+            (fakes.not_run('bad_statement'), 400, 'not_run'),
+            (fakes.not_run('transaction_account_mismatch'), 403, 'not_run'),
+            (fakes.not_run('transaction_unknown'), 404, 'not_run'),
+            (fakes.not_run('session_position_discarded'), 409, 'not_run'),
+            (fakes.not_run('transaction_lost'), 409, 'not_run'),
+            (fakes.not_run('conflict'), 409, 'not_run'),
+            (types.NotRun('rate_exceeded', 'over', 70), 429, 'not_run'),
+            (fakes.not_run('deadline_unattainable'), 503, 'not_run'),
+            (fakes.not_run('some_new_code'), 503, 'not_run'),
+            (fakes.LOST, 504, 'unknown'),
+        ]
+        for outcome, status, kind in cases:
+            self.world.router.outcomes = [outcome]
+            code, _, answer = self.post('/v1/statements', STATEMENT)
+            assert (code, answer['outcome']) == (status, kind)
+            assert answer['code'] == outcome.code
+            if kind == 'not_run':
+                assert answer['retry_after_ms'] == outcome.retry_after_ms
+
+    def test_refusals_of_the_server(self):
+        """Guards against bad requests without a JSON answer."""
+        large = {**STATEMENT, 'statement': 'x' * LIMIT}
+        huge = {**STATEMENT, 'statement': 'x' * 3 * LIMIT}
+        commit = '/v1/transactions/nonsense/commit'
+        cases = [
+            ('/v1/statements', b'{', fakes.HEADER, 400, 'bad_request'),
+            ('/v1/statements', large, fakes.HEADER, 413, 'body_too_large'),
+            ('/v1/statements', huge, fakes.HEADER, 413, 'body_too_large'),
+            ('/v1/statements', STATEMENT, None, 401, 'key_missing'),
+            (commit, {'request_id': 'r'}, fakes.HEADER, 404,
+             'transaction_unknown'),
+            ('/v1/nothing', {}, fakes.HEADER, 404, 'bad_request'),
+            ('/v1/operator', {}, fakes.HEADER, 403, 'key_role_mismatch'),
+            ('/v1/operator', {}, fakes.OPERATOR_HEADER, 400, 'bad_request'),
+            ('/v1/operator', {'command': 'BAD'}, fakes.OPERATOR_HEADER, 400,
+             'bad_request'),
+        ]  # fmt: skip
+        for path, document, header, status, code in cases:
+            result, headers, answer = self.post(path, document, header)
+            assert (result, answer['code']) == (status, code)
+            assert answer['outcome'] == 'not_run'
+            if status == 401:
+                assert headers['WWW-Authenticate'] == 'Bearer'
+        assert self.world.router.requests == []
+        assert self.state.running == 0
+
+    def test_wrong_method(self):
+        """Guards against an answer in HTML."""
+        response = self.fetch('/v1/statements')
+        assert response.code == 405
+        assert json.loads(response.body)['outcome'] == 'not_run'
+        assert self.state.running == 0
+
+    def test_chunked_body_over_the_limit(self):
+        """Guards against a body without a length that fills the memory."""
+
+        async def main():
+            stream = await self.connect()
+            await stream.write(
+                b'POST /v1/statements HTTP/1.1\r\nHost: x\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n'
+            )
+            chunk = b'x' * 1_024
+            for _ in range(5):
+                await stream.write(b'400\r\n' + chunk + b'\r\n')
+            return await stream.read_until(b'\r\n')
+
+        status = self.io_loop.run_sync(main)
+        assert status.startswith(b'HTTP/1.1 413')
+
+    def test_operator(self):
+        """Guards against commands that run without an operator's key."""
+        for key in ('key-o', 'key-file'):
+            code, _, answer = self.post(
+                '/v1/operator',
+                {'command': 'SHOW HOSTS'},
+                f'Bearer {key}.{fakes.SECRET}',
+            )
+            assert code == 200
+            assert answer == {'command': 'SHOW HOSTS', 'operator': key}
+
+    def test_withdrawn_key_on_an_open_connection(self):
+        """Guards against a connection that keeps its caller's first key."""
+
+        async def main():
+            stream = await self.connect()
+            answers = []
+            for _ in range(2):
+                await self.send(stream, STATEMENT)
+                head = await stream.read_until(b'\r\n\r\n')
+                length = int(head.split(b'Content-Length: ')[1].split()[0])
+                answers.append(json.loads(await stream.read_bytes(length)))
+                self.world.configuration.withdraw('key-a')
+            return answers
+
+        first, second = self.io_loop.run_sync(main)
+        assert first['outcome'] == 'done'
+        assert second['code'] == 'key_withdrawn'
+
+    def test_health_and_metrics(self):
+        """Guards against a cut-off or draining host that says ready."""
+        assert self.fetch('/v1/health').code == 200
+        self.world.configuration.confirmed = False
+        answer = self.fetch('/v1/health')
+        assert answer.code == 503
+        assert json.loads(answer.body)['status'] == 'cut_off'
+        self.state.is_draining = True
+        answer = self.fetch('/v1/health')
+        assert json.loads(answer.body)['status'] == 'draining'
+        self.post('/v1/statements', STATEMENT)
+        counters = json.loads(self.fetch('/v1/metrics').body)['counters']
+        assert counters['callers.not_run.configuration_unconfirmed'] == 1
+
+
+class DisconnectTest(ServerTest):
+    def test_queued_work_of_a_lost_caller_is_cancelled(self):
+        """Guards against a request that runs after its caller has gone."""
+        self.world.router.outcomes = [fakes.not_run('not_primary')] * 10_000
+
+        async def main():
+            stream = await self.connect()
+            await self.send(stream, {**STATEMENT, 'deadline_ms': 60_000})
+            await self.until(lambda: self.world.router.requests)
+            stream.close()
+            await self.until(lambda: self.state.running == 0)
+
+        self.io_loop.run_sync(main)
+        assert self.world.metrics.counter('callers.abandoned') == 1
+
+    def test_sent_work_of_a_lost_caller_is_finished(self):
+        """Guards against a sent request whose outcome nobody learns."""
+        self.world.router.takes_ms = 100
+
+        async def main():
+            stream = await self.connect()
+            await self.send(stream, STATEMENT)
+            await self.until(lambda: self.world.router.requests)
+            stream.close()
+            await self.until(lambda: self.state.running == 0)
+
+        self.io_loop.run_sync(main)
+        assert self.world.metrics.counter('callers.done') == 1
+
+
+class SlowCallerTest(ServerTest):
+    idle_timeout_s = 0.1
+    body_timeout_s = 0.1
+
+    def test_slow_and_silent_callers_are_closed(self):
+        """Guards against connections that cost memory for ever."""
+
+        async def main(sent):
+            stream = await self.connect()
+            await stream.write(sent)
+            with pytest.raises(iostream.StreamClosedError):
+                await stream.read_bytes(1)
+
+        line = b'POST /v1/statements HTTP/1.1\r\n'
+        for sent in (
+            b'',
+            line,
+            line + b'Host: x\r\nContent-Length: 9\r\n\r\n{',
+        ):
+            self.io_loop.run_sync(lambda sent=sent: main(sent))
+        assert self.state.running == 0
+
+
+class DrainTest(ServerTest):
+    def test_drain_waits_for_running_requests(self):
+        """Guards against a stop that interrupts a request."""
+        self.world.router.takes_ms = 300
+
+        async def main():
+            stream = await self.connect()
+            await self.send(stream, STATEMENT)
+            await self.until(lambda: self.world.router.requests)
+            draining = asyncio.ensure_future(self.server.drain(10_000))
+            head = await stream.read_until(b'\r\n\r\n')
+            left = await draining
+            await self.server.close()
+            return head, left
+
+        head, left = self.io_loop.run_sync(main)
+        assert head.startswith(b'HTTP/1.1 200')
+        assert b'Connection: close' in head
+        assert left == 0
+
+    def test_drain_ends_at_its_limit(self):
+        """Guards against a stop that waits for ever."""
+        self.world.router.takes_ms = 60_000
+
+        async def main():
+            stream = await self.connect()
+            await self.send(stream, STATEMENT)
+            await self.until(lambda: self.world.router.requests)
+            return await self.server.drain(50)
+
+        assert self.io_loop.run_sync(main) == 1
+
+    def test_draining_host_still_answers_until_it_is_quiet(self):
+        """Guards against callers that are cut off before they moved on."""
+
+        async def main():
+            draining = asyncio.ensure_future(self.server.drain(10_000))
+            await asyncio.sleep(0)
+            stream = await self.connect()
+            await self.send(stream, STATEMENT)
+            head = await stream.read_until(b'\r\n\r\n')
+            await draining
+            return head
+
+        assert self.io_loop.run_sync(main).startswith(b'HTTP/1.1 200')
