--- a/samphirestand/callers/entry.py
+++ b/samphirestand/callers/entry.py
@@ -1,8 +1,6 @@
 """The request path of an entry host."""
 
 import asyncio
-import collections.abc
-import contextlib
 import dataclasses
 import random
 from typing import Protocol
@@ -95,14 +93,13 @@
         if self._waiting is not None:
             self._waiting.cancel()
 
-    @contextlib.contextmanager
-    def waiting(self) -> collections.abc.Iterator[None]:
-        """Mark a wait in which nothing is under way."""
+    def __enter__(self) -> None:
+        """Mark the begin of a wait in which nothing is under way."""
         self._waiting = asyncio.current_task()
-        try:
-            yield
-        finally:
-            self._waiting = None
+
+    def __exit__(self, *error: object) -> None:
+        """Mark the end of the wait."""
+        self._waiting = None
 
 
 @dataclasses.dataclass
@@ -213,7 +210,7 @@
         if refused := _misrouted(call, service):
             return _Refused('route', account, refused)
 
-        with ticket.waiting():
+        with ticket:
             refused = await self._limiter.admit(account, call.deadline_ms)
         if refused:
             return _Refused('rate', account, refused)
@@ -273,7 +270,7 @@
             if work.ticket.is_abandoned:
                 return outcome
             mark = hold.note_refused()
-            with work.ticket.waiting():
+            with work.ticket:
                 may_go_on = await hold.wait(
                     mark,
                     work.attempts,
