--- /dev/null
+++ b/examples/prepare.py
@@ -0,0 +1,135 @@
+"""Writes the files and the process list for a fleet on loopback."""
+
+import argparse
+import dataclasses
+import hashlib
+import os
+import pathlib
+import secrets
+from typing import Any
+
+import yaml
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent
+SECRET_BYTES = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class Fleet:
+    """An example deployment as its three files describe it."""
+
+    host: dict[str, Any]
+    configuration: dict[str, Any]
+    standins: dict[str, Any]
+
+    @property
+    def zones(self) -> list[str]:
+        return self.host['zones']
+
+
+def load(name: str) -> Fleet:
+    """Read the example deployment ``name``."""
+    folder = EXAMPLES / name
+    return Fleet(
+        *(
+            yaml.safe_load((folder / f'{part}.yaml').read_text())
+            for part in ('host', 'configuration', 'standins')
+        )
+    )
+
+
+def write(fleet: Fleet, hosts_per_zone: int, output: pathlib.Path) -> None:
+    """Write secrets, keys, settings and ``processes`` to ``output``."""
+    output.mkdir(parents=True, exist_ok=True)
+    _write_secret(output / 'fleet-secret', secrets.token_urlsafe())
+    _write_secret(output / 'token-secrets', f'1:{secrets.token_urlsafe()}')
+    _write_bootstrap(fleet, output)
+
+    # Hosts are numbered over all zones; each has two ports.
+    commands = ['standins.platform --port 7000']
+    commands += _target_commands(fleet)
+    number = 0
+    for zone in fleet.zones:
+        for index in range(hosts_per_zone):
+            host_id = f'{zone.lower()}-{index + 1}'
+            settings = fleet.host | {
+                'host_id': host_id,
+                'zone': zone,
+                'callers': {'address': '127.0.0.1', 'port': 7101 + number},
+                'peers': {'address': '127.0.0.1', 'port': 7201 + number},
+            }
+            path = output / f'{host_id}.yaml'
+            path.write_text(yaml.safe_dump(settings, sort_keys=False))
+            commands.append(f'samphirestand.daemon {path}')
+            number += 1
+    (output / 'processes').write_text('\n'.join(commands) + '\n')
+
+
+def _write_bootstrap(fleet: Fleet, output: pathlib.Path) -> None:
+    keys = [_new_key(output, 'operator', '', 'operator')]
+    for account in fleet.configuration['accounts']:
+        keys.append(_new_key(output, account['name'], account['name']))
+    bootstrap = fleet.configuration | {'keys': keys}
+    path = output / 'bootstrap.yaml'
+    path.write_text(yaml.safe_dump(bootstrap, sort_keys=False))
+
+
+def _new_key(
+    output: pathlib.Path, name: str, account: str, role: str = 'caller'
+) -> dict[str, str]:
+    secret = secrets.token_urlsafe(SECRET_BYTES)
+    _write_secret(output / f'{name}.key', f'{name}.{secret}')
+    return {
+        'key_id': name,
+        'account': account,
+        'secret_sha256': hashlib.sha256(secret.encode()).hexdigest(),
+        'role': role,
+    }
+
+
+def _write_secret(path: pathlib.Path, text: str) -> None:
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    with os.fdopen(descriptor, 'w') as file:
+        file.write(text + '\n')
+
+
+def _target_commands(fleet: Fleet) -> list[str]:
+    primary_urls_by_service: dict[str, str] = {}
+    commands = []
+    figures = fleet.standins
+    for target in fleet.configuration['targets']:
+        command = (
+            f'standins.target --server-id {target["target_id"]}'
+            f' --zone {target["zone"]}'
+            f' --port {target["url"].split(":")[2].split("/")[0]}'
+            f' --slots {target["slots"]}'
+            f' --max-connections {target["connections"]}'
+            f' --connect-ms {figures["connect_ms"]}'
+            f' --statement-ms {figures["statement_ms"]}'
+            f' --lag-ms {figures["lag_ms"]}'
+        )
+        # The first target of each service starts as its primary.
+        primary = primary_urls_by_service.setdefault(
+            target['service'], target['url']
+        )
+        if primary != target['url']:
+            command += f' --follow {primary}'
+        commands.append(command)
+    return commands
+
+
+def main() -> None:
+    """Write the files for the deployment named on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('deployment', choices=['bagmati', 'feldwacht'])
+    parser.add_argument('--hosts-per-zone', type=int, default=1)
+    parser.add_argument(
+        '--output', type=pathlib.Path, default=pathlib.Path('run')
+    )
+    arguments = parser.parse_args()
+    fleet = load(arguments.deployment)
+    write(fleet, arguments.hosts_per_zone, arguments.output)
+
+
+if __name__ == '__main__':
+    main()
--- a/samphirestand/config.py
+++ b/samphirestand/config.py
@@ -43,7 +43,7 @@
     platform_url: str = pydantic.Field(pattern=r'^https?://')
     fleet_secret_file: pathlib.Path
     token_secrets_file: pathlib.Path
-    operator_keys_file: pathlib.Path
+    bootstrap_file: pathlib.Path | None = None
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     max_body_bytes: int = pydantic.Field(1_048_576, ge=1_024, le=16_777_216)
     stop_limit_ms: int = pydantic.Field(65_000, ge=1_000, le=600_000)
@@ -81,7 +81,7 @@
     platform_url: str
     fleet_secret_file: pathlib.Path
     token_secrets_file: pathlib.Path
-    operator_keys_file: pathlib.Path
+    bootstrap_file: pathlib.Path | None
     log_level: str
     max_body_bytes: int
     stop_limit_ms: int
@@ -140,7 +140,7 @@
         platform_url=model.platform_url.rstrip('/'),
         fleet_secret_file=folder / model.fleet_secret_file,
         token_secrets_file=folder / model.token_secrets_file,
-        operator_keys_file=folder / model.operator_keys_file,
+        bootstrap_file=_optional(folder, model.bootstrap_file),
         log_level=model.log_level,
         max_body_bytes=model.max_body_bytes,
         stop_limit_ms=model.stop_limit_ms,
@@ -153,9 +153,14 @@
 def _tls(model: TlsModel | None, folder: pathlib.Path) -> Tls | None:
     if model is None:
         return None
-    authority = model.authority_file
     return Tls(
         certificate_file=folder / model.certificate_file,
         key_file=folder / model.key_file,
-        authority_file=folder / authority if authority else None,
+        authority_file=_optional(folder, model.authority_file),
     )
+
+
+def _optional(
+    folder: pathlib.Path, path: pathlib.Path | None
+) -> pathlib.Path | None:
+    return None if path is None else folder / path
