standins: Add connections to targets and address translation

A connect attempt that is cancelled still closes the connection that it opened: it would use up one of the target's few. tornado's own connect limit doesn't cover a handshake without an answer, so the request limit is set too. An answer that arrives without a call closes the connection before the next call is sent.

--- /dev/null
+++ b/samphirestand/targets/connection.py
@@ -0,0 +1,268 @@
+"""Connections to targets: WebSocket and JSON."""
+
+import asyncio
+import dataclasses
+import itertools
+import json
+from typing import Any
+import urllib.parse
+
+import pydantic
+from tornado import httpclient
+from tornado import httputil
+from tornado import iostream
+from tornado import websocket
+
+from samphirestand import addresses
+from samphirestand import exceptions
+from samphirestand.targets import messages
+from samphirestand import types
+
+# Answers hold the rows of one statement; larger ones are refused rather
+# than kept in memory.
+MAX_ANSWER_BYTES = 16_777_216
+
+_OPS_BY_TYPE: dict[type, str] = {
+    messages.Status: 'status',
+    messages.Lock: 'lock',
+    messages.Execute: 'execute',
+    messages.Begin: 'begin',
+    messages.Statement: 'statement',
+    messages.Commit: 'commit',
+    messages.Rollback: 'rollback',
+    messages.Fence: 'fence',
+    messages.Promote: 'promote',
+    messages.Follow: 'follow',
+}
+
+_Place = tuple[
+    pydantic.NonNegativeInt,
+    pydantic.NonNegativeInt,
+]
+
+
+class _ErrorModel(pydantic.BaseModel):
+    """The error of an answer."""
+
+    code: str
+    message: str = ''
+
+
+class _AnswerModel(pydantic.BaseModel):
+    """An answer as a target sends it."""
+
+    id: int
+    server: str
+    term: pydantic.NonNegativeInt
+    role: str
+    position: _Place
+    history: list[_Place] = pydantic.Field(min_length=1)
+    primary_url: str = ''
+    locked_by: str = ''
+    rows: list[Any] = pydantic.Field(default_factory=list)
+    result_position: _Place | None = None
+    replayed: bool = False
+    granted: bool = False
+    holder: str = ''
+    error: _ErrorModel | None = None
+    ran: bool | None = None
+
+
+class Connection:
+    """One session with a target."""
+
+    def __init__(
+        self, socket: websocket.WebSocketClientConnection, peer: str
+    ) -> None:
+        self._socket = socket
+        self._peer = peer
+        self._ids = itertools.count(1)
+        self._is_open = True
+        self._is_busy = False
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection can be used."""
+        protocol = self._socket.protocol
+        if not self._is_open or protocol is None:
+            return False
+        return not protocol.is_closing()
+
+    async def call(
+        self, call: messages.Call, timeout_ms: int
+    ) -> messages.Answer:
+        """Send ``call`` and await its answer.
+
+        Raises ``TargetError`` if nothing was sent, and ``AnswerLost`` if the
+        call was sent and no matching answer came in time; the connection is
+        then closed. Cancellation closes it too, as the answer is still due.
+        """
+        if not self.is_open:
+            raise self._error('the connection is closed', sent=False)
+        if self._is_busy:
+            raise self._error('another call is outstanding', sent=False)
+        if self._socket.read_queue.qsize():
+            self.close()
+            raise self._error('an answer came without a call', sent=False)
+        call_id = next(self._ids)
+        text = encode(call_id, call)
+
+        self._is_busy = True
+        has_answer = False
+        try:
+            answer = await asyncio.wait_for(
+                self._exchange(call_id, text), timeout_ms / 1000
+            )
+            has_answer = True
+        except TimeoutError as error:
+            raise self._error(
+                f'no answer within {timeout_ms} ms', sent=True
+            ) from error
+        finally:
+            self._is_busy = False
+            if not has_answer:
+                self.close()
+        return answer
+
+    def close(self) -> None:
+        """Close without waiting."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        protocol = self._socket.protocol
+        if protocol is None:
+            return
+        # A close handshake would keep a silent connection's slot at this
+        # side for seconds, and the server would not see the end either.
+        self._socket.close()
+        stream = getattr(protocol, 'stream', None)
+        if stream is not None:
+            stream.close()
+
+    async def _exchange(self, call_id: int, text: str) -> messages.Answer:
+        try:
+            await self._socket.write_message(text)
+        except websocket.WebSocketClosedError as error:
+            # The message may have reached the server before the end.
+            raise self._error('closed while sending', sent=True) from error
+        reply = await self._socket.read_message()
+        if reply is None:
+            raise self._error('closed before the answer', sent=True)
+        try:
+            return decode(call_id, reply)
+        except ValueError as error:
+            raise self._error(
+                f'unusable answer: {error}', sent=True
+            ) from error
+
+    def _error(self, message: str, *, sent: bool) -> exceptions.TargetError:
+        if sent:
+            return exceptions.AnswerLost(
+                message, step='target call', peer=self._peer
+            )
+        return exceptions.TargetError(
+            message, step='target call', peer=self._peer
+        )
+
+
+class Connector:
+    """Opens connections to targets."""
+
+    def __init__(self, translation: dict[str, str] | None = None) -> None:
+        self._translation = translation or {}
+
+    async def connect(
+        self, url: str, application: str, timeout_ms: int
+    ) -> Connection:
+        """Open a connection; raises ``TargetConnectError``.
+
+        ``url`` is the target's base URL, ``ws://ip:port``.
+        """
+        request = httpclient.HTTPRequest(
+            session_url(url, application, self._translation),
+            connect_timeout=timeout_ms / 1000,
+            request_timeout=timeout_ms / 1000,
+        )
+        attempt = asyncio.ensure_future(
+            websocket.websocket_connect(
+                request, max_message_size=MAX_ANSWER_BYTES
+            )
+        )
+        try:
+            socket = await asyncio.shield(attempt)
+        except asyncio.CancelledError:
+            # A connection without an owner would use up one of the target's.
+            attempt.add_done_callback(_close_late)
+            raise
+        except (
+            OSError,
+            ValueError,
+            httpclient.HTTPClientError,
+            httputil.HTTPInputError,
+            iostream.StreamClosedError,
+            websocket.WebSocketError,
+        ) as error:
+            raise exceptions.TargetConnectError(
+                str(error) or type(error).__name__,
+                step='target connect',
+                peer=url,
+            ) from error
+        return Connection(socket, url)
+
+
+def _close_late(
+    attempt: asyncio.Future[websocket.WebSocketClientConnection],
+) -> None:
+    if not attempt.cancelled() and attempt.exception() is None:
+        socket = attempt.result()
+        Connection(socket, '').close()
+
+
+def session_url(
+    url: str, application: str, translation: dict[str, str]
+) -> str:
+    """Return the URL of a session with the target at ``url``."""
+    query = urllib.parse.urlencode({'application': application})
+    base = addresses.translate_url(url.rstrip('/'), translation)
+    return f'{base}/session?{query}'
+
+
+def encode(call_id: int, call: messages.Call) -> str:
+    """Return the wire form of a call."""
+    body: dict[str, Any] = {'id': call_id, 'op': _OPS_BY_TYPE[type(call)]}
+    for field in dataclasses.fields(call):
+        value = getattr(call, field.name)
+        if isinstance(value, types.Position):
+            value = [value.term, value.offset]
+        body[field.name] = value
+    return json.dumps(body)
+
+
+def decode(call_id: int, reply: str | bytes) -> messages.Answer:
+    """Return the answer to ``call_id``; raises ``ValueError``."""
+    model = _AnswerModel.model_validate_json(reply)
+    if model.id != call_id:
+        raise ValueError(f'answer to call {model.id} instead of {call_id}')
+    if model.position[0] != model.history[-1][0]:
+        raise ValueError(f'position {model.position} is not of the last term')
+    position = model.result_position
+    failure = None
+    if model.error is not None:
+        failure = messages.Failure(
+            model.error.code, model.error.message, model.ran
+        )
+    return messages.Answer(
+        state=types.TargetState(
+            server=model.server,
+            term=model.term,
+            role=model.role,
+            history=types.History(tuple(model.history), model.position[1]),
+            primary_url=model.primary_url,
+        ),
+        rows=tuple(model.rows),
+        position=types.Position(*position) if position else None,
+        replayed=model.replayed,
+        granted=model.granted,
+        holder=model.holder or model.locked_by,
+        failure=failure,
+    )
