--- /dev/null
+++ b/tests/targets/test_pool.py
@@ -0,0 +1,259 @@
+"""Tests of the pool of one target's connections."""
+
+import asyncio
+import random
+
+import pytest
+
+from samphirestand import clock
+from samphirestand import exceptions
+from samphirestand.targets import pool
+from tests.targets import servers
+
+
+class FakeConnection:
+    """A connection that answers probes unless it is silent."""
+
+    def __init__(self):
+        self.is_open = True
+        self.is_silent = False
+        self.probes = 0
+
+    async def call(self, call, timeout_ms):
+        self.probes += 1
+        if self.is_silent:
+            raise exceptions.AnswerLost('silent', step='target call')
+
+    def close(self):
+        self.is_open = False
+
+
+class FakeConnector:
+    """Opens connections in ``delay_ms``; fails the next ``failures``."""
+
+    def __init__(self, manual):
+        self.clock = manual
+        self.delay_ms = 0
+        self.failures = 0
+        self.attempts = []
+        self.opening = 0
+        self.peak_opening = 0
+        self.connections = []
+
+    async def connect(self, url, application, timeout_ms):
+        self.attempts.append(self.clock.now())
+        self.opening += 1
+        self.peak_opening = max(self.peak_opening, self.opening)
+        await self.clock.sleep(self.delay_ms)
+        self.opening -= 1
+        if self.failures:
+            self.failures -= 1
+            raise exceptions.TargetConnectError('no', step='target connect')
+        self.connections.append(FakeConnection())
+        return self.connections[-1]
+
+
+def run(main, size=2, minimum=0):
+    """Run ``main(pool, connector, clock)`` with a manual clock."""
+
+    async def scenario():
+        manual = clock.ManualClock()
+        connector = FakeConnector(manual)
+        tested = pool.Pool(
+            connector,
+            'ws://t',
+            'host-1',
+            size=size,
+            clock=manual,
+            rng=random.Random(7),
+            minimum=minimum,
+        )
+        await main(tested, connector, manual)
+        tested.close()
+
+    asyncio.run(scenario())
+
+
+def test_opens_at_most_the_size_one_at_a_time():
+    """Guards against more connections than the server allows."""
+
+    async def main(tested, connector, manual):
+        connector.delay_ms = 12
+        tasks = [asyncio.create_task(tested.acquire(1_000)) for _ in range(4)]
+        await manual.advance(100)
+        assert (len(connector.connections), connector.peak_opening) == (2, 1)
+        assert [task.done() for task in tasks] == [True, True, False, False]
+        tested.release(tasks[0].result())
+        await manual.settle()
+        assert tasks[2].result() is tasks[0].result()
+        await manual.advance(1_000)
+        with pytest.raises(exceptions.TargetError, match='within 1000 ms'):
+            await tasks[3]
+
+    run(main)
+
+
+def test_keeps_a_minimum_warm():
+    """Guards against a first request that pays for the connect."""
+
+    async def main(tested, connector, manual):
+        tested.start()
+        await manual.settle()
+        assert tested.open_count == 2
+        tested.discard(await tested.acquire(100))
+        await manual.settle()
+        assert (tested.open_count, len(connector.connections)) == (2, 3)
+
+    run(main, size=4, minimum=2)
+
+
+def test_backoff_doubles_with_full_jitter():
+    """Guards against hosts that reconnect in step or without a pause."""
+
+    async def main(tested, connector, manual):
+        connector.failures = 9
+        tested.start()
+        await manual.advance(60_000)
+        delays = [
+            after - before
+            for before, after in zip(
+                connector.attempts, connector.attempts[1:], strict=False
+            )
+        ]
+        expected = random.Random(7)
+        assert delays == [
+            expected.randint(0, min(5_000, 100 * 2**number))
+            for number in range(9)
+        ]
+        assert (tested.open_count, tested.consecutive_failures) == (1, 0)
+
+    run(main, minimum=1)
+
+
+@pytest.mark.parametrize('has_other', [False, True])
+def test_waiters_fail_fast_only_without_any_connection(has_other):
+    """Guards against refusals while a busy connection will be free soon."""
+
+    async def main(tested, connector, manual):
+        other = await tested.acquire(100) if has_other else None
+        connector.failures = 1
+        task = asyncio.create_task(tested.acquire(30_000))
+        await manual.settle()
+        if has_other:
+            assert not task.done()
+            tested.release(other)
+            assert await task is other
+        else:
+            with pytest.raises(exceptions.TargetConnectError):
+                await task
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ('idle_ms', 'silent', 'probes', 'is_same'),
+    [
+        (5_000, False, 0, True),
+        (5_001, False, 1, True),
+        (5_001, True, 1, False),
+    ],
+)
+def test_probes_after_silence(idle_ms, silent, probes, is_same):
+    """Guards against a silent connection that costs a request."""
+
+    async def main(tested, connector, manual):
+        first = await tested.acquire(100)
+        tested.release(first)
+        first.is_silent = silent
+        manual.set(manual.now() + idle_ms)
+        found = await tested.acquire(1_000)
+        assert (found is first, first.probes) == (is_same, probes)
+        assert first.is_open == is_same
+
+    run(main)
+
+
+def test_discard_probes_the_idle_ones():
+    """Guards against many silent connections that each cost a request."""
+
+    async def main(tested, connector, manual):
+        lent = [await tested.acquire(100) for _ in range(3)]
+        lent[1].is_silent = True
+        for each in lent[1:]:
+            tested.release(each)
+        tested.discard(lent[0])
+        await manual.settle()
+        assert [each.is_open for each in lent] == [False, False, True]
+        assert await tested.acquire(100) is lent[2]
+
+    run(main, size=3)
+
+
+def test_ended_connections_are_not_lent():
+    """Guards against requests on connections the server ended."""
+
+    async def main(tested, connector, manual):
+        first = await tested.acquire(100)
+        tested.release(first)
+        first.is_open = False
+        assert await tested.acquire(100) is not first
+
+    run(main)
+
+
+def test_cancelled_waiter_loses_no_connection():
+    """Guards against a pool that shrinks with each cancelled request."""
+
+    async def main(tested, connector, manual):
+        first = await tested.acquire(100)
+        waiter = asyncio.create_task(tested.acquire(1_000))
+        await manual.settle()
+        tested.release(first)
+        waiter.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await waiter
+        assert await tested.acquire(100) is first
+
+    run(main, size=1)
+
+
+def test_drain_waits_for_the_borrowers():
+    """Guards against a planned stop that interrupts a request."""
+
+    async def main(tested, connector, manual):
+        lent, idle = [await tested.acquire(100) for _ in range(2)]
+        tested.release(idle)
+        draining = asyncio.create_task(tested.drain())
+        await manual.settle()
+        assert (lent.is_open, idle.is_open) == (True, False)
+        assert not draining.done()
+        with pytest.raises(exceptions.TargetError, match='draining'):
+            await tested.acquire(100)
+        tested.release(lent)
+        await draining
+        assert (lent.is_open, tested.open_count) == (False, 0)
+
+    run(main)
+
+
+@pytest.mark.parametrize('connector', servers.CONNECTORS)
+def test_with_a_database_server(connector):
+    """Guards against a pool that fits only the fakes."""
+
+    async def main():
+        async with servers.database_server() as server:
+            tested = pool.Pool(
+                connector(),
+                server.url,
+                'host-1',
+                size=2,
+                clock=clock.SystemClock(),
+                rng=random.Random(7),
+            )
+            lent = [await tested.acquire(5_000) for _ in range(2)]
+            assert len(server.database.sessions_by_id) == 2
+            for each in lent:
+                tested.release(each)
+            await tested.drain()
+
+    asyncio.run(main())
