--- /dev/null
+++ b/samphirestand/platform/rows.py
@@ -0,0 +1,183 @@
+"""Stored forms of the configuration history and the platform's calls."""
+
+import collections.abc
+import dataclasses
+import json
+from typing import Any
+from typing import Protocol
+
+import pydantic
+
+from samphirestand import exceptions
+from samphirestand.platform import changes
+from samphirestand import types
+
+HISTORY_TABLE = 'configuration'
+CHANGE_TABLE = 'configuration_changes'
+HEAD_KEY = 'head'
+SNAPSHOT_KIND = 'snapshot'
+
+# A snapshot and up to this many rows are what a new host has to read.
+SNAPSHOT_EVERY = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class TableRow:
+    """A row of the table service with its version there."""
+
+    key: str
+    value: Any
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Put:
+    """A conditional write; version 0 means that the row must not exist."""
+
+    table: str
+    key: str
+    value: Any
+    expected_version: int
+
+
+class Platform(Protocol):
+    """The calls of the platform client that the configuration needs.
+
+    Every call may raise ``PlatformUnavailable``; a write may then have taken
+    effect. ``transact`` raises ``TableConflict`` if a condition failed.
+    """
+
+    async def get_row(self, table: str, key: str) -> TableRow | None:
+        """Return a row, or None if there is none."""
+
+    async def list_rows(
+        self, table: str, prefix: str = '', after: str = '', limit: int = 100
+    ) -> list[TableRow]:
+        """Return rows in key order."""
+
+    async def transact(self, puts: collections.abc.Sequence[Put]) -> None:
+        """Write all rows or none."""
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Return an object, or None if there is none."""
+
+    async def put_object(self, name: str, data: bytes) -> None:
+        """Write an object."""
+
+
+_ROW: pydantic.TypeAdapter[types.ChangeRow] = pydantic.TypeAdapter(
+    types.ChangeRow
+)
+_CONFIGURATION: pydantic.TypeAdapter[types.Configuration] = (
+    pydantic.TypeAdapter(types.Configuration)
+)
+
+
+class _Head(pydantic.BaseModel):
+    """The value of the head row."""
+
+    version: int = pydantic.Field(ge=1)
+
+
+def history_key(version: int) -> str:
+    """Return the row key of a version; keys sort like versions."""
+    return f'{version:010d}'
+
+
+def snapshot_name(version: int) -> str:
+    """Return the name of the snapshot object of a version."""
+    return f'configuration-{version:010d}'
+
+
+def head_version(value: Any) -> int:
+    """Return the version that a head row names."""
+    try:
+        return _Head.model_validate(value).version
+    except pydantic.ValidationError as error:
+        raise _invalid('head', error) from error
+
+
+def encode_row(row: types.ChangeRow) -> dict[str, Any]:
+    """Return a change row as a JSON document."""
+    return _ROW.dump_python(row, mode='json')
+
+
+def decode_row(value: Any) -> types.ChangeRow:
+    """Read a change row; raises ``PlatformError`` if it is invalid."""
+    try:
+        return _ROW.validate_python(value)
+    except pydantic.ValidationError as error:
+        raise _invalid('row', error) from error
+
+
+def snapshot_row(
+    configuration: types.Configuration, change_id: str
+) -> types.ChangeRow:
+    """Return a row that holds a whole version."""
+    return types.ChangeRow(
+        version=configuration.version,
+        change_id=change_id,
+        author='',
+        reason='',
+        wall_ms=0,
+        command='',
+        document={
+            'kind': SNAPSHOT_KIND,
+            'configuration': _CONFIGURATION.dump_python(
+                configuration, mode='json'
+            ),
+        },
+    )
+
+
+def encode_snapshot(row: types.ChangeRow) -> bytes:
+    """Return a snapshot row as the content of an object."""
+    return json.dumps(encode_row(row), separators=(',', ':')).encode()
+
+
+def decode_snapshot(data: bytes) -> types.ChangeRow:
+    """Read a snapshot; raises ``PlatformError`` if it is invalid."""
+    try:
+        return decode_row(json.loads(data))
+    except ValueError as error:
+        raise exceptions.PlatformError(
+            f'invalid snapshot: {error}', step='configuration'
+        ) from error
+
+
+def advance(
+    configuration: types.Configuration, row: types.ChangeRow
+) -> types.Configuration | exceptions.Sentinel:
+    """Return the configuration after ``row``."""
+    if row.document.get('kind') == SNAPSHOT_KIND:
+        return _from_snapshot(row)
+    if row.version != configuration.version + 1:
+        return exceptions.Sentinel(
+            f'version {row.version} does not follow {configuration.version}'
+        )
+    change = changes.from_document(row.document)
+    if isinstance(change, exceptions.Sentinel):
+        return change
+    return changes.apply(configuration, change)
+
+
+def _from_snapshot(
+    row: types.ChangeRow,
+) -> types.Configuration | exceptions.Sentinel:
+    try:
+        configuration = _CONFIGURATION.validate_python(
+            row.document.get('configuration')
+        )
+    except pydantic.ValidationError as error:
+        return exceptions.Sentinel(f'invalid snapshot: {error}')
+    if configuration.version != row.version:
+        return exceptions.Sentinel('snapshot of another version')
+    return configuration
+
+
+def _invalid(
+    what: str, error: pydantic.ValidationError
+) -> exceptions.PlatformError:
+    return exceptions.PlatformError(
+        f'invalid configuration {what}: {error}', step='configuration'
+    )
