--- a/examples/prepare.py
+++ b/examples/prepare.py
@@ -42,7 +42,8 @@
     """Write secrets, keys, settings and ``processes`` to ``output``."""
     output.mkdir(parents=True, exist_ok=True)
     _write_secret(output / 'fleet-secret', secrets.token_urlsafe())
-    _write_secret(output / 'token-secrets', f'1:{secrets.token_urlsafe()}')
+    token_secrets = {'current': 1, 'secrets': {1: secrets.token_urlsafe()}}
+    _write_secret(output / 'token-secrets', yaml.safe_dump(token_secrets))
     _write_bootstrap(fleet, output)
 
     # Hosts are numbered over all zones; each has two ports.
@@ -66,7 +67,7 @@
 
 
 def _write_bootstrap(fleet: Fleet, output: pathlib.Path) -> None:
-    keys = [_new_key(output, 'operator', '', 'operator')]
+    keys = [_new_key(output, 'operator', 'operator', 'operator')]
     for account in fleet.configuration['accounts']:
         keys.append(_new_key(output, account['name'], account['name']))
     bootstrap = fleet.configuration | {'keys': keys}
@@ -94,30 +95,31 @@
 
 
 def _target_commands(fleet: Fleet) -> list[str]:
-    primary_urls_by_service: dict[str, str] = {}
     commands = []
-    figures = fleet.standins
-    for target in fleet.configuration['targets']:
-        command = (
-            f'standins.target --server-id {target["target_id"]}'
-            f' --zone {target["zone"]}'
-            f' --port {target["url"].split(":")[2].split("/")[0]}'
-            f' --slots {target["slots"]}'
-            f' --max-connections {target["connections"]}'
-            f' --connect-ms {figures["connect_ms"]}'
-            f' --statement-ms {figures["statement_ms"]}'
-            f' --lag-ms {figures["lag_ms"]}'
-        )
+    for service in fleet.configuration['services']:
         # The first target of each service starts as its primary.
-        primary = primary_urls_by_service.setdefault(
-            target['service'], target['url']
-        )
-        if primary != target['url']:
-            command += f' --follow {primary}'
-        commands.append(command)
+        primary, *replicas = service['targets']
+        command = _target_command(primary, fleet.standins)
+        commands.append(f'{command} --primary')
+        for replica in replicas:
+            command = _target_command(replica, fleet.standins)
+            commands.append(f'{command} --follow {primary["url"]}')
     return commands
 
 
+def _target_command(target: dict[str, Any], figures: dict[str, Any]) -> str:
+    return (
+        f'standins.target --server-id {target["target_id"]}'
+        f' --zone {target["zone"]}'
+        f' --port {target["url"].split(":")[2].split("/")[0]}'
+        f' --slots {target["slots"]}'
+        f' --max-connections {target["connections"]}'
+        f' --connect-delay-ms {figures["connect_ms"]}'
+        f' --statement-ms {figures["statement_ms"]}'
+        f' --lag-ms {figures["lag_ms"]}'
+    )
+
+
 def main() -> None:
     """Write the files for the deployment named on the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
