Add RPC, membership, gossip and routing between hosts

Heartbeats are followed within a zone only; other zones are followed by the verdicts of their own hosts and by the age of the zone's last sign of life, so that the cost depends on the size of a zone and not of the fleet. Records of hosts and routes are sent a bounded number of times after a change; differing digests of buckets cause a repair.

Ages are taken from answers only and count from the moment of the question: a request may have waited in a buffer, an answer can't be older than its question. Ages in requests were ruled out for that reason.

Full heartbeat lists for all hosts were ruled out: at 3,000 hosts one list of 8 bytes a host is 24 KB, and a host exchanges about 20 messages a second.

--- a/samphirestand/hosts/peer.capnp
+++ b/samphirestand/hosts/peer.capnp
@@ -83,6 +83,8 @@
   peerAddress @6 :Text;
   peerPort @7 :UInt16;
   configurationVersion @8 :UInt64;
+  condition @9 :Text;  # alive, suspect or gone, as the host's zone sees it
+  revision @10 :UInt32;  # raised by the host when its own status changes
 }
 
 struct RouteEntry {
@@ -91,11 +93,25 @@
   primaryTargetId @2 :Text;
 }
 
+# Requests carry what changed lately; answers also carry what ages: evidence
+# and heartbeats. Ages count only in answers, because the asker can add the
+# time since it asked, whereas a request may have waited in a buffer.
 struct Gossip {
   hosts @0 :List(HostEntry);
   routes @1 :List(RouteEntry);
   configurationVersion @2 :UInt64;
   platformEvidenceAgeMs @3 :Int64 = -1;
+  heartbeat @4 :UInt64;  # the sender's own
+  hostsDigest @5 :UInt64;
+  routesDigest @6 :UInt64;
+  viewDigest @7 :UInt64;  # ids and incarnations of the sender's zone
+  heartbeats @8 :Data;  # low bytes by host id; only between equal views
+  versions @9 :Data;  # low bytes of versions; empty when all are equal
+  zones @10 :Data;  # records of zone key, age (ms) and version lag
+  hostBuckets @11 :Data;  # digests of buckets; empty: nothing is asked for
+  routeBuckets @12 :Data;
+  incarnation @13 :UInt64;  # the sender's own
+  keyedHeartbeats @14 :Data;  # key of the host with the low byte replaced
 }
 
 struct ConfigurationChange {
@@ -113,6 +129,7 @@
   configurationChanges @4 (after :UInt64)
       -> (changes :List(ConfigurationChange));
   explain @5 (kind :Text, id :Text) -> (found :Bool, text :Text);
+  ping @6 () -> ();
 }
 
 interface Login {
--- /dev/null
+++ b/samphirestand/hosts/server.py
@@ -0,0 +1,273 @@
+"""RPC server for other hosts; turns strangers away."""
+
+import asyncio
+import collections.abc
+import hmac
+import ssl
+from typing import Any
+from typing import Protocol
+
+import capnp
+
+from samphirestand import exceptions
+from samphirestand.hosts import codec
+from samphirestand import interfaces
+from samphirestand import log
+from samphirestand import types
+
+logger = log.get_logger(__name__)
+
+# A connection that hasn't logged in by then is closed, however busy it is.
+LOGIN_TIMEOUT_MS = 3_000
+
+# Connections that haven't logged in yet; more are closed at once.
+STRANGERS_MAX = 128
+
+# Changes in one answer; a peer that needs more asks again.
+CHANGES_MAX = 100
+
+
+class GossipReceiver(Protocol):
+    """Answers the gossip of other hosts."""
+
+    def receive(self, peer_id: str, state: Any) -> Any:
+        """Merge the message ``state`` and return the answer message."""
+
+
+class ChangeLog(Protocol):
+    """The configuration changes that this host has applied."""
+
+    def changes_after(self, version: int) -> list[types.ChangeRow]:
+        """Return the changes after ``version`` in order, without gaps."""
+
+
+class Explainer(Protocol):
+    """Explains what happened on this host."""
+
+    def explain(self, kind: str, subject: str) -> str | exceptions.Sentinel:
+        """Return a text for people; a sentinel if nothing is known."""
+
+
+class Services:
+    """The parts of this host that other hosts may call."""
+
+    def __init__(
+        self,
+        gateway: interfaces.GatewayService,
+        gossip: GossipReceiver,
+        tokens: interfaces.TokenGiver,
+        changes: ChangeLog,
+        explainer: Explainer,
+    ) -> None:
+        self.gateway = gateway
+        self.gossip = gossip
+        self.tokens = tokens
+        self.changes = changes
+        self.explainer = explainer
+
+
+class PeerServer:
+    """Listens for other hosts."""
+
+    def __init__(
+        self,
+        identity: collections.abc.Callable[[], tuple[str, int]],
+        secret: str,
+        services: Services,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """``identity`` returns this host's id and incarnation."""
+        self._identity = identity
+        self._secret = secret
+        self._services = services
+        self._tls = tls
+        self._strangers = 0
+        self._streams: set[Any] = set()
+        self._work: set[asyncio.Task[Any]] = set()
+        self._server: Any = None
+
+    async def start(self, address: str, port: int) -> int:
+        """Listen and return the port, which the system picks if it is 0."""
+        self._server = await capnp.AsyncIoStream.create_server(
+            self._serve, address, port, ssl=self._tls
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop listening, finish the requests under way, then hang up."""
+        self._server.close()
+        if self._work:
+            await asyncio.wait(self._work)
+        for stream in list(self._streams):
+            stream.close()
+
+    async def _serve(self, stream: Any) -> None:
+        if self._strangers >= STRANGERS_MAX:
+            logger.warning('stranger_refused', reason='too many')
+            stream.close()
+            return
+        login = LoginServer(self)
+        self._streams.add(stream)
+        self._strangers += 1
+        try:
+            two_party = capnp.TwoPartyServer(stream, bootstrap=login)
+            ended = asyncio.ensure_future(_awaited(two_party.on_disconnect()))
+            try:
+                known = await self._await_login(login, ended)
+            finally:
+                self._strangers -= 1
+            if known:
+                await ended
+            ended.cancel()
+        except capnp.KjException as error:
+            # Malformed messages end here, as does a peer's sudden death.
+            logger.info('peer_connection_failed', reason=codec.describe(error))
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+
+    async def _await_login(
+        self, login: 'LoginServer', ended: asyncio.Future[Any]
+    ) -> bool:
+        """Tell whether the other side logged in before the time-out."""
+        accepted = asyncio.ensure_future(login.decided.wait())
+        try:
+            await asyncio.wait(
+                (accepted, ended),
+                timeout=LOGIN_TIMEOUT_MS / 1000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            accepted.cancel()
+        if not login.peer_id:
+            logger.warning('stranger_refused', reason=login.reason)
+            # Lets the refusal leave before the stream is closed.
+            await asyncio.sleep(0.01)
+            ended.cancel()
+        return bool(login.peer_id)
+
+    def accept(self, host_id: str, secret: str) -> str:
+        """Return why a login is refused; empty if it is accepted."""
+        if not hmac.compare_digest(secret.encode(), self._secret.encode()):
+            return 'wrong fleet secret'
+        if not host_id:
+            return 'no host id'
+        return ''
+
+    async def work(
+        self, call: collections.abc.Coroutine[Any, Any, Any]
+    ) -> Any:
+        """Run ``call`` to its end even if the caller hangs up or gives up.
+
+        The library cancels a method when its caller disappears; a statement
+        that was sent to a target must not be abandoned in the middle.
+        """
+        task = asyncio.create_task(call)
+        self._work.add(task)
+        task.add_done_callback(self._work.discard)
+        return await asyncio.shield(task)
+
+    @property
+    def services(self) -> Services:
+        return self._services
+
+    @property
+    def identity(self) -> tuple[str, int]:
+        return self._identity()
+
+
+class LoginServer(codec.schema.Login.Server):
+    """The only interface that a connection has before it logs in."""
+
+    def __init__(self, server: PeerServer) -> None:
+        self._server = server
+        self.decided = asyncio.Event()
+        self.peer_id = ''
+        self.reason = 'no login in time'
+
+    async def hello(
+        self,
+        hostId: str,  # noqa: N803  the schema's names
+        zone: str,
+        incarnation: int,
+        secret: str,
+        **_: Any,
+    ) -> tuple[str, int, Any]:
+        refusal = self._server.accept(hostId, secret)
+        self.decided.set()
+        if refusal:
+            self.reason = refusal
+            raise PermissionError('login refused')
+        self.peer_id = hostId
+        own_id, own_incarnation = self._server.identity
+        return own_id, own_incarnation, PeerMethods(self._server, hostId)
+
+
+class PeerMethods(codec.schema.Peer.Server):
+    """The methods for a host that has logged in."""
+
+    def __init__(self, server: PeerServer, peer_id: str) -> None:
+        self._server = server
+        self._services = server.services
+        self._peer_id = peer_id
+
+    async def run(self, request: Any, **_: Any) -> Any:
+        try:
+            decoded = codec.decode_request(request)
+        except (ValueError, capnp.KjException) as error:
+            return codec.encode_outcome(
+                types.NotRun(
+                    'bad_request', f'unusable message: {codec.describe(error)}'
+                )
+            )
+        outcome = await self._server.work(self._services.gateway.run(decoded))
+        return codec.encode_outcome(outcome)
+
+    async def gossip(self, state: Any, **_: Any) -> Any:
+        return self._services.gossip.receive(self._peer_id, state)
+
+    async def takeTokens(  # noqa: N802  the schema's name
+        self, account: str, wanted: int, collect: bool, **_: Any
+    ) -> tuple[int, int]:
+        grant = await self._services.tokens.give(account, wanted, collect)
+        return grant.tokens, grant.valid_ms
+
+    async def targetStatus(  # noqa: N802
+        self,
+        targetId: str,  # noqa: N803
+        forWrite: Any,  # noqa: N803
+        waitMs: int,  # noqa: N803
+        **kwargs: Any,
+    ) -> None:
+        position = codec.decode_position(forWrite)
+        status = await self._services.gateway.target_status(
+            targetId, position if position.term else None, waitMs
+        )
+        results = kwargs['_context'].results
+        if isinstance(status, exceptions.Sentinel):
+            results.known = False
+            return
+        results.known = True
+        results.state = codec.encode_state(status.state)
+        results.ageMs = max(status.age_ms, 0)
+        results.suspect = status.suspects_primary
+
+    async def configurationChanges(  # noqa: N802
+        self, after: int, **_: Any
+    ) -> Any:
+        rows = self._services.changes.changes_after(after)[:CHANGES_MAX]
+        return [codec.encode_change(row) for row in rows]
+
+    async def explain(self, kind: str, id: str, **_: Any) -> tuple[bool, str]:
+        text = self._services.explainer.explain(kind, id)
+        if isinstance(text, exceptions.Sentinel):
+            return False, text.reason
+        return True, text
+
+    async def ping(self, **_: Any) -> None:
+        """Show that the connection and this process still answer."""
+
+
+async def _awaited(promise: Any) -> Any:
+    """Wrap a promise of the library, which isn't a coroutine."""
+    return await promise
--- /dev/null
+++ b/tests/hosts/fakes.py
@@ -0,0 +1,209 @@
+"""Fakes for the tests of hosts: configuration, services, a fleet."""
+
+import random
+
+from samphirestand import clock as clocks
+from samphirestand import exceptions
+from samphirestand.hosts import evidence as evidences
+from samphirestand.hosts import gossip as gossips
+from samphirestand.hosts import membership as memberships
+from samphirestand.hosts import routing
+from samphirestand import types
+
+
+def host(host_id, zone='a', port=1, incarnation=1):
+    return types.Host(
+        host_id, zone, incarnation, 'http://127.0.0.1:1', '127.0.0.1', port
+    )
+
+
+def request(**changes):
+    fields = {
+        'operation': 'execute',
+        'service': 's',
+        'target_id': 't1',
+        'account': 'acme',
+        'key_id': 'k1',
+        'request_id': 'r1',
+        'statement': 'SET a 1',
+        'mode': types.Mode.WRITE,
+        'repeatable': False,
+        'deadline_ms': 5_000,
+    }
+    return types.Request(**{**fields, **changes})
+
+
+def change(version):
+    return types.ChangeRow(version, f'c{version}', 'op', '', 1, 'X', {})
+
+
+class Configuration:
+    """A configuration history that only counts versions."""
+
+    def __init__(self, version=0):
+        self.current = types.Configuration(version=version)
+        self.callbacks = []
+        self.applied = []
+
+    def subscribe(self, callback):
+        self.callbacks.append(callback)
+
+    def is_confirmed(self):
+        return True
+
+    def changes_after(self, version):
+        return [
+            change(each)
+            for each in range(version + 1, self.current.version + 1)
+        ]
+
+    def apply(self, rows):
+        for row in rows:
+            self.applied.append(row.version)
+            if row.version != self.current.version + 1:
+                continue
+            self.current = types.Configuration(version=row.version)
+            for callback in self.callbacks:
+                callback(self.current)
+
+
+class Gateway:
+    """Answers with a fixed outcome, after a gate opens if there is one."""
+
+    def __init__(self, outcome=None, status=None):
+        self.outcome = outcome or types.Done(rows=({'a': 1},))
+        self.status = status or exceptions.Sentinel('not here')
+        self.requests = []
+        self.gate = None
+        self.finished = 0
+
+    async def run(self, request):
+        self.requests.append(request)
+        if self.gate is not None:
+            await self.gate.wait()
+        self.finished += 1
+        return self.outcome
+
+    async def target_status(self, target_id, for_write, wait_ms):
+        return self.status
+
+
+class Tokens:
+    async def give(self, account, wanted, collect):
+        return types.TokenGrant(wanted // 2, 300)
+
+
+class Explainer:
+    def explain(self, kind, subject):
+        if subject == 'unknown':
+            return exceptions.Sentinel('nothing known')
+        return f'{kind} {subject}'
+
+
+class Echo:
+    """Returns gossip as it came."""
+
+    def receive(self, peer_id, state):
+        return state
+
+
+class Fleet:
+    """Hosts that gossip in memory; ``cut`` tells which can't talk."""
+
+    def __init__(self, sizes_by_zone, seed=1, clock=None):
+        self.clock = clock or clocks.ManualClock()
+        self.random = random.Random(seed)
+        self.zones = sorted(sizes_by_zone)
+        self.nodes_by_id = {}
+        self.cut = lambda one, other: False
+        self.paused_ids = set()
+        for zone, size in sizes_by_zone.items():
+            for number in range(size):
+                self.add(f'{zone}{number}', zone)
+        self.introduce()
+
+    def add(self, host_id, zone, incarnation=1):
+        node = Node(self, host(host_id, zone, incarnation=incarnation))
+        self.nodes_by_id[host_id] = node
+        return node
+
+    def introduce(self):
+        for node in self.nodes_by_id.values():
+            for other in self.nodes_by_id.values():
+                node.membership.learn_contact(other.membership.local)
+
+    async def advance(self, duration_ms):
+        """Let rounds pass; paused hosts neither act nor answer."""
+        for _ in range(duration_ms // gossips.ROUND_MS):
+            for node in list(self.nodes_by_id.values()):
+                if node.host_id not in self.paused_ids:
+                    node.gossip.round()
+            await self.clock.advance(gossips.ROUND_MS)
+
+    def cut_zone(self, zone):
+        self.cut = lambda one, other: (one == zone) != (other == zone)
+
+    def heal(self):
+        self.cut = lambda one, other: False
+
+    def __getitem__(self, host_id):
+        return self.nodes_by_id[host_id]
+
+
+class Node:
+    """One host of a fleet and the calls that it makes."""
+
+    def __init__(self, fleet, local):
+        self.fleet = fleet
+        self.host_id = local.host_id
+        self.zone = local.zone
+        self.membership = memberships.Membership(local, fleet.clock)
+        self.routes = routing.RouteTable(fleet.clock)
+        self.configuration = Configuration()
+        self.evidence = evidences.Evidence(
+            fleet.clock,
+            fleet.zones,
+            local.zone,
+            lambda: self.configuration.current.version,
+        )
+        self.gossip = gossips.Gossip(
+            self.membership,
+            self.routes,
+            self.evidence,
+            self.configuration,
+            self.configuration,
+            Calls(self),
+            fleet.clock,
+            fleet.zones,
+            random.Random(fleet.random.random()),
+        )
+
+    def reached(self):
+        return {each.host_id for each in self.membership.reachable()}
+
+
+class Calls:
+    """The calls of one node to the others."""
+
+    def __init__(self, node):
+        self._node = node
+        self._fleet = node.fleet
+
+    async def gossip(self, host, state, timeout_ms):
+        peer = self._peer(host)
+        answer = peer.gossip.receive(self._node.host_id, state.as_reader())
+        return answer.as_reader()
+
+    async def configuration_changes(self, host, after, timeout_ms):
+        return self._peer(host).configuration.changes_after(after)
+
+    def _peer(self, host):
+        peer = self._fleet.nodes_by_id.get(host.host_id)
+        is_paused = {host.host_id, self._node.host_id} & self._fleet.paused_ids
+        if (
+            peer is None
+            or is_paused
+            or self._fleet.cut(self._node.zone, peer.zone)
+        ):
+            raise exceptions.HostError('cut', step='test', peer=host.host_id)
+        return peer
