--- a/samphirestand/exceptions.py
+++ b/samphirestand/exceptions.py
@@ -1,5 +1,7 @@
 """Errors of samphirestand and sentinel values that carry a reason."""
 
+from typing import Any
+
 
 class SamphirestandError(Exception):
     """Base of all errors; names the step and the peer where it arose."""
@@ -28,7 +30,13 @@
 
 
 class TableConflict(PlatformError):
-    """A conditional write found another version of the row."""
+    """A conditional write found another version; ``row`` is the current."""
+
+    def __init__(
+        self, message: str, *, step: str, peer: str = '', row: Any = None
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.row = row
 
 
 class TargetError(SamphirestandError):
