--- /dev/null
+++ b/tests/standins/test_link.py
@@ -0,0 +1,135 @@
+"""Tests of the links' delay and faults."""
+
+import asyncio
+import json
+
+import pytest
+
+from standins import link
+from tests import processes
+from tornado import httpclient
+
+
+class Links:
+    """Two links, of the groups ``a`` and ``b``, to an echo server."""
+
+    async def start(self, delay_ms=0):
+        target, control, a, b = processes.free_ports(4)
+        self.control = f'http://127.0.0.1:{control}'
+        self.ports = {'a': a, 'b': b}
+        self.echo = await asyncio.start_server(echo, '127.0.0.1', target)
+        config = link.ConfigModel(
+            control=f'127.0.0.1:{control}',
+            links=[
+                link.LinkModel(
+                    group=group,
+                    listen=f'127.0.0.1:{port}',
+                    forward=f'127.0.0.1:{target}',
+                    delay_ms=delay_ms,
+                )
+                for group, port in self.ports.items()
+            ],
+        )
+        self.servers = await link.start(config)
+        return self
+
+    async def fault(self, **body):
+        await httpclient.AsyncHTTPClient().fetch(
+            self.control + '/faults',
+            method='POST',
+            body=json.dumps({'groups': ['a'], **body}),
+        )
+
+    async def connect(self, group='a'):
+        return await asyncio.open_connection('127.0.0.1', self.ports[group])
+
+
+async def echo(reader, writer):
+    while data := await reader.read(65_536):
+        writer.write(data)
+    writer.close()
+
+
+async def is_echoed(connection, timeout=0.2):
+    """Tell whether bytes come back; None if they come too late."""
+    reader, writer = connection
+    try:
+        writer.write(b'hello')
+        async with asyncio.timeout(timeout):
+            return await reader.readexactly(5) == b'hello'
+    except TimeoutError:
+        return None
+    except (OSError, asyncio.IncompleteReadError):
+        return False
+
+
+def test_forwards_in_order_and_ends():
+    """Guards against bytes that change their order on a delayed link."""
+
+    async def main():
+        links = await Links().start(delay_ms=1)
+        reader, writer = await links.connect()
+        sent = b''.join(b'%06d' % number for number in range(200_000))
+        writer.write(sent)
+        writer.write_eof()
+        async with asyncio.timeout(20):
+            assert await reader.read(-1) == sent
+
+    asyncio.run(main())
+
+
+def test_delay_is_at_least_what_is_set():
+    """Guards against links that are faster than the network they model."""
+
+    async def main():
+        links = await Links().start(delay_ms=20)
+        connection = await links.connect()
+        assert await is_echoed(connection, timeout=5)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        assert await is_echoed(connection, timeout=5)
+        assert loop.time() - started >= 0.040
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('fault', 'existing', 'new', 'healed'),
+    [
+        ({'state': 'cut'}, False, False, False),
+        ({'state': 'blackhole'}, None, None, None),
+        ({'state': 'blackhole', 'existing_only': True}, None, True, None),
+        ({'state': 'hold'}, None, None, True),
+    ],
+)
+def test_faults(fault, existing, new, healed):
+    """Guards against faults that hit other connections than they should."""
+
+    async def main():
+        links = await Links().start()
+        before = await links.connect()
+        other = await links.connect('b')
+        assert await is_echoed(before)
+        assert await is_echoed(other)
+
+        await links.fault(**fault)
+        assert await is_echoed(before) is existing
+        assert await is_echoed(await links.connect()) is new
+        assert await is_echoed(other)
+
+        await links.fault(state='up')
+        assert await is_echoed(before) is healed
+        assert await is_echoed(await links.connect())
+
+    asyncio.run(main())
+
+
+def test_unreachable_server_resets_the_client():
+    """Guards against clients that wait for a server that is gone."""
+
+    async def main():
+        links = await Links().start()
+        links.echo.close()
+        assert await is_echoed(await links.connect()) is False
+
+    asyncio.run(main())
