--- /dev/null
+++ b/samphirestand/targets/admission.py
@@ -0,0 +1,139 @@
+"""Checks that a request must pass before a gateway sends it."""
+
+from samphirestand.targets import confirmation as confirmation_module
+from samphirestand.targets import context as context_module
+from samphirestand.targets import probe as probe_module
+from samphirestand.targets import refusals
+from samphirestand import types
+
+PRIMARY = 'primary'
+
+
+class Admission:
+    """Decides whether a gateway may run a request now.
+
+    ``hold_reason`` is set while new work waits for a planned replacement of
+    the primary; entry hosts try again then.
+    """
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        target: types.Target,
+        probe: probe_module.Probe,
+        confirmation: confirmation_module.Confirmation,
+    ) -> None:
+        self.hold_reason = ''
+        self.hold_transactions_reason = ''
+        self._context = context
+        self._target = target
+        self._probe = probe
+        self._confirmation = confirmation
+
+    def target(self) -> types.Target:
+        """Return the target as it is configured now."""
+        current = self._context.configuration.current
+        return current.targets_by_id.get(self._target.target_id, self._target)
+
+    def service(self) -> types.Service:
+        """Return the service as it is configured now."""
+        current = self._context.configuration.current
+        service = current.services_by_name.get(self._target.service)
+        if service is None:
+            raise self.refuse(
+                'service_unknown', f'no service {self._target.service}'
+            )
+        return service
+
+    def weight(self, account: str) -> int:
+        """Return the account's weight in the queue."""
+        current = self._context.configuration.current
+        known = current.accounts_by_name.get(account)
+        return known.weight if known else 1
+
+    def check(self, request: types.Request) -> None:
+        """Raise ``Refused`` unless the request may run on this gateway."""
+        if not self._probe.is_held:
+            raise self.refuse(
+                'not_gateway',
+                'this host does not hold the lock of the target',
+                hint=self._probe.holder,
+            )
+        self.check_key(request)
+
+    def check_key(self, request: types.Request) -> None:
+        """Raise ``Refused`` unless the key runs for the account now."""
+        if not request.key_id:
+            if request.account != self.service().open_account:
+                raise self.refuse('key_missing', 'the route needs a key')
+            return
+        keys = self._context.configuration.current.keys_by_id
+        key = keys.get(request.key_id)
+        if key is None:
+            raise self.refuse('key_unknown', f'no key {request.key_id}')
+        if key.withdrawn:
+            raise self.refuse(
+                'key_withdrawn', f'{request.key_id} was withdrawn'
+            )
+        if key.account != request.account:
+            raise self.refuse(
+                'key_unknown', f'{request.key_id} is of another account'
+            )
+
+    def check_new_work(self) -> None:
+        """Raise ``Refused`` when the target is leaving."""
+        if self.hold_reason:
+            raise self.refuse('not_primary', self.hold_reason)
+        target = self.target()
+        state = self._probe.state
+        is_primary = state is not None and state.role == PRIMARY
+        if target.retired and not is_primary:
+            raise self.refuse('target_leaving', 'the target is retired')
+
+    def check_new_transaction(self) -> None:
+        """Raise ``Refused`` when no transaction may be begun."""
+        self.check_new_work()
+        if self.hold_transactions_reason:
+            raise self.refuse('not_primary', self.hold_transactions_reason)
+
+    def primary_state(self) -> types.TargetState:
+        """Return the state of a primary that was confirmed lately.
+
+        Raises ``Refused`` with ``not_primary`` or ``primary_unconfirmed``.
+        """
+        state = self._probe.state
+        route = self._context.routes.primary(self._target.service)
+        if state is None or state.role != PRIMARY:
+            hint = ''
+            if isinstance(route, types.Route):
+                hint = route.primary_target_id
+            raise self.refuse(
+                'not_primary', 'the target is a replica', hint=hint
+            )
+        if isinstance(route, types.Route) and route.term > state.term:
+            raise self.refuse(
+                'not_primary',
+                f'term {route.term} replaced term {state.term}',
+                hint=route.primary_target_id,
+            )
+        if not self._confirmation.is_recent(state.term):
+            age = self._confirmation.age_ms(state.term)
+            raise self.refuse(
+                'primary_unconfirmed',
+                f'the last confirmation is {age} ms old'
+                if age is not None
+                else f'term {state.term} was not confirmed yet',
+            )
+        return state
+
+    def refuse(
+        self, code: str, message: str, hint: str = ''
+    ) -> refusals.Refused:
+        """Return the error for a request that wasn't sent."""
+        return refusals.not_run(
+            code,
+            message,
+            step='gateway',
+            peer=self._target.target_id,
+            hint=hint,
+        )
--- /dev/null
+++ b/samphirestand/targets/breaker.py
@@ -0,0 +1,94 @@
+"""Circuit breaker of a target and the budget for repeated attempts."""
+
+import random
+
+from samphirestand import clock as clock_module
+
+FAILURES_TO_OPEN = 5
+FIRST_BACK_OFF_MS = 100
+LONGEST_BACK_OFF_MS = 5_000
+
+BUDGET_WINDOW_MS = 10_000
+RETRIES_PER_WINDOW = 10
+REQUESTS_PER_RETRY = 10
+
+
+class CircuitBreaker:
+    """Opens after consecutive connection failures.
+
+    While it is open, one attempt is let through after each back-off, which
+    doubles up to its limit and has full jitter.
+    """
+
+    def __init__(self, clock: clock_module.Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._failures = 0
+        self._retry_at = 0
+
+    @property
+    def is_open(self) -> bool:
+        return self._failures >= FAILURES_TO_OPEN
+
+    def wait_ms(self) -> int:
+        """Return how long no attempt may be made; 0 if one may be."""
+        if not self.is_open:
+            return 0
+        return max(0, self._retry_at - self._clock.now())
+
+    def allow(self) -> bool:
+        """Tell whether to try; an open breaker lets one attempt through."""
+        if self.wait_ms():
+            return False
+        if self.is_open:
+            self._set_back_off()
+        return True
+
+    def succeeded(self) -> None:
+        """Note a connection that was opened."""
+        self._failures = 0
+
+    def failed(self) -> None:
+        """Note a connection that couldn't be opened."""
+        self._failures += 1
+        if self.is_open:
+            self._set_back_off()
+
+    def _set_back_off(self) -> None:
+        doublings = min(self._failures - FAILURES_TO_OPEN, 10)
+        longest = min(LONGEST_BACK_OFF_MS, FIRST_BACK_OFF_MS << doublings)
+        self._retry_at = self._clock.now() + self._rng.randint(1, longest)
+
+
+class RetryBudget:
+    """Bounds repeated attempts to 10 plus 10% of the requests.
+
+    Counted in windows of 10 s so that a quiet day doesn't pay for a storm.
+    """
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._window = -1
+        self._requests = 0
+        self._retries = 0
+
+    def note_request(self) -> None:
+        """Count a first attempt."""
+        self._roll()
+        self._requests += 1
+
+    def take(self) -> bool:
+        """Take one retry; false when the budget is spent."""
+        self._roll()
+        allowed = RETRIES_PER_WINDOW + self._requests // REQUESTS_PER_RETRY
+        if self._retries >= allowed:
+            return False
+        self._retries += 1
+        return True
+
+    def _roll(self) -> None:
+        window = self._clock.now() // BUDGET_WINDOW_MS
+        if window != self._window:
+            self._window = window
+            self._requests = 0
+            self._retries = 0
--- /dev/null
+++ b/samphirestand/targets/confirmation.py
@@ -0,0 +1,156 @@
+"""Confirmation by another server that a primary wasn't replaced."""
+
+import asyncio
+
+from samphirestand import exceptions
+from samphirestand.targets import context as context_module
+from samphirestand.targets import control
+from samphirestand.targets import messages
+from samphirestand import types
+
+# Writes are refused before they are sent when the last confirmation is older.
+RECENT_MS = 1_000
+# Pause between two questions to a server that couldn't confirm.
+RETRY_PAUSE_MS = 25
+# One question waits at most this long for a position.
+LONGEST_WAIT_MS = 1_000
+QUESTION_MARGIN_MS = 500
+
+
+class Confirmation:
+    """Asks the service's other servers about the primary's term."""
+
+    def __init__(
+        self, context: context_module.Context, target: types.Target
+    ) -> None:
+        self._context = context
+        self._target = target
+        self._term = 0
+        self._confirmed_at: int | None = None
+        self._direct_target_ids: set[str] = set()
+
+    def age_ms(self, term: int) -> int | None:
+        """Return the age of the last confirmation of ``term``."""
+        if term != self._term or self._confirmed_at is None:
+            return None
+        return self._context.clock.now() - self._confirmed_at
+
+    def is_recent(self, term: int) -> bool:
+        """Tell whether new writes may be sent."""
+        age = self.age_ms(term)
+        return not self._peers() or (age is not None and age <= RECENT_MS)
+
+    def note(self, state: types.TargetState, asked: int, term: int) -> None:
+        """Keep the answer of another server, asked at the given instant."""
+        if state.term != term:
+            return
+        if term != self._term:
+            self._term, self._confirmed_at = term, asked
+        elif self._confirmed_at is None or asked > self._confirmed_at:
+            self._confirmed_at = asked
+
+    async def confirm(
+        self, term: int, position: types.Position | None, deadline: int
+    ) -> bool:
+        """Wait until another server confirms ``term`` after this call.
+
+        With ``position`` that server's log must hold it. False when the
+        deadline comes first or when every server knows a higher term.
+        """
+        peers = self._peers()
+        if not peers:
+            return True
+        tasks = {
+            asyncio.ensure_future(
+                self._confirm_by(peer, term, position, deadline)
+            )
+            for peer in peers
+        }
+        pending = tasks
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                if any(task.result() for task in done):
+                    return True
+            return False
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    def _peers(self) -> list[types.Target]:
+        return [
+            each
+            for each in context_module.service_targets(
+                self._context, self._target
+            )
+            if each.target_id != self._target.target_id
+        ]
+
+    async def _confirm_by(
+        self,
+        peer: types.Target,
+        term: int,
+        position: types.Position | None,
+        deadline: int,
+    ) -> bool:
+        clock = self._context.clock
+        while (remaining := deadline - clock.now()) > 0:
+            asked = clock.now()
+            wait_ms = min(remaining, LONGEST_WAIT_MS) if position else 0
+            state = await self._ask(peer, position, wait_ms, remaining)
+            now = clock.now()
+            if state is not None:
+                # With a position the state may be older than the question.
+                if position is None:
+                    self.note(state, asked, term)
+                if state.term > term:
+                    return False
+                is_held = not position or state.history.contains(position)
+                # An answer that was read after a pause of this process says
+                # nothing about the present.
+                is_current = now - asked <= wait_ms + RECENT_MS
+                if state.term == term and is_held and is_current:
+                    return now <= deadline
+            await clock.sleep(RETRY_PAUSE_MS)
+        return False
+
+    async def _ask(
+        self,
+        peer: types.Target,
+        position: types.Position | None,
+        wait_ms: int,
+        remaining_ms: int,
+    ) -> types.TargetState | None:
+        timeout_ms = min(remaining_ms, wait_ms + QUESTION_MARGIN_MS)
+        status = await self._context.router.target_status(
+            peer.target_id, position, wait_ms, timeout_ms
+        )
+        if isinstance(status, types.TargetStatus):
+            return status.state
+        return await self._ask_directly(peer, position, wait_ms, timeout_ms)
+
+    async def _ask_directly(
+        self,
+        peer: types.Target,
+        position: types.Position | None,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> types.TargetState | None:
+        # Servers reserve three connections for such questions.
+        if peer.target_id in self._direct_target_ids:
+            return None
+        self._direct_target_ids.add(peer.target_id)
+        try:
+            answer = await control.call(
+                self._context,
+                peer.url,
+                messages.Status(position, wait_ms),
+                max(1, timeout_ms),
+            )
+        except exceptions.TargetError:
+            return None
+        finally:
+            self._direct_target_ids.discard(peer.target_id)
+        return answer.state
--- /dev/null
+++ b/samphirestand/targets/control.py
@@ -0,0 +1,56 @@
+"""Control connections to targets whose gateway is elsewhere."""
+
+from samphirestand import interfaces
+from samphirestand.targets import context as context_module
+from samphirestand.targets import messages
+
+CONNECT_TIMEOUT_MS = 1_000
+CALL_TIMEOUT_MS = 1_000
+
+
+class Link:
+    """A control connection that is opened with its first call.
+
+    The application name differs from the gateways' names, because a server
+    that releases a gateway's lock ends all connections of that name.
+    """
+
+    def __init__(self, context: context_module.Context, url: str) -> None:
+        self._context = context
+        self._url = url
+        self._connection: interfaces.TargetConnection | None = None
+
+    async def call(
+        self, message: messages.Call, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> messages.Answer:
+        """Send a call; raises ``TargetError`` if nothing was sent.
+
+        Raises ``AnswerLost`` if no answer came; the next call opens another
+        connection.
+        """
+        if self._connection is None or not self._connection.is_open:
+            self._connection = await self._context.connector.connect(
+                self._url,
+                f'{self._context.host_id}.control',
+                CONNECT_TIMEOUT_MS,
+            )
+        return await self._connection.call(message, timeout_ms)
+
+    def close(self) -> None:
+        """Close the connection if there is one."""
+        if self._connection is not None:
+            self._connection.close()
+
+
+async def call(
+    context: context_module.Context,
+    url: str,
+    message: messages.Call,
+    timeout_ms: int = CALL_TIMEOUT_MS,
+) -> messages.Answer:
+    """Send one call on a connection of its own; raises ``TargetError``."""
+    link = Link(context, url)
+    try:
+        return await link.call(message, timeout_ms)
+    finally:
+        link.close()
--- /dev/null
+++ b/samphirestand/targets/election.py
@@ -0,0 +1,249 @@
+"""One attempt to make a server the primary of a new term."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+import structlog
+
+from samphirestand import exceptions
+from samphirestand.targets import context as context_module
+from samphirestand.targets import control
+from samphirestand.targets import messages
+from samphirestand import types
+
+LOG = structlog.get_logger()
+
+PRIMARY = 'primary'
+CALL_TIMEOUT_MS = 1_000
+# A third server that accepts the fence late may hold more entries; it isn't
+# needed for safety, so that it is awaited only this long.
+LAST_SERVER_WAIT_MS = 200
+PROMOTE_ATTEMPTS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class _Accepted:
+    target: types.Target
+    state: types.TargetState
+
+
+class Election:
+    """Fences a majority, promotes the most advanced server of it.
+
+    Every step is safe to repeat, to lose and to run twice at once: servers
+    accept one candidate for each term and refuse lower terms.
+    """
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        targets: list[types.Target],
+        reason: str,
+    ) -> None:
+        self._context = context
+        self._targets = targets
+        self._reason = reason
+        self._service = targets[0].service
+        self._majority = len(targets) // 2 + 1
+        self._candidate = (
+            f'{context.host_id}.{context.rng.getrandbits(64):016x}'
+        )
+        self._links_by_id = {
+            each.target_id: control.Link(context, each.url) for each in targets
+        }
+
+    async def run(
+        self,
+        known_term: int,
+        preferred_id: str,
+        may_replace: bool = False,
+    ) -> types.Route | exceptions.Sentinel:
+        """Elect a primary; a sentinel says why there is none.
+
+        ``preferred_id`` wins among equally advanced servers that aren't
+        retired. Unless ``may_replace`` is set, the attempt ends when a server
+        is primary of the highest term or has seen a higher term than
+        ``known_term``, because another candidate is at work then.
+        """
+        try:
+            states = await self._states()
+            problem = self._problem(states, known_term, may_replace)
+            if problem:
+                return exceptions.Sentinel(problem)
+            term = max(each.state.term for each in states) + 1
+            accepted = await self._fence(term)
+            if len(accepted) < self._majority:
+                return exceptions.Sentinel(
+                    f'{len(accepted)} servers accepted term {term}'
+                )
+            chosen = max(
+                accepted, key=lambda each: self._rank(each, preferred_id)
+            )
+            if not await self._promote(term, chosen.target):
+                return exceptions.Sentinel(
+                    f'{chosen.target.target_id} was not promoted'
+                )
+            return await self._announce(term, chosen)
+        finally:
+            for link in self._links_by_id.values():
+                link.close()
+
+    async def _states(self) -> list[_Accepted]:
+        return await self._ask_all(messages.Status(), len(self._targets))
+
+    def _problem(
+        self, states: list[_Accepted], known_term: int, may_replace: bool
+    ) -> str:
+        # A fence that can't reach a majority would only keep the servers
+        # that it does reach from following the present primary.
+        if len(states) < self._majority:
+            return f'{len(states)} of {len(self._targets)} servers answer'
+        highest = max(each.state.term for each in states)
+        if may_replace:
+            return ''
+        for each in states:
+            if each.state.role == PRIMARY and each.state.term == highest:
+                self._learn(highest, each.target)
+                return f'{each.target.target_id} is primary'
+        if highest > known_term:
+            return f'another candidate has reached term {highest}'
+        return ''
+
+    async def _fence(self, term: int) -> list[_Accepted]:
+        answers = await self._ask_all(
+            messages.Fence(term, self._candidate), self._majority
+        )
+        return [each for each in answers if each.state.term == term]
+
+    def _rank(
+        self, accepted: _Accepted, preferred_id: str
+    ) -> tuple[types.Position, bool, bool]:
+        target = accepted.target
+        return (
+            accepted.state.position,
+            not target.retired,
+            target.target_id == preferred_id,
+        )
+
+    async def _promote(self, term: int, target: types.Target) -> bool:
+        # A lost answer leaves open whether the server was promoted; its
+        # state tells, and promoting it again does no harm.
+        link = self._links_by_id[target.target_id]
+        calls: tuple[messages.Call, ...] = (
+            messages.Promote(term, self._candidate),
+            messages.Status(),
+        )
+        for call in calls * PROMOTE_ATTEMPTS:
+            try:
+                answer = await link.call(call, CALL_TIMEOUT_MS)
+            except exceptions.TargetError as error:
+                self._log(error)
+                continue
+            if answer.state.term != term:
+                return False
+            if answer.state.role == PRIMARY:
+                return True
+        return False
+
+    async def _announce(self, term: int, chosen: _Accepted) -> types.Route:
+        position = chosen.state.position
+        route = self._learn(term, chosen.target)
+        LOG.warning(
+            'primary promoted',
+            service=self._service,
+            term=term,
+            target=chosen.target.target_id,
+            reason=self._reason,
+        )
+        self._context.metrics.count('promotions')
+        self._context.recorder.record(
+            'failover',
+            self._service,
+            f'{chosen.target.target_id} is primary of term {term} from '
+            f'position {position.term}:{position.offset} on, by '
+            f'{self._candidate}: {self._reason}',
+        )
+        await self._ask_all(
+            messages.Follow(term, chosen.target.url),
+            self._majority - 1,
+            but_id=chosen.target.target_id,
+        )
+        return route
+
+    def _learn(self, term: int, target: types.Target) -> types.Route:
+        route = types.Route(self._service, term, target.target_id)
+        self._context.routes.learn(route)
+        return route
+
+    async def _ask_all(
+        self, call: messages.Call, needed: int, but_id: str = ''
+    ) -> list[_Accepted]:
+        """Return the answers without failure.
+
+        Returns soon after ``needed`` of them came, or when all questions
+        are answered or timed out.
+        """
+        tasks = [
+            asyncio.ensure_future(self._ask(each, call))
+            for each in self._targets
+            if each.target_id != but_id
+        ]
+        try:
+            await self._wait(tasks, needed)
+        finally:
+            for task in tasks:
+                task.cancel()
+        return [
+            result
+            for task in tasks
+            if task.done() and not task.cancelled()
+            if (result := task.result()) is not None
+        ]
+
+    async def _wait(
+        self, tasks: list[asyncio.Task[_Accepted | None]], needed: int
+    ) -> None:
+        pending: collections.abc.Collection[asyncio.Task[_Accepted | None]] = (
+            tasks
+        )
+        while pending:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            needed -= sum(task.result() is not None for task in done)
+            if needed <= 0:
+                break
+        if pending:
+            timer = asyncio.ensure_future(
+                self._context.clock.sleep(LAST_SERVER_WAIT_MS)
+            )
+            last = asyncio.ensure_future(asyncio.wait(pending))
+            await asyncio.wait(
+                {timer, last}, return_when=asyncio.FIRST_COMPLETED
+            )
+            timer.cancel()
+            last.cancel()
+
+    async def _ask(
+        self, target: types.Target, call: messages.Call
+    ) -> _Accepted | None:
+        try:
+            answer = await self._links_by_id[target.target_id].call(
+                call, CALL_TIMEOUT_MS
+            )
+        except exceptions.TargetError as error:
+            self._log(error)
+            return None
+        if answer.failure is not None:
+            return None
+        return _Accepted(target, answer.state)
+
+    def _log(self, error: exceptions.TargetError) -> None:
+        LOG.warning(
+            'election call failed',
+            service=self._service,
+            step=error.step,
+            peer=error.peer,
+            error=error.message,
+        )
--- /dev/null
+++ b/samphirestand/targets/gateway.py
@@ -0,0 +1,207 @@
+"""The gateway of one target: the only place that runs its statements."""
+
+import asyncio
+
+from samphirestand.targets import admission as admission_module
+from samphirestand.targets import ages as ages_module
+from samphirestand.targets import breaker as breaker_module
+from samphirestand.targets import confirmation as confirmation_module
+from samphirestand.targets import connections
+from samphirestand.targets import context as context_module
+from samphirestand.targets import failover as failover_module
+from samphirestand.targets import probe as probe_module
+from samphirestand.targets import reads as reads_module
+from samphirestand.targets import refusals
+from samphirestand.targets import replacement as replacement_module
+from samphirestand.targets import runner as runner_module
+from samphirestand.targets import scheduler as scheduler_module
+from samphirestand.targets import transaction_requests
+from samphirestand.targets import transactions as transactions_module
+from samphirestand.targets import writes as writes_module
+from samphirestand import types
+
+# One connection for the lock, three reserved for control connections of
+# other hosts, and one for the watch.
+CONNECTIONS_OUTSIDE_POOL = 5
+PROBE_WAIT_MS = 1_000
+DRAIN_CHECK_MS = 20
+
+
+class Gateway:
+    """Runs the requests of one target while this host holds its lock."""
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        target: types.Target,
+        ends: transactions_module.Ends,
+    ) -> None:
+        self.target = target
+        self._context = context
+        self._ends = ends
+        self._running = 0
+        self._is_closing = False
+        self._tasks: list[asyncio.Task[None]] = []
+
+        # The lock comes first: everything else ends with it.
+        breaker = breaker_module.CircuitBreaker(context.clock, context.rng)
+        self.probe = probe_module.Probe(
+            context, target, breaker, self._lock_lost
+        )
+        self.confirmation = confirmation_module.Confirmation(context, target)
+        self.ages = ages_module.Ages()
+        self.admission = admission_module.Admission(
+            context, target, self.probe, self.confirmation
+        )
+
+        # Plain statements always find a connection: transactions leave as
+        # many as there are slots.
+        size = max(2, target.connections - CONNECTIONS_OUTSIDE_POOL)
+        self._pool = connections.Connections(context, target, size)
+        self._scheduler = scheduler_module.Scheduler(
+            context.clock, target.slots, target.target_id
+        )
+        self.transactions = transactions_module.Transactions(
+            context, ends, max(1, size - target.slots), max(1, size // 2)
+        )
+        runner = runner_module.Runner(
+            context, target, self.admission, self._scheduler, self._pool
+        )
+        self._reads = reads_module.Reads(
+            context,
+            target,
+            self.admission,
+            self.probe,
+            self.confirmation,
+            self.ages,
+            runner,
+        )
+        self._writes = writes_module.Writes(
+            context, target, self.admission, self.confirmation, runner
+        )
+        self._transaction_requests = transaction_requests.TransactionRequests(
+            context,
+            target,
+            self.admission,
+            self._scheduler,
+            self._pool,
+            self.transactions,
+            ends,
+            runner,
+            self._writes,
+        )
+
+        # The watch over the primary, and its planned replacement.
+        replacement = replacement_module.Replacement(
+            context,
+            target,
+            self.probe,
+            self.admission,
+            self.transactions,
+            lambda: self._running,
+        )
+        self.failover = failover_module.Failover(
+            context,
+            target,
+            self.probe,
+            self.confirmation,
+            self.ages,
+            replacement,
+        )
+
+    @property
+    def running(self) -> int:
+        """Return how many requests are being run."""
+        return self._running
+
+    def start(self) -> None:
+        """Start the tasks of the gateway."""
+        jobs = (
+            self.probe.run(),
+            self.transactions.run(),
+            self.failover.run(),
+        )
+        for job in jobs:
+            self._tasks.append(asyncio.ensure_future(job))
+
+    async def stop(self) -> None:
+        """Finish running work, then give up the lock.
+
+        Open transactions may go on up to their own limits. Meanwhile other
+        statements still run here, because no other host can get the lock.
+        """
+        reason = 'the gateway is moving to another host'
+        self.admission.hold_transactions_reason = reason
+        clock = self._context.clock
+        while self.transactions.by_id:
+            await clock.sleep(DRAIN_CHECK_MS)
+        self._is_closing = True
+        while self._running:
+            await clock.sleep(DRAIN_CHECK_MS)
+        self._pool.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.probe.close()
+
+    async def run(self, request: types.Request) -> types.Outcome:
+        """Run a request; never raises for a refusal."""
+        deadline = self._context.clock.now() + request.deadline_ms
+        self._running += 1
+        try:
+            return await self._dispatch(request, deadline)
+        except refusals.Refused as refused:
+            self._context.metrics.count(f'refused_{refused.outcome.code}')
+            return refused.outcome
+        finally:
+            self._running -= 1
+
+    async def status(
+        self, for_write: types.Position | None, wait_ms: int
+    ) -> types.TargetStatus | None:
+        """Return the target's state from a probe after this call."""
+        asked = self._context.clock.now()
+        if for_write is None:
+            state = await self.probe.fresh(PROBE_WAIT_MS)
+        else:
+            state = await self.probe.containing(for_write, wait_ms)
+        if state is None:
+            return None
+        age_ms = self._context.clock.now() - asked
+        return types.TargetStatus(
+            state, age_ms, self.failover.suspects_primary
+        )
+
+    async def _dispatch(
+        self, request: types.Request, deadline: int
+    ) -> types.Done:
+        requests = self._transaction_requests
+        if self._is_closing:
+            host = self._context.membership.gateway_host(self.target)
+            hint = host.host_id if isinstance(host, types.Host) else ''
+            raise self.admission.refuse(
+                'not_gateway', 'the gateway has moved', hint=hint
+            )
+        match request.operation:
+            case 'statement':
+                return await requests.statement(request, deadline)
+            case 'commit':
+                return await requests.commit(request, deadline)
+            case 'rollback':
+                return await requests.rollback(request, deadline)
+        self.admission.check(request)
+        match request.operation, request.mode:
+            case 'execute', types.Mode.READ:
+                return await self._reads.run(request, deadline)
+            case 'execute', types.Mode.WRITE:
+                return await self._writes.run(request, deadline)
+            case 'begin', _:
+                return await requests.begin(request, deadline)
+        raise self.admission.refuse(
+            'bad_request', f'no operation {request.operation}'
+        )
+
+    def _lock_lost(self) -> None:
+        # The server has ended the connections of this host.
+        self.transactions.abort_all('the gateway lost the lock of the target')
+        self._pool.close()
--- /dev/null
+++ b/samphirestand/targets/gateways.py
@@ -0,0 +1,156 @@
+"""The gateways that are placed on this host."""
+
+import asyncio
+import random
+
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand import interfaces
+from samphirestand import metrics as metrics_module
+from samphirestand.targets import context as context_module
+from samphirestand.targets import gateway as gateway_module
+from samphirestand.targets import refusals
+from samphirestand.targets import transaction_requests
+from samphirestand.targets import transactions
+from samphirestand import types
+
+RECONCILE_INTERVAL_MS = 250
+
+
+class Gateways:
+    """Starts and stops gateways as the membership places them."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        rng: random.Random,
+        connector: interfaces.TargetConnector,
+        configuration: interfaces.ConfigurationSource,
+        membership: interfaces.Membership,
+        routes: interfaces.Routes,
+        router: interfaces.Router,
+        metrics: metrics_module.Metrics,
+        recorder: interfaces.StatusRecorder,
+    ) -> None:
+        self.gateways_by_target_id: dict[str, gateway_module.Gateway] = {}
+        self._context = context_module.Context(
+            clock,
+            rng,
+            connector,
+            configuration,
+            membership,
+            routes,
+            router,
+            metrics,
+            recorder,
+        )
+        self._ends = transactions.Ends()
+        self._task: asyncio.Task[None] | None = None
+        self._stops_by_target_id: dict[str, asyncio.Task[None]] = {}
+        self._changed = asyncio.Event()
+        configuration.subscribe(self._configuration_changed)
+
+    async def start(self) -> None:
+        """Start the task that follows the placement."""
+        self._task = asyncio.ensure_future(self._reconcile_always())
+
+    async def stop(self) -> None:
+        """Hand over every gateway; running work finishes first."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for target_id in self.gateways_by_target_id:
+            self._stop_gateway(target_id)
+        await asyncio.gather(*self._stops_by_target_id.values())
+
+    async def run(self, request: types.Request) -> types.Outcome:
+        """Run a request on a target whose gateway is on this host."""
+        gateway = self.gateways_by_target_id.get(request.target_id)
+        if gateway is not None:
+            return await gateway.run(request)
+        if request.operation in ('statement', 'commit', 'rollback'):
+            return transaction_requests.ended(self._ends, request).outcome
+        return refusals.not_run(
+            'not_gateway',
+            'this host is not the gateway of the target',
+            step='gateway',
+            peer=request.target_id,
+            hint=self._gateway_hint(request.target_id),
+        ).outcome
+
+    async def target_status(
+        self, target_id: str, for_write: types.Position | None, wait_ms: int
+    ) -> types.TargetStatus | exceptions.Sentinel:
+        """Return a fresh state of a target; a sentinel if not here."""
+        gateway = self.gateways_by_target_id.get(target_id)
+        if gateway is None:
+            return exceptions.Sentinel('this host is not the gateway')
+        status = await gateway.status(for_write, wait_ms)
+        return status or exceptions.Sentinel('the target does not answer')
+
+    def reconcile(self) -> None:
+        """Start and stop gateways once; returns without waiting."""
+        current = self._context.configuration.current
+        for target in current.targets_by_id.values():
+            if self._is_placed_here(target):
+                self._start_gateway(target)
+        for target_id, gateway in self.gateways_by_target_id.items():
+            target = current.targets_by_id.get(target_id, gateway.target)
+            is_known = target_id in current.targets_by_id
+            if not is_known or not self._is_placed_here(target):
+                self._stop_gateway(target_id)
+
+    async def _reconcile_always(self) -> None:
+        while True:
+            self.reconcile()
+            self._changed.clear()
+            try:
+                await context_module.within(
+                    self._context.clock,
+                    self._changed.wait(),
+                    RECONCILE_INTERVAL_MS,
+                )
+            except TimeoutError:
+                pass
+
+    def _configuration_changed(self, _: types.Configuration) -> None:
+        self._changed.set()
+        for gateway in self.gateways_by_target_id.values():
+            gateway.transactions.check()
+
+    def _is_placed_here(self, target: types.Target) -> bool:
+        host = self._context.membership.gateway_host(target)
+        if not isinstance(host, types.Host):
+            # Nothing better is known, so a running gateway goes on.
+            return target.target_id in self.gateways_by_target_id
+        return host.host_id == self._context.host_id
+
+    def _gateway_hint(self, target_id: str) -> str:
+        target = self._context.configuration.current.targets_by_id.get(
+            target_id
+        )
+        if target is None:
+            return ''
+        host = self._context.membership.gateway_host(target)
+        return host.host_id if isinstance(host, types.Host) else ''
+
+    def _start_gateway(self, target: types.Target) -> None:
+        # While a stop is under way the lock is still in use here.
+        if target.target_id in self.gateways_by_target_id:
+            return
+        gateway = gateway_module.Gateway(self._context, target, self._ends)
+        self.gateways_by_target_id[target.target_id] = gateway
+        gateway.start()
+
+    def _stop_gateway(self, target_id: str) -> None:
+        if target_id in self._stops_by_target_id:
+            return
+        task = asyncio.ensure_future(self._finish_stop(target_id))
+        self._stops_by_target_id[target_id] = task
+
+    async def _finish_stop(self, target_id: str) -> None:
+        try:
+            await self.gateways_by_target_id[target_id].stop()
+        finally:
+            del self.gateways_by_target_id[target_id]
+            del self._stops_by_target_id[target_id]
--- /dev/null
+++ b/samphirestand/targets/replacement.py
@@ -0,0 +1,138 @@
+"""Planned replacement of a primary whose target was retired."""
+
+import collections.abc
+
+import structlog
+
+from samphirestand import exceptions
+from samphirestand.targets import admission as admission_module
+from samphirestand.targets import context as context_module
+from samphirestand.targets import election as election_module
+from samphirestand.targets import probe as probe_module
+from samphirestand.targets import transactions as transactions_module
+from samphirestand import types
+
+LOG = structlog.get_logger()
+
+# Single statements still run this long while transactions finish. New work
+# must end 5 s after the retirement.
+STATEMENTS_MS = 4_000
+TRANSACTIONS_MS = 30_000
+CATCH_UP_MS = 500
+QUESTION_TIMEOUT_MS = 1_000
+PROBE_TIMEOUT_MS = 500
+
+
+class Replacement:
+    """Replaces the own target as primary once it is retired.
+
+    New work is held by the entry hosts meanwhile, open transactions get 30 s
+    and a replica catches up before the election.
+    """
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        target: types.Target,
+        probe: probe_module.Probe,
+        admission: admission_module.Admission,
+        transactions: transactions_module.Transactions,
+        count_running: collections.abc.Callable[[], int],
+    ) -> None:
+        self._context = context
+        self._target = target
+        self._probe = probe
+        self._admission = admission
+        self._transactions = transactions
+        self._count_running = count_running
+        self._since: int | None = None
+
+    def cancel(self) -> None:
+        """Take work again, as far as the target's role allows."""
+        if self._since is not None:
+            self._since = None
+            self._admission.hold_reason = ''
+            self._admission.hold_transactions_reason = ''
+
+    async def check(self, state: types.TargetState, may_promote: bool) -> None:
+        """Go on with the replacement if one is due."""
+        successors = await self._successors(state)
+        if not self._admission.target().retired or not may_promote:
+            successors = []
+        if not successors:
+            self.cancel()
+            return
+        if self._hold():
+            await self._replace(successors)
+
+    def _hold(self) -> bool:
+        """Hold new work; true once the running work is finished."""
+        now = self._context.clock.now()
+        if self._since is None:
+            self._since = now
+        elapsed = now - self._since
+        reason = 'the retired primary is being replaced'
+        self._admission.hold_transactions_reason = reason
+        is_busy = bool(self._transactions.by_id)
+        if is_busy and elapsed < STATEMENTS_MS:
+            return False
+        self._admission.hold_reason = reason
+        is_busy = is_busy or self._count_running() > 0
+        return not is_busy or elapsed >= TRANSACTIONS_MS
+
+    async def _successors(
+        self, state: types.TargetState
+    ) -> list[types.Target]:
+        """Return the other targets that may become primary."""
+        if not self._admission.target().retired:
+            return []
+        current = self._context.configuration.current
+        found = []
+        for target in current.targets_by_id.values():
+            is_other = target.target_id != self._target.target_id
+            is_peer = target.service == self._target.service and is_other
+            if not is_peer or target.retired:
+                continue
+            status = await self._context.router.target_status(
+                target.target_id, None, 0, QUESTION_TIMEOUT_MS
+            )
+            if isinstance(status, types.TargetStatus) and (
+                status.state.term == state.term
+            ):
+                found.append(target)
+        return found
+
+    async def _replace(self, successors: list[types.Target]) -> None:
+        state = await self._probe.fresh(PROBE_TIMEOUT_MS)
+        if state is None:
+            return
+        for target in successors:
+            if not await self._has_caught_up(target, state.position):
+                continue
+            result = await election_module.Election(
+                self._context,
+                context_module.service_targets(self._context, self._target),
+                f'{self._target.target_id} is retired',
+            ).run(state.term, target.target_id, may_replace=True)
+            if isinstance(result, exceptions.Sentinel):
+                LOG.warning(
+                    'planned election without a result',
+                    step='election',
+                    peer=self._target.service,
+                    error=result.reason,
+                )
+            await self._probe.fresh(PROBE_TIMEOUT_MS)
+            return
+
+    async def _has_caught_up(
+        self, target: types.Target, position: types.Position
+    ) -> bool:
+        status = await self._context.router.target_status(
+            target.target_id,
+            position,
+            CATCH_UP_MS,
+            CATCH_UP_MS + QUESTION_TIMEOUT_MS,
+        )
+        return isinstance(
+            status, types.TargetStatus
+        ) and status.state.history.contains(position)
--- /dev/null
+++ b/samphirestand/targets/runner.py
@@ -0,0 +1,133 @@
+"""Sends single statements to a target, again where that is allowed."""
+
+import collections.abc
+
+from samphirestand import exceptions
+from samphirestand.targets import admission as admission_module
+from samphirestand.targets import breaker as breaker_module
+from samphirestand.targets import connections
+from samphirestand.targets import context as context_module
+from samphirestand.targets import messages
+from samphirestand.targets import refusals
+from samphirestand.targets import scheduler as scheduler_module
+from samphirestand import types
+
+RETRY_PAUSE_MS = 20
+
+
+class Runner:
+    """Takes a slot and a connection, sends a call and reads the answer."""
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        target: types.Target,
+        admission: admission_module.Admission,
+        scheduler: scheduler_module.Scheduler,
+        pool: connections.Connections,
+    ) -> None:
+        self._context = context
+        self._target = target
+        self._admission = admission
+        self._scheduler = scheduler
+        self._pool = pool
+        self._budget = breaker_module.RetryBudget(context.clock)
+
+    async def run(
+        self,
+        request: types.Request,
+        make_call: collections.abc.Callable[[], messages.Call],
+        deadline: int,
+    ) -> messages.Answer:
+        """Return the answer of a statement that ran.
+
+        ``make_call`` is called with the slot taken and may raise ``Refused``.
+        A call is sent again if it provably wasn't sent, or if the request is
+        repeatable. Raises ``Refused``, as unknown after any lost attempt.
+        """
+        self._budget.note_request()
+        is_lost = False
+        while True:
+            try:
+                return await self._attempt(request, make_call, deadline)
+            except refusals.Refused as refused:
+                if not is_lost:
+                    raise
+                raise refusals.may_have_run(refused) from refused
+            except exceptions.TargetError as error:
+                was_sent = isinstance(error, exceptions.AnswerLost)
+                is_lost = is_lost or was_sent
+                may_repeat = request.repeatable or not was_sent
+                if not may_repeat or not self._may_retry(deadline):
+                    raise self._failed(error, is_lost) from error
+            self._context.metrics.count('retries')
+            await self._context.clock.sleep(RETRY_PAUSE_MS)
+
+    def _may_retry(self, deadline: int) -> bool:
+        now = self._context.clock.now()
+        return now + RETRY_PAUSE_MS < deadline and self._budget.take()
+
+    def _failed(
+        self, error: exceptions.TargetError, is_lost: bool
+    ) -> refusals.Refused:
+        make = refusals.unknown if is_lost else refusals.not_run
+        return make(
+            'answer_lost' if is_lost else 'target_unreachable',
+            error.message,
+            step=error.step,
+            peer=error.peer or self._target.target_id,
+        )
+
+    async def _attempt(
+        self,
+        request: types.Request,
+        make_call: collections.abc.Callable[[], messages.Call],
+        deadline: int,
+    ) -> messages.Answer:
+        clock = self._context.clock
+        weight = self._admission.weight(request.account)
+        async with self._scheduler.slot(request.account, weight, deadline):
+            # The key, the lock or the role may have changed in the queue.
+            self._admission.check(request)
+            call = make_call()
+            connection = await self._pool.acquire(deadline - clock.now())
+            try:
+                remaining = deadline - clock.now()
+                # Half of the time is kept for a second attempt, in case that
+                # only this connection went silent.
+                timeout = remaining // 2 if request.repeatable else remaining
+                answer = await connection.call(call, max(1, timeout))
+            except BaseException:
+                # A connection with an unanswered call is never used again.
+                connection.close()
+                raise
+            finally:
+                self._pool.release(connection)
+        return self.checked(answer)
+
+    def checked(self, answer: messages.Answer) -> messages.Answer:
+        """Return an answer without a failure; raises ``Refused``."""
+        failure = answer.failure
+        if failure is None:
+            return answer
+        # While another attempt of the same request runs, its outcome is
+        # open, although this attempt was refused.
+        is_open = failure.code == 'duplicate_in_progress'
+        is_refused = failure.ran is False and not is_open
+        make = refusals.not_run if is_refused else refusals.unknown
+        raise make(
+            _code(failure),
+            failure.message,
+            step='target',
+            peer=self._target.target_id,
+        )
+
+
+def _code(failure: messages.Failure) -> str:
+    match failure.code:
+        case 'stale_term':
+            return 'not_primary'
+        case 'lock_required':
+            return 'not_gateway'
+        case _:
+            return failure.code
--- /dev/null
+++ b/samphirestand/targets/scheduler.py
@@ -0,0 +1,188 @@
+"""Weighted fair queue of client accounts for the slots of a target."""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+
+from samphirestand import clock as clock_module
+from samphirestand.targets import refusals
+
+# The first estimate of a statement's duration; measured durations replace it.
+FIRST_ESTIMATE_MS = 5.0
+# Share of the newest duration in the running mean.
+SMOOTHING = 0.1
+SHORTEST_COST_MS = 0.1
+
+
+@dataclasses.dataclass
+class _Entry:
+    account: str
+    future: asyncio.Future[None]
+    charged_ms: float = 0.0
+
+
+class Scheduler:
+    """Start-time fair queueing over client accounts.
+
+    Each account has a queue; the slot goes to the account whose head has the
+    lowest start tag. A start tag is the account's last finish tag, at least
+    the virtual time, and a finish tag adds the duration divided by the
+    weight. The duration is estimated at the start and corrected at the end.
+    (Goyal, Vin, Cheng: Start-time Fair Queueing, 1996.)
+    """
+
+    def __init__(
+        self, clock: clock_module.Clock, slots: int, target_id: str
+    ) -> None:
+        self._clock = clock
+        self._slots = slots
+        self._target_id = target_id
+        self._running = 0
+        self._virtual_time = 0.0
+        self._estimate_ms = FIRST_ESTIMATE_MS
+        self._queues_by_account: dict[str, collections.deque[_Entry]] = {}
+        self._weights_by_account: dict[str, int] = {}
+        self._finish_tags_by_account: dict[str, float] = {}
+
+    @property
+    def running(self) -> int:
+        """Return how many slots are taken."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for a slot."""
+        return sum(len(queue) for queue in self._queues_by_account.values())
+
+    @contextlib.asynccontextmanager
+    async def slot(
+        self, account: str, weight: int, deadline: int
+    ) -> collections.abc.AsyncIterator[None]:
+        """Hold a slot; raises ``Refused`` when the deadline can't be met.
+
+        ``deadline`` is an instant of the clock. A caller that is cancelled
+        while it waits leaves the queue.
+        """
+        self._weights_by_account[account] = max(1, weight)
+        self._refuse_late(account, deadline)
+        entry = await self._wait(account, deadline)
+        started = self._clock.now()
+        try:
+            yield
+        finally:
+            self._finish(entry, self._clock.now() - started)
+
+    def estimated_wait_ms(self, account: str) -> float:
+        """Return how long a new request of ``account`` would wait."""
+        if self._running < self._slots and not self.waiting:
+            return 0.0
+        weight = self._weights_by_account.get(account, 1)
+        own = len(self._queues_by_account.get(account, ())) + 1
+        ahead = own - 1
+        for other, queue in self._queues_by_account.items():
+            if other == account:
+                continue
+            # While this account gets ``own`` slots, another one gets its
+            # share by weight, and no more than it waits for.
+            share = own * self._weights_by_account[other] / weight
+            ahead += min(len(queue), round(share))
+        return (ahead + 1) * self._estimate_ms / self._slots
+
+    def _refuse_late(self, account: str, deadline: int) -> None:
+        wait_ms = self.estimated_wait_ms(account)
+        if self._clock.now() + wait_ms <= deadline:
+            return
+        raise refusals.not_run(
+            'deadline_unattainable',
+            f'the estimated wait of {wait_ms:.0f} ms passes the deadline',
+            step='queue',
+            peer=self._target_id,
+            retry_after_ms=round(wait_ms),
+        )
+
+    async def _wait(self, account: str, deadline: int) -> _Entry:
+        loop = asyncio.get_running_loop()
+        entry = _Entry(account, loop.create_future())
+        queue = self._queues_by_account.setdefault(
+            account, collections.deque()
+        )
+        if not queue:
+            finish = self._finish_tags_by_account.get(account, 0.0)
+            tag = max(finish, self._virtual_time)
+            self._finish_tags_by_account[account] = tag
+        queue.append(entry)
+        self._dispatch()
+        timer = asyncio.ensure_future(
+            self._clock.sleep(deadline - self._clock.now())
+        )
+        try:
+            await asyncio.wait(
+                {entry.future, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        except asyncio.CancelledError:
+            self._leave(entry)
+            raise
+        finally:
+            timer.cancel()
+        if entry.future.done():
+            return entry
+        self._leave(entry)
+        raise refusals.not_run(
+            'deadline_unattainable',
+            'the deadline passed in the queue',
+            step='queue',
+            peer=self._target_id,
+        )
+
+    def _leave(self, entry: _Entry) -> None:
+        # A slot that was given in the same instant goes to the next request.
+        if entry.future.done():
+            self._running -= 1
+            self._dispatch()
+            return
+        queue = self._queues_by_account[entry.account]
+        queue.remove(entry)
+        if not queue:
+            del self._queues_by_account[entry.account]
+
+    def _dispatch(self) -> None:
+        while self._running < self._slots and self._queues_by_account:
+            account = min(
+                self._queues_by_account,
+                key=self._finish_tags_by_account.__getitem__,
+            )
+            queue = self._queues_by_account[account]
+            entry = queue.popleft()
+            if not queue:
+                del self._queues_by_account[account]
+            start_tag = self._finish_tags_by_account[account]
+            self._virtual_time = max(self._virtual_time, start_tag)
+            entry.charged_ms = self._estimate_ms
+            self._charge(account, entry.charged_ms)
+            self._running += 1
+            entry.future.set_result(None)
+
+    def _charge(self, account: str, cost_ms: float) -> None:
+        weight = self._weights_by_account[account]
+        self._finish_tags_by_account[account] += cost_ms / weight
+
+    def _finish(self, entry: _Entry, duration_ms: int) -> None:
+        cost = max(SHORTEST_COST_MS, duration_ms)
+        if entry.account in self._finish_tags_by_account:
+            self._charge(entry.account, cost - entry.charged_ms)
+        self._estimate_ms += SMOOTHING * (cost - self._estimate_ms)
+        self._running -= 1
+        self._dispatch()
+        self._forget_idle()
+
+    def _forget_idle(self) -> None:
+        # An idle account whose tag is in the past starts at the virtual time
+        # in any case, so its tag needn't be kept.
+        for account, tag in list(self._finish_tags_by_account.items()):
+            if (
+                tag <= self._virtual_time
+                and account not in self._queues_by_account
+            ):
+                del self._finish_tags_by_account[account]
--- /dev/null
+++ b/samphirestand/targets/transactions.py
@@ -0,0 +1,145 @@
+"""Open transactions of a target, each bound to one connection."""
+
+import asyncio
+import collections
+import dataclasses
+
+from samphirestand import interfaces
+from samphirestand.targets import context as context_module
+from samphirestand import types
+
+IDLE_LIMIT_MS = 30_000
+AGE_LIMIT_MS = 60_000
+CHECK_INTERVAL_MS = 250
+# Ends are remembered so that a repeated commit gets the same answer.
+KEPT_ENDS = 10_000
+
+
+@dataclasses.dataclass
+class Transaction:
+    """An open transaction; ``lock`` admits one request at a time."""
+
+    transaction_id: str
+    account: str
+    key_id: str
+    term: int
+    connection: interfaces.TargetConnection
+    started_at: int
+    used_at: int
+    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    commit_sent: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class End:
+    """How a transaction ended; ``outcome`` answers later requests."""
+
+    account: str
+    outcome: types.Outcome
+
+
+class Ends:
+    """The latest ended transactions of a host, by id."""
+
+    def __init__(self) -> None:
+        self._ends_by_id: collections.OrderedDict[str, End] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, transaction: Transaction, outcome: types.Outcome) -> None:
+        """Remember ``outcome``; the oldest end is forgotten."""
+        end = End(transaction.account, outcome)
+        self._ends_by_id[transaction.transaction_id] = end
+        while len(self._ends_by_id) > KEPT_ENDS:
+            self._ends_by_id.popitem(last=False)
+
+    def get(self, transaction_id: str) -> End | None:
+        """Return how a transaction ended, None if that isn't known."""
+        return self._ends_by_id.get(transaction_id)
+
+
+class Transactions:
+    """The open transactions of one target."""
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        ends: Ends,
+        limit: int,
+        account_limit: int,
+    ) -> None:
+        self.by_id: dict[str, Transaction] = {}
+        self._context = context
+        self._ends = ends
+        self._limit = limit
+        self._account_limit = account_limit
+        self._opening_by_account: collections.Counter[str] = (
+            collections.Counter()
+        )
+
+    def has_room(self, account: str) -> bool:
+        """Tell whether ``account`` may take one more connection."""
+        own = sum(each.account == account for each in self.by_id.values())
+        own += self._opening_by_account[account]
+        total = len(self.by_id) + self._opening_by_account.total()
+        return own < self._account_limit and total < self._limit
+
+    def reserve(self, account: str) -> None:
+        """Count a transaction that is being opened."""
+        self._opening_by_account[account] += 1
+
+    def unreserve(self, account: str) -> None:
+        """Stop counting; the transaction was added or has failed."""
+        self._opening_by_account[account] -= 1
+        if not self._opening_by_account[account]:
+            del self._opening_by_account[account]
+
+    def add(self, transaction: Transaction) -> None:
+        """Keep a transaction that was begun."""
+        self.by_id[transaction.transaction_id] = transaction
+
+    def end(self, transaction: Transaction, outcome: types.Outcome) -> None:
+        """Forget an ended transaction but for its outcome."""
+        if self.by_id.pop(transaction.transaction_id, None) is not None:
+            self._ends.add(transaction, outcome)
+
+    def abort(self, transaction: Transaction, reason: str) -> None:
+        """Close the connection, on which the server rolls back."""
+        transaction.connection.close()
+        if transaction.commit_sent:
+            outcome: types.Outcome = types.Unknown('transaction_lost', reason)
+        else:
+            outcome = types.NotRun('transaction_lost', reason)
+        self._context.metrics.count('transactions_aborted')
+        self.end(transaction, outcome)
+
+    def abort_all(self, reason: str) -> None:
+        """Abort every open transaction."""
+        for transaction in list(self.by_id.values()):
+            self.abort(transaction, reason)
+
+    async def run(self) -> None:
+        """Abort transactions over their limits until cancelled."""
+        while True:
+            await self._context.clock.sleep(CHECK_INTERVAL_MS)
+            self.check()
+
+    def check(self) -> None:
+        """Abort transactions that are idle, old or of a withdrawn key."""
+        now = self._context.clock.now()
+        for transaction in list(self.by_id.values()):
+            reason = self._reason_to_abort(transaction, now)
+            if reason:
+                self.abort(transaction, reason)
+
+    def _reason_to_abort(self, transaction: Transaction, now: int) -> str:
+        keys = self._context.configuration.current.keys_by_id
+        key = keys.get(transaction.key_id)
+        if transaction.key_id and (key is None or key.withdrawn):
+            return f'the key {transaction.key_id} was withdrawn'
+        if now - transaction.started_at > AGE_LIMIT_MS:
+            return f'the transaction is older than {AGE_LIMIT_MS} ms'
+        is_idle = not transaction.lock.locked()
+        if is_idle and now - transaction.used_at > IDLE_LIMIT_MS:
+            return f'the transaction was idle for {IDLE_LIMIT_MS} ms'
+        return ''
--- /dev/null
+++ b/samphirestand/targets/writes.py
@@ -0,0 +1,100 @@
+"""Writes on a primary, acknowledged after another server's confirmation."""
+
+import dataclasses
+
+from samphirestand.targets import admission as admission_module
+from samphirestand.targets import confirmation as confirmation_module
+from samphirestand.targets import context as context_module
+from samphirestand.targets import history
+from samphirestand.targets import messages
+from samphirestand.targets import refusals
+from samphirestand.targets import runner as runner_module
+from samphirestand import types
+
+
+@dataclasses.dataclass(frozen=True)
+class Writes:
+    """Runs single writes of one target."""
+
+    context: context_module.Context
+    target: types.Target
+    admission: admission_module.Admission
+    confirmation: confirmation_module.Confirmation
+    runner: runner_module.Runner
+
+    async def run(self, request: types.Request, deadline: int) -> types.Done:
+        """Run a write; raises ``Refused``."""
+        started = self.context.clock.now()
+        self.admission.check_new_work()
+        state = self.admission.primary_state()
+        check_session(self.admission, state.history, request)
+        answer = await self.runner.run(
+            request, lambda: self._call(request), deadline
+        )
+        await self.confirm(answer, deadline)
+        duration_ms = self.context.clock.now() - started
+        self.context.metrics.record('write', duration_ms * 1_000)
+        return types.Done(
+            rows=answer.rows,
+            position=answer.position,
+            target_id=self.target.target_id,
+            role=answer.state.role,
+            replayed=answer.replayed,
+        )
+
+    async def confirm(self, answer: messages.Answer, deadline: int) -> None:
+        """Wait for the confirmation that the route asks for.
+
+        Raises ``Refused`` with an unknown outcome.
+        """
+        term = answer.state.term
+        position = answer.position
+        if self.admission.service().confirmation is types.Confirmation.TERM:
+            position = None
+        # A replayed answer may come from a server that is no primary.
+        if answer.state.role == admission_module.PRIMARY and (
+            await self.confirmation.confirm(term, position, deadline)
+        ):
+            return
+        raise refusals.unknown(
+            'primary_unconfirmed',
+            f'no other server confirmed the write in term {term}',
+            step='confirmation',
+            peer=self.target.target_id,
+        )
+
+    def _call(self, request: types.Request) -> messages.Execute:
+        # Taken when the statement is sent: its time in the queue may have
+        # been long.
+        self.admission.check_new_work()
+        return messages.Execute(
+            statement=request.statement,
+            mode=types.Mode.WRITE,
+            account=request.account,
+            request_key=f'{request.account}/{request.request_id}',
+            term=self.admission.primary_state().term,
+        )
+
+
+def check_session(
+    admission: admission_module.Admission,
+    log: types.History,
+    request: types.Request,
+) -> None:
+    """Raise ``Refused`` unless a primary's log holds the session."""
+    if request.session is None:
+        return
+    match history.place(log, request.session):
+        case history.Place.HELD:
+            return
+        case history.Place.BEHIND:
+            # Only a later primary can have given that position.
+            raise admission.refuse(
+                'not_primary', f'{request.session} is not here'
+            )
+        case history.Place.DISCARDED:
+            raise admission.refuse(
+                'session_position_discarded',
+                f'a failover discarded {request.session}',
+                hint=f'{log.last.term}:{log.last.offset}',
+            )
--- /dev/null
+++ b/tests/targets/fakes.py
@@ -0,0 +1,439 @@
+"""In-memory fakes: servers, connections, routes, router, membership."""
+
+import asyncio
+import dataclasses
+import random
+
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand import metrics
+from samphirestand.targets import gateways as gateways_module
+from samphirestand.targets import messages
+from samphirestand import types
+from standins import database
+
+SERVICE = 'cases'
+TARGET_IDS = ('t0', 't1', 't2')
+
+
+class Configuration:
+    """A configuration that tests replace."""
+
+    def __init__(self, current):
+        self.current = current
+        self._callbacks = []
+
+    def subscribe(self, callback):
+        self._callbacks.append(callback)
+
+    def apply(self, **changes):
+        self.current = dataclasses.replace(
+            self.current, version=self.current.version + 1, **changes
+        )
+        for callback in self._callbacks:
+            callback(self.current)
+
+    def is_confirmed(self):
+        return True
+
+
+class Routes:
+    """Routes of one host."""
+
+    def __init__(self):
+        self.route = exceptions.Sentinel('no route is known')
+
+    def primary(self, service):
+        return self.route
+
+    def learn(self, route):
+        if not self.route or route.term > self.route.term:
+            self.route = route
+
+
+class Recorder:
+    """Keeps the audit rows."""
+
+    def __init__(self):
+        self.rows = []
+
+    def record(self, kind, subject, reason):
+        self.rows.append((kind, subject, reason))
+
+
+class Network:
+    """Delays and cuts between places (host and target ids)."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.cut = set()
+        self.lose_answers = {}
+        self.delay_ms = {}
+
+    def is_cut(self, left, right):
+        return (
+            left in self.cut
+            or right in self.cut
+            or (frozenset((left, right)) in self.cut)
+        )
+
+    def cut_between(self, left, right):
+        self.cut.add(frozenset((left, right)))
+
+    def heal(self):
+        self.cut.clear()
+
+    def loses_answer(self, target_id, call):
+        """Tell whether the answer to this call is lost; counts down."""
+        name = type(call).__name__
+        left = self.lose_answers.get((target_id, name), 0)
+        if left:
+            self.lose_answers[target_id, name] = left - 1
+        return left > 0
+
+    async def travel(self, left, right):
+        await self.clock.sleep(self.delay_ms.get(frozenset((left, right)), 0))
+
+
+class Connection:
+    """A session with an in-memory server."""
+
+    def __init__(self, network, server, host_id, connection_id):
+        self._network = network
+        self._server = server
+        self._host_id = host_id
+        self._connection_id = connection_id
+        self._is_closed = False
+
+    @property
+    def is_open(self):
+        sessions = self._server.database.sessions_by_id
+        return not self._is_closed and self._connection_id in sessions
+
+    def close(self):
+        self._is_closed = True
+        place = (self._host_id, self._server.target_id)
+        if not self._network.is_cut(*place):
+            self._server.database.close_connection(self._connection_id)
+
+    async def call(self, call, timeout_ms):
+        peer = self._server.target_id
+        if not self.is_open:
+            raise exceptions.TargetError('closed', step='call', peer=peer)
+        try:
+            return await gateways_module.context_module.within(
+                self._network.clock, self._exchange(call), timeout_ms
+            )
+        except TimeoutError as error:
+            self.close()
+            raise exceptions.AnswerLost(
+                'no answer', step='call', peer=peer
+            ) from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    async def _exchange(self, call):
+        server, place = self._server, (self._host_id, self._server.target_id)
+        await self._network.travel(*place)
+        if self._network.is_cut(*place) or server.is_down:
+            await asyncio.get_running_loop().create_future()
+        if not self.is_open:
+            raise exceptions.AnswerLost('ended', step='call', peer=place[1])
+        answer = await server.handle(self._connection_id, call)
+        await self._network.travel(*place)
+        if (
+            self._network.is_cut(*place)
+            or server.is_down
+            or (self._network.loses_answer(place[1], call))
+        ):
+            await asyncio.get_running_loop().create_future()
+        return answer
+
+
+class Server:
+    """A target: a database with statement time and status waits."""
+
+    def __init__(self, target_id, clock, **options):
+        self.target_id = target_id
+        self.clock = clock
+        self.database = database.Database(target_id, clock, **options)
+        self.is_down = False
+        self.statement_ms = 0
+        self.calls = []
+
+    async def handle(self, connection_id, call):
+        refusal = self.database.admit(connection_id, call)
+        if refusal is not None:
+            return refusal
+        self.calls.append(call)
+        if isinstance(call, messages.Execute) and self.statement_ms:
+            await self.clock.sleep(self.statement_ms)
+        end = self.clock.now() + getattr(call, 'wait_ms', 0)
+        term = self.database.term
+        while self.database.is_waiting(call, term) and self.clock.now() < end:
+            await self.clock.sleep(1)
+        try:
+            return self.database.handle(connection_id, call)
+        except KeyError as error:
+            raise exceptions.AnswerLost(
+                'ended', step='call', peer=self.target_id
+            ) from error
+
+
+class Connector:
+    """Opens connections of one host to the in-memory servers."""
+
+    def __init__(self, host_id, network, servers_by_url, open_ms=0):
+        self._host_id = host_id
+        self._network = network
+        self._servers_by_url = servers_by_url
+        self._open_ms = open_ms
+
+    async def connect(self, url, application, timeout_ms):
+        server = self._servers_by_url[url]
+        place = (self._host_id, server.target_id)
+        await self._network.clock.sleep(self._open_ms)
+        if self._network.is_cut(*place) or server.is_down:
+            await self._network.clock.sleep(timeout_ms)
+            raise exceptions.TargetConnectError(
+                'no way', step='connect', peer=server.target_id
+            )
+        try:
+            connection_id = server.database.open_connection(application)
+        except database.ConnectionLimitError as error:
+            raise exceptions.TargetConnectError(
+                str(error), step='connect', peer=server.target_id
+            ) from error
+        return Connection(self._network, server, self._host_id, connection_id)
+
+
+class Membership:
+    """One host's view; the placement is a plain map shared by all."""
+
+    def __init__(self, local, hosts_by_id, placement):
+        self.local = local
+        self._hosts_by_id = hosts_by_id
+        self._placement = placement
+
+    def gateway_host(self, target):
+        host_id = self._placement[target.target_id]
+        return self._hosts_by_id.get(host_id) or exceptions.Sentinel('none')
+
+
+class Router:
+    """Sends to the gateways of the other hosts, if they can be reached."""
+
+    def __init__(self, fleet, host_id):
+        self._fleet = fleet
+        self._host_id = host_id
+
+    async def target_status(self, target_id, for_write, wait_ms, timeout_ms):
+        fleet = self._fleet
+        host_id = fleet.placement[target_id]
+        if fleet.network.is_cut(self._host_id, host_id):
+            return exceptions.Sentinel('cut off')
+        try:
+            return await gateways_module.context_module.within(
+                fleet.clock,
+                self._ask(host_id, target_id, for_write, wait_ms),
+                timeout_ms,
+            )
+        except TimeoutError:
+            return exceptions.Sentinel('no answer')
+
+    async def _ask(self, host_id, target_id, for_write, wait_ms):
+        await self._fleet.network.travel(self._host_id, host_id)
+        status = await self._fleet.hosts_by_id[host_id].gateways.target_status(
+            target_id, for_write, wait_ms
+        )
+        await self._fleet.network.travel(self._host_id, host_id)
+        if self._fleet.network.is_cut(self._host_id, host_id):
+            await asyncio.get_running_loop().create_future()
+        return status
+
+
+@dataclasses.dataclass
+class FakeHost:
+    """A host of the fleet with what tests look at."""
+
+    host: types.Host
+    routes: Routes
+    recorder: Recorder
+    gateways: gateways_module.Gateways
+
+
+class Fleet:
+    """Three servers, the first one primary, and a gateway host for each."""
+
+    def __init__(
+        self, seed=1, confirmation=types.Confirmation.REPLICATED, **options
+    ):
+        self.clock = options.pop('clock', None) or clock_module.ManualClock()
+        self.network = Network(self.clock)
+        self.rng = random.Random(seed)
+        slots = options.pop('slots', 2)
+        connections = options.pop('connections', 16)
+        self.open_ms = options.pop('open_ms', 0)
+        self.replication_ms = options.pop('replication_ms', 5)
+        self.servers_by_id = {
+            target_id: Server(
+                target_id,
+                self.clock,
+                primary_url=None if index == 0 else 'ws://t0',
+                max_connections=connections,
+                **options,
+            )
+            for index, target_id in enumerate(TARGET_IDS)
+        }
+        self.servers_by_url = {
+            f'ws://{target_id}': server
+            for target_id, server in self.servers_by_id.items()
+        }
+        self.configuration = Configuration(
+            _configuration(slots, connections, confirmation)
+        )
+        self.placement = {
+            target_id: f'h{index}'
+            for index, target_id in enumerate(TARGET_IDS)
+        }
+        self.hosts_by_id = {}
+        members = {
+            f'h{index}': types.Host(f'h{index}', f'z{index}', 1, '', '', 0)
+            for index in range(3)
+        }
+        for host in members.values():
+            self._add_host(host, members)
+        self._tasks = []
+
+    def _add_host(self, host, members):
+        routes, recorder = Routes(), Recorder()
+        gateways = gateways_module.Gateways(
+            self.clock,
+            random.Random(self.rng.random()),
+            Connector(
+                host.host_id, self.network, self.servers_by_url, self.open_ms
+            ),
+            self.configuration,
+            Membership(host, members, self.placement),
+            routes,
+            Router(self, host.host_id),
+            metrics.Metrics(),
+            recorder,
+        )
+        self.hosts_by_id[host.host_id] = FakeHost(
+            host, routes, recorder, gateways
+        )
+
+    async def start(self):
+        """Start hosts and replication, and wait for the first locks."""
+        for host in self.hosts_by_id.values():
+            await host.gateways.start()
+        self._tasks.append(asyncio.ensure_future(self._replicate()))
+        self._tasks.append(asyncio.ensure_future(self._gossip()))
+        await self.clock.advance(1_000)
+
+    async def stop(self):
+        """Cancel everything without a graceful end."""
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+        await asyncio.sleep(0)
+
+    async def _replicate(self):
+        while True:
+            await self.clock.sleep(self.replication_ms)
+            for replica in self.servers_by_id.values():
+                self._pull(replica)
+
+    def _pull(self, replica):
+        primary = self.servers_by_url.get(replica.database.primary_url)
+        if primary is None or primary.is_down or replica.is_down:
+            return
+        if self.network.is_cut(replica.target_id, primary.target_id):
+            return
+        pull = replica.database.replication_request()
+        batch = pull and primary.database.replicate(pull)
+        if batch is not None:
+            replica.database.receive(batch)
+
+    async def _gossip(self):
+        while True:
+            await self.clock.sleep(100)
+            for left in self.hosts_by_id.values():
+                for right in self.hosts_by_id.values():
+                    ids = (left.host.host_id, right.host.host_id)
+                    if right.routes.route and not self.network.is_cut(*ids):
+                        left.routes.learn(right.routes.route)
+
+    async def run(self, target_id, operation='execute', **fields):
+        """Run a request on a gateway, moving the clock until it is done."""
+        task = asyncio.ensure_future(
+            self.hosts_by_id[self.placement[target_id]].gateways.run(
+                request(target_id, operation, **fields)
+            )
+        )
+        await self.until(task)
+        return task.result()
+
+    async def until(self, task, step_ms=1, limit_ms=70_000):
+        """Move the clock until ``task`` is done."""
+        end = self.clock.now() + limit_ms
+        while not task.done() and self.clock.now() < end:
+            await self.clock.advance(step_ms)
+        assert task.done(), 'the task is not done in time'
+
+    def gateway(self, target_id):
+        """Return the gateway of a target."""
+        gateways = self.hosts_by_id[self.placement[target_id]].gateways
+        return gateways.gateways_by_target_id[target_id]
+
+    def primaries(self):
+        """Return the ids of the servers that are primaries."""
+        return [
+            target_id
+            for target_id, server in self.servers_by_id.items()
+            if server.database.role == database.PRIMARY
+        ]
+
+
+def _configuration(slots, connections, confirmation):
+    accounts = [types.Account(name, 100, 100) for name in ('a', 'b')]
+    return types.Configuration(
+        version=1,
+        accounts_by_name={each.name: each for each in accounts},
+        keys_by_id={
+            f'k{each.name}': types.Key(f'k{each.name}', each.name, '')
+            for each in accounts
+        },
+        services_by_name={
+            SERVICE: types.Service(SERVICE, TARGET_IDS, 5_000, confirmation)
+        },
+        targets_by_id={
+            target_id: types.Target(
+                target_id,
+                SERVICE,
+                f'z{index}',
+                f'ws://{target_id}',
+                slots,
+                connections,
+            )
+            for index, target_id in enumerate(TARGET_IDS)
+        },
+    )
+
+
+def request(target_id, operation='execute', **fields):
+    """Return a request with defaults; writes unless told otherwise."""
+    values = {
+        'operation': operation,
+        'service': SERVICE,
+        'target_id': target_id,
+        'account': 'a',
+        'key_id': f'k{fields.get("account", "a")}',
+        'request_id': 'r1',
+        'statement': 'SET x 1',
+        'mode': types.Mode.WRITE,
+        'repeatable': False,
+        'deadline_ms': 5_000,
+    }
+    return types.Request(**values | fields)
