standins: Fit the platform's client to the configuration's protocol

The configuration package declares the rows and the calls that it needs; the client now returns those rows. Targets' URLs in the examples end in /session, so the connector accepts both forms.

--- a/samphirestand/platform/client.py
+++ b/samphirestand/platform/client.py
@@ -12,6 +12,7 @@
 
 from samphirestand import addresses
 from samphirestand import exceptions
+from samphirestand.platform import rows
 
 REQUEST_TIMEOUT_MS = 2_000
 # Requests of one host that wait for the platform at the same time; more
@@ -19,29 +20,6 @@
 MAX_REQUESTS = 32
 
 
-@dataclasses.dataclass(frozen=True)
-class Row:
-    """A row of a table; version 0 means that it doesn't exist."""
-
-    table: str
-    key: str
-    value: Any
-    version: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Put:
-    """A write that takes place only if the row has the expected version.
-
-    The expected version 0 means that the row must not exist.
-    """
-
-    table: str
-    key: str
-    value: Any
-    expected_version: int
-
-
 @dataclasses.dataclass(frozen=True)
 class ListedHost:
     """A host in the platform's list; ``status`` is live or leaving."""
@@ -113,22 +91,22 @@
             force_instance=True, max_clients=MAX_REQUESTS
         )
 
-    async def get_row(self, table: str, key: str) -> Row | None:
+    async def get_row(self, table: str, key: str) -> rows.TableRow | None:
         """Return a row, None if it doesn't exist."""
         path = f'/tables/{_quote(table)}/{_quote(key)}'
         body = await self._fetch('get row', 'GET', path)
         if body is None:
             return None
         model = self._parse('get row', _RowModel, body)
-        return Row(table, key, model.value, model.version)
+        return rows.TableRow(key, model.value, model.version)
 
     async def list_rows(
         self,
         table: str,
         prefix: str = '',
         after: str = '',
-        limit: int = 1_000,
-    ) -> list[Row]:
+        limit: int = 100,
+    ) -> list[rows.TableRow]:
         """Return at most ``limit`` rows after the key ``after``, by key."""
         query = urllib.parse.urlencode(
             {'prefix': prefix, 'after': after, 'limit': limit}
@@ -139,32 +117,30 @@
             return []
         model = self._parse('list rows', _RowsModel, body)
         return [
-            Row(row.table, row.key, row.value, row.version)
+            rows.TableRow(row.key, row.value, row.version)
             for row in model.rows
         ]
 
-    async def put_row(self, put: Put) -> Row:
-        """Write one row if it has the expected version."""
-        path = f'/tables/{_quote(put.table)}/{_quote(put.key)}'
-        document = {
-            'value': put.value,
-            'expected_version': put.expected_version,
-        }
+    async def put_row(
+        self, table: str, key: str, value: Any, expected_version: int
+    ) -> rows.TableRow:
+        """Write one row if it has the expected version.
+
+        The expected version 0 means that the row must not exist.
+        """
+        path = f'/tables/{_quote(table)}/{_quote(key)}'
+        document = {'value': value, 'expected_version': expected_version}
         body = await self._fetch('put row', 'PUT', path, document)
         model = self._parse('put row', _VersionModel, body)
-        return Row(put.table, put.key, put.value, model.version)
+        return rows.TableRow(key, value, model.version)
 
-    async def transact(self, puts: collections.abc.Sequence[Put]) -> list[Row]:
+    async def transact(self, puts: collections.abc.Sequence[rows.Put]) -> None:
         """Write all rows, or none if one hasn't the expected version."""
         document = {'puts': [dataclasses.asdict(put) for put in puts]}
         body = await self._fetch('transact', 'POST', '/transactions', document)
         versions = self._parse('transact', _VersionsModel, body).versions
         if len(versions) != len(puts):
             raise self._error('transact', 'wrong number of versions')
-        return [
-            Row(put.table, put.key, put.value, version)
-            for put, version in zip(puts, versions, strict=True)
-        ]
 
     async def get_object(self, name: str) -> bytes | None:
         """Return an object, None if it doesn't exist."""
@@ -172,10 +148,10 @@
             'get object', 'GET', f'/objects/{_quote(name)}'
         )
 
-    async def put_object(self, name: str, content: bytes) -> None:
+    async def put_object(self, name: str, data: bytes) -> None:
         """Write an object."""
         path = f'/objects/{_quote(name)}'
-        await self._fetch('put object', 'PUT', path, content)
+        await self._fetch('put object', 'PUT', path, data)
 
     async def hosts(self) -> list[ListedHost]:
         """Return the host list, which lags behind the actual state."""
@@ -227,7 +203,7 @@
                     f'{row.table}/{row.key} has version {row.version}',
                     step=step,
                     peer=self._url,
-                    row=Row(row.table, row.key, row.value, row.version),
+                    row=rows.TableRow(row.key, row.value, row.version),
                 )
             case code if code >= 500:
                 raise exceptions.PlatformUnavailable(
--- a/samphirestand/targets/connection.py
+++ b/samphirestand/targets/connection.py
@@ -176,7 +176,7 @@
     ) -> Connection:
         """Open a connection; raises ``TargetConnectError``.
 
-        ``url`` is the target's base URL, ``ws://ip:port``.
+        ``url`` is ``ws://ip:port``, with or without ``/session``.
         """
         request = httpclient.HTTPRequest(
             session_url(url, application, self._translation),
@@ -223,8 +223,8 @@
 ) -> str:
     """Return the URL of a session with the target at ``url``."""
     query = urllib.parse.urlencode({'application': application})
-    base = addresses.translate_url(url.rstrip('/'), translation)
-    return f'{base}/session?{query}'
+    base = url.rstrip('/').removesuffix('/session')
+    return f'{addresses.translate_url(base, translation)}/session?{query}'
 
 
 def encode(call_id: int, call: messages.Call) -> str:
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -8,10 +8,11 @@
 from samphirestand import clock
 from samphirestand import exceptions
 from samphirestand.platform import client
+from samphirestand.platform import rows
 from standins import platform
 from tests import processes
 
-Put = client.Put
+Put = rows.Put
 
 
 @contextlib.asynccontextmanager
@@ -41,10 +42,10 @@
     async def main():
         async with running() as (_, found):
             assert await found.get_row('t', 'a/b c') is None
-            row = await found.put_row(Put('t', 'a/b c', {'n': [1]}, 0))
-            assert row == client.Row('t', 'a/b c', {'n': [1]}, 1)
+            row = await found.put_row('t', 'a/b c', {'n': [1]}, 0)
+            assert row == rows.TableRow('a/b c', {'n': [1]}, 1)
             assert await found.get_row('t', 'a/b c') == row
-            assert (await found.put_row(Put('t', 'a/b c', 2, 1))).version == 2
+            assert (await found.put_row('t', 'a/b c', 2, 1)).version == 2
 
     asyncio.run(main())
 
@@ -55,8 +56,8 @@
     async def main():
         async with running() as (_, found):
             for key in ('b2', 'a', 'b1', 'b3', 'c'):
-                await found.put_row(Put('t', key, key, 0))
-            await found.put_row(Put('other', 'b0', '', 0))
+                await found.put_row('t', key, key, 0)
+            await found.put_row('other', 'b0', '', 0)
             first = await found.list_rows('t', prefix='b', limit=2)
             rest = await found.list_rows('t', prefix='b', after=first[-1].key)
             assert [row.key for row in first + rest] == ['b1', 'b2', 'b3']
@@ -69,13 +70,13 @@
 
     async def main():
         async with running() as (_, found):
-            row = await found.put_row(Put('t', 'k', 'mine', 0))
+            row = await found.put_row('t', 'k', 'mine', 0)
             with pytest.raises(exceptions.TableConflict) as info:
-                await found.put_row(Put('t', 'k', 'yours', 0))
+                await found.put_row('t', 'k', 'yours', 0)
             assert info.value.row == row
             with pytest.raises(exceptions.TableConflict) as info:
-                await found.put_row(Put('t', 'other', 'x', 7))
-            assert info.value.row == client.Row('t', 'other', None, 0)
+                await found.put_row('t', 'other', 'x', 7)
+            assert info.value.row == rows.TableRow('other', None, 0)
 
     asyncio.run(main())
 
@@ -151,7 +152,7 @@
     async def main():
         async with running(**faults) as (served, found):
             with pytest.raises(exceptions.PlatformUnavailable):
-                await found.put_row(Put('t', 'k', 'v', 0))
+                await found.put_row('t', 'k', 'v', 0)
             assert bool(served.get_row('t', 'k').version) == took_effect
             assert served.counters['writes'] == 1
 
--- a/tests/targets/test_connection.py
+++ b/tests/targets/test_connection.py
@@ -29,7 +29,8 @@
 
     async def main():
         async with servers.database_server() as server:
-            session = await connector.connect(server.url, 'host-1', 5_000)
+            url = server.url + '/session'
+            session = await connector.connect(url, 'host-1', 5_000)
             answer = await session.call(LOCK, 5_000)
             assert (answer.granted, answer.holder) == (True, 'host-1')
             first = await session.call(SET, 5_000)
