--- a/samphirestand/hosts/evidence.py
+++ b/samphirestand/hosts/evidence.py
@@ -46,8 +46,11 @@
         self._waiting = Facts()
         self._waiting_version = 0
 
-    def platform_read(self, head_version: int, asked_ms: int) -> None:
-        """Note that the platform named ``head_version`` as the head."""
+    def platform_read(self, asked_ms: int, head_version: int = 0) -> None:
+        """Note that this host read the head at ``asked_ms`` or later.
+
+        ``head_version`` is needed only if it isn't applied here yet.
+        """
         self._learn(head_version, Facts(platform_ms=asked_ms))
 
     def heard(
@@ -73,6 +76,12 @@
         self._adopt()
         return self._age(self._facts.platform_ms)
 
+    def platform_contact_age_ms(self) -> int | None:
+        """Return the same also for a head that isn't applied here yet."""
+        return self._age(
+            _later(self._facts.platform_ms, self._waiting.platform_ms)
+        )
+
     def zone_ages_ms(self) -> dict[str, int]:
         """Return the ages of the signs of life of the other zones."""
         self._adopt()
--- a/samphirestand/hosts/gossip.py
+++ b/samphirestand/hosts/gossip.py
@@ -50,8 +50,10 @@
 class ChangeSink(Protocol):
     """Applies configuration changes that another host has accepted."""
 
-    def apply(self, rows: list[types.ChangeRow]) -> None:
-        """Apply rows in order; ignore those not newer than the current."""
+    def apply_rows(
+        self, new_rows: collections.abc.Iterable[types.ChangeRow]
+    ) -> int:
+        """Apply rows that follow the current version; return the version."""
 
 
 class Gossip:
@@ -313,7 +315,7 @@
                 )
                 newer = [row for row in rows if row.version > before]
                 if newer:
-                    self._changes.apply(newer)
+                    self._changes.apply_rows(newer)
             except exceptions.SamphirestandError as error:
                 logger.warning(
                     'pull_failed', peer=host.host_id, why=str(error)
--- a/tests/hosts/fakes.py
+++ b/tests/hosts/fakes.py
@@ -57,7 +57,7 @@
             for each in range(version + 1, self.current.version + 1)
         ]
 
-    def apply(self, rows):
+    def apply_rows(self, rows):
         for row in rows:
             self.applied.append(row.version)
             if row.version != self.current.version + 1:
