Add mutual TLS between hosts and tests of the RPC faults

The listener is opened again on a duplicate of its socket when certificates change, because load_verify_locations on a live context can add authorities but never remove one. Connections that exist are kept.

A call without a connection now waits at most 500 ms for one and fails with the first failed attempt, so that the router can try another host; before, a dead host used up the whole deadline of a request.

--- a/samphirestand/hosts/client.py
+++ b/samphirestand/hosts/client.py
@@ -9,6 +9,7 @@
 
 import capnp
 
+from samphirestand import addresses
 from samphirestand import clock as clocks
 from samphirestand import exceptions
 from samphirestand.hosts import codec
@@ -19,7 +20,14 @@
 
 CONNECT_TIMEOUT_MS = 2_000
 BACKOFF_FIRST_MS = 100
-BACKOFF_LAST_MS = 5_000
+BACKOFF_LAST_MS = 2_000
+
+# A connection that ends sooner than this doesn't reset the back-off.
+STABLE_MS = 1_000
+
+# A call without a connection waits at most this long for one, so that a
+# request can still be tried on another host.
+CONNECT_WAIT_MS = 500
 
 # A connection can go silent while its socket stays open. When calls have
 # been without any answer for SILENT_MS, a ping must be answered within
@@ -185,7 +193,9 @@
         link = self._links_by_address.get(address)
         if link is None or link.is_finished:
             link = PeerLink(
-                self._translation.get(address, address),
+                addresses.translate(
+                    host.peer_address, host.peer_port, self._translation
+                ),
                 self._identity,
                 self._clock,
                 self._tls,
@@ -206,7 +216,7 @@
 
     def __init__(
         self,
-        address: str,
+        address: tuple[str, int],
         identity: collections.abc.Callable[[], Identity],
         clock: clocks.Clock,
         tls: collections.abc.Callable[[], ssl.SSLContext | None],
@@ -221,6 +231,7 @@
         self._peer_id = ''
         self._last_error = 'not connected yet'
         self._changed = asyncio.Event()
+        self._failures = 0
         self._lost: asyncio.Future[None] | None = None
         self._pending: dict[int, int] = {}  # call number -> sent at, ms
         self._next_call = 0
@@ -262,9 +273,7 @@
         self._next_call += 1
         self._pending[number] = self._clock.now()
         try:
-            return await self._answer(peer, lost, call, left_ms)
-        except exceptions.HostError:
-            raise
+            answer = await self._answer(peer, lost, call, left_ms)
         except capnp.KjException as error:
             raise _call_error(error, step, host_id) from error
         except TimeoutError as error:
@@ -273,6 +282,11 @@
             ) from error
         finally:
             del self._pending[number]
+        if answer is None:
+            raise exceptions.HostAnswerLost(
+                self._last_error, step=step, peer=host_id
+            )
+        return answer
 
     async def _answer(
         self,
@@ -281,7 +295,10 @@
         call: Call,
         timeout_ms: int,
     ) -> Any:
-        """Await the answer, the loss of the connection or the time-out."""
+        """Return the answer, or None if the connection was lost before.
+
+        Raises ``TimeoutError`` after the time-out.
+        """
         answer = asyncio.ensure_future(_awaited(call(peer)))
         try:
             await asyncio.wait(
@@ -289,15 +306,15 @@
                 timeout=timeout_ms / 1000,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if answer.done():
-                result = answer.result()
-                self._answered_ms = self._clock.now()
-                return result
-            if lost.done():
-                raise exceptions.HostAnswerLost(
-                    self._last_error, step='call', peer=self._peer_id
-                )
-            raise TimeoutError
+            # A call fails as well when its connection is taken down; why
+            # that was done says more than the failure.
+            if lost.done() and (not answer.done() or answer.exception()):
+                return None
+            if not answer.done():
+                raise TimeoutError
+            result = answer.result()
+            self._answered_ms = self._clock.now()
+            return result
         finally:
             # An answer that comes after this is discarded by the library.
             answer.cancel()
@@ -305,10 +322,14 @@
     async def _connected(
         self, host_id: str, step: str, timeout_ms: int
     ) -> tuple[Any, asyncio.Future[None]]:
+        failures = self._failures
+        wait_ms = min(timeout_ms, CONNECT_WAIT_MS)
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with asyncio.timeout(wait_ms / 1000):
                 while self._peer is None and not self.is_finished:
                     await self._changed.wait()
+                    if self._failures != failures:
+                        break
         except TimeoutError as error:
             raise exceptions.HostError(
                 self._last_error, step=step, peer=host_id
@@ -330,26 +351,29 @@
         backoff_ms = BACKOFF_FIRST_MS
         try:
             while not self._is_idle():
+                started_ms = self._clock.now()
                 try:
                     await self._connect_once()
-                    backoff_ms = BACKOFF_FIRST_MS
                 except (OSError, capnp.KjException, TimeoutError) as error:
                     self._last_error = codec.describe(error)
-                    wait_ms = self._rng.randint(0, backoff_ms)
-                    await self._clock.sleep(wait_ms)
-                    backoff_ms = min(2 * backoff_ms, BACKOFF_LAST_MS)
+                    self._failures += 1
+                    self._announce()
+                if self._clock.now() - started_ms >= STABLE_MS:
+                    backoff_ms = BACKOFF_FIRST_MS
+                await self._clock.sleep(self._rng.randint(0, backoff_ms))
+                backoff_ms = min(2 * backoff_ms, BACKOFF_LAST_MS)
         finally:
             self.is_finished = True
-            self._changed.set()
+            self._announce()
 
     async def _connect_once(self) -> None:
         """Connect, log in and supervise until the connection is useless."""
-        address, _, port = self._address.rpartition(':')
         stream = None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                address, port = self._address
                 stream = await capnp.AsyncIoStream.create_connection(
-                    address, int(port), ssl=self._tls()
+                    address, port, ssl=self._tls()
                 )
                 client = capnp.TwoPartyClient(stream)
                 login = client.bootstrap().cast_as(codec.schema.Login)
@@ -404,14 +428,18 @@
         self._peer = peer
         self._lost = asyncio.get_running_loop().create_future()
         self._answered_ms = self._clock.now()
+        self._announce()
+
+    def _announce(self) -> None:
+        """Wake the calls that wait for a connection."""
         self._changed.set()
+        self._changed = asyncio.Event()
 
     def _disconnect(self, reason: str) -> None:
         if self._peer is None:
             return
         self._last_error = reason
         self._peer = None
-        self._changed.clear()
         if self._lost is not None and not self._lost.done():
             self._lost.set_result(None)
 
--- a/samphirestand/hosts/server.py
+++ b/samphirestand/hosts/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import hmac
+import socket
 import ssl
 from typing import Any
 from typing import Protocol
@@ -23,6 +24,11 @@
 # Connections that haven't logged in yet; more are closed at once.
 STRANGERS_MAX = 128
 
+BACKLOG = 512
+
+# Time for a refusal to leave before its connection is closed.
+REFUSAL_MS = 10
+
 # Changes in one answer; a peer that needs more asks again.
 CHANGES_MAX = 100
 
@@ -84,24 +90,48 @@
         self._strangers = 0
         self._streams: set[Any] = set()
         self._work: set[asyncio.Task[Any]] = set()
+        self._serving: set[asyncio.Task[Any]] = set()
         self._server: Any = None
+        self._socket: Any = None
 
     async def start(self, address: str, port: int) -> int:
         """Listen and return the port, which the system picks if it is 0."""
+        family = socket.AF_INET6 if ':' in address else socket.AF_INET
+        self._socket = socket.create_server(
+            (address, port), family=family, backlog=BACKLOG
+        )
+        await self.listen(self._tls)
+        return self._socket.getsockname()[1]
+
+    async def listen(self, tls: ssl.SSLContext | None) -> None:
+        """Use ``tls`` for connections from now on; others live on."""
+        timeout_s = None if tls is None else LOGIN_TIMEOUT_MS / 1000
+        earlier = self._server
         self._server = await capnp.AsyncIoStream.create_server(
-            self._serve, address, port, ssl=self._tls
+            self._serve,
+            sock=self._socket.dup(),
+            ssl=tls,
+            ssl_handshake_timeout=timeout_s,
         )
-        return self._server.sockets[0].getsockname()[1]
+        if earlier is not None:
+            earlier.close()
 
     async def close(self) -> None:
         """Stop listening, finish the requests under way, then hang up."""
         self._server.close()
+        self._socket.close()
         if self._work:
             await asyncio.wait(self._work)
         for stream in list(self._streams):
             stream.close()
+        if self._serving:
+            await asyncio.wait(self._serving)
 
     async def _serve(self, stream: Any) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._serving.add(task)
+            task.add_done_callback(self._serving.discard)
         if self._strangers >= STRANGERS_MAX:
             logger.warning('stranger_refused', reason='too many')
             stream.close()
@@ -141,8 +171,7 @@
             accepted.cancel()
         if not login.peer_id:
             logger.warning('stranger_refused', reason=login.reason)
-            # Lets the refusal leave before the stream is closed.
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(REFUSAL_MS / 1000)
             ended.cancel()
         return bool(login.peer_id)
 
--- a/tests/hosts/fakes.py
+++ b/tests/hosts/fakes.py
@@ -1,5 +1,6 @@
 """Fakes for the tests of hosts: configuration, services, a fleet."""
 
+import asyncio
 import random
 
 from samphirestand import clock as clocks
@@ -75,10 +76,12 @@
         self.status = status or exceptions.Sentinel('not here')
         self.requests = []
         self.gate = None
+        self.started = asyncio.Event()
         self.finished = 0
 
     async def run(self, request):
         self.requests.append(request)
+        self.started.set()
         if self.gate is not None:
             await self.gate.wait()
         self.finished += 1
--- a/tests/hosts/test_rpc.py
+++ b/tests/hosts/test_rpc.py
@@ -2,15 +2,22 @@
 
 import asyncio
 import contextlib
+import datetime
 
 import capnp
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography import x509
 import pytest
 
 from samphirestand import clock as clocks
+from samphirestand import config
 from samphirestand import exceptions
 from samphirestand.hosts import client
 from samphirestand.hosts import codec
 from samphirestand.hosts import server
+from samphirestand.hosts import tls
 from samphirestand import types
 from tests.hosts import fakes
 
@@ -22,7 +29,7 @@
 
 
 @contextlib.asynccontextmanager
-async def host(gateway=None, secret=SECRET):
+async def host(gateway=None, secret=SECRET, contexts=None):
     """Serve one host; gives its server, its gateway and its address."""
     gateway = gateway or fakes.Gateway()
     services = server.Services(
@@ -32,20 +39,30 @@
         fakes.Configuration(3),
         fakes.Explainer(),
     )
-    peer_server = server.PeerServer(lambda: ('h1', 7), secret, services)
+    peer_server = server.PeerServer(
+        lambda: ('h1', 7),
+        secret,
+        services,
+        contexts and contexts.server,
+    )
     port = await peer_server.start('127.0.0.1', 0)
     try:
-        yield fakes.host('h1', port=port)
+        served = fakes.host('h1', port=port)
+        if contexts is None:
+            yield served
+        else:
+            yield served, peer_server
     finally:
         await peer_server.close()
 
 
 @contextlib.asynccontextmanager
-async def clients(secret=SECRET, translation=None):
+async def clients(secret=SECRET, translation=None, contexts=None):
     made = client.PeerClients(
         lambda: client.Identity('h2', 'a', 1, secret),
         clocks.SystemClock(),
         translation,
+        lambda: contexts and contexts.client,
     )
     try:
         yield made
@@ -113,3 +130,333 @@
             assert gateway.requests == []
 
     run(main())
+
+
+class Link:
+    """Forwards connections until told to hold the bytes of the old ones."""
+
+    def __init__(self, port):
+        self._port = port
+        self._tasks = set()
+        self._open = asyncio.Event()
+        self._open.set()
+        self.connections = 0
+
+    def silence(self):
+        """Hold what the present connections carry; new ones work."""
+        self._open.clear()
+        self._open = asyncio.Event()
+        self._open.set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def _accept(self, reader, writer):
+        self.connections += 1
+        gate = self._open
+        far_reader, far_writer = await asyncio.open_connection(
+            '127.0.0.1', self._port
+        )
+        for pair in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(self._pump(*pair, gate))
+            self._tasks.add(task)
+
+    async def _pump(self, reader, writer, gate):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                await gate.wait()
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+
+    def close(self):
+        self.server.close()
+        for task in self._tasks:
+            task.cancel()
+
+
+async def read_to_end(reader):
+    """Return once the other side has closed; fails after 5 s."""
+    with contextlib.suppress(ConnectionError):
+        await asyncio.wait_for(reader.read(-1), 5)
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'',  # says nothing
+        b'\0',  # starts a message and never ends it
+        b'GET / HTTP/1.1\r\n\r\n',
+        b'\xff' * 64,
+        b'\0\0\0\0\xff\xff\xff\x7f' + b'x' * 64,
+    ],
+)
+def test_strangers_are_turned_away(sent, monkeypatch):
+    """Guards against strangers that hold connections or stop the server."""
+    monkeypatch.setattr(server, 'LOGIN_TIMEOUT_MS', 50)
+
+    async def main():
+        async with host() as h1, clients() as peers:
+            reader, writer = await asyncio.open_connection(
+                h1.peer_address, h1.peer_port
+            )
+            writer.write(sent)
+            await read_to_end(reader)
+            writer.close()
+            outcome = await peers.run(h1, fakes.request(), 5_000)
+            assert isinstance(outcome, types.Done)
+
+    run(main())
+
+
+def test_nothing_works_before_login():
+    """Guards against methods that a stranger reaches without a login."""
+
+    async def main():
+        gateway = fakes.Gateway()
+        async with host(gateway) as h1:
+            stream = await capnp.AsyncIoStream.create_connection(
+                h1.peer_address, h1.peer_port
+            )
+            bootstrap = capnp.TwoPartyClient(stream).bootstrap()
+            peer = bootstrap.cast_as(codec.schema.Peer)
+            message = codec.encode_request(fakes.request())
+            with pytest.raises(capnp.KjException):
+                await peer.run(message)
+            assert gateway.requests == []
+            stream.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize('listens', [True, False])
+def test_peer_that_never_answers_a_login(listens):
+    """Guards against calls that hang or claim to have been sent."""
+
+    async def main():
+        connected = []
+
+        async def accept(reader, writer):
+            connected.append(writer)
+            await read_to_end(reader)
+
+        mute = await asyncio.start_server(accept, '127.0.0.1', 0)
+        port = mute.sockets[0].getsockname()[1]
+        if not listens:
+            mute.close()
+            await mute.wait_closed()
+        async with clients() as peers:
+            with pytest.raises(exceptions.HostError) as caught:
+                await peers.run(
+                    fakes.host('h1', port=port), fakes.request(), 300
+                )
+            assert not isinstance(caught.value, exceptions.HostAnswerLost)
+        mute.close()
+
+    run(main())
+
+
+def test_silent_connection_is_replaced(monkeypatch):
+    """Guards against a connection that is used although it went silent."""
+    monkeypatch.setattr(client, 'SILENT_MS', 50)
+    monkeypatch.setattr(client, 'SUPERVISE_MS', 20)
+    monkeypatch.setattr(client, 'PING_TIMEOUT_MS', 50)
+
+    async def main():
+        async with host() as h1:
+            link = Link(h1.peer_port)
+            translation = {
+                f'127.0.0.1:{h1.peer_port}': f'127.0.0.1:{await link.start()}'
+            }
+            async with clients(translation=translation) as peers:
+                await peers.run(h1, fakes.request(), 5_000)
+                link.silence()
+                with pytest.raises(exceptions.HostAnswerLost) as caught:
+                    await peers.run(h1, fakes.request(), 60_000)
+                assert 'unanswered' in caught.value.message
+                await peers.run(h1, fakes.request(), 5_000)
+                assert link.connections == 2
+            link.close()
+
+    run(main())
+
+
+def test_slow_call_on_a_live_connection_is_left_alone(monkeypatch):
+    """Guards against cutting off a statement that only takes long."""
+    monkeypatch.setattr(client, 'SILENT_MS', 20)
+    monkeypatch.setattr(client, 'SUPERVISE_MS', 10)
+
+    async def main():
+        gateway = fakes.Gateway()
+        gateway.gate = asyncio.Event()
+        async with host(gateway) as h1, clients() as peers:
+            slow = asyncio.create_task(peers.run(h1, fakes.request(), 60_000))
+            await asyncio.sleep(0.3)
+            gateway.gate.set()
+            assert await slow == gateway.outcome
+
+    run(main())
+
+
+def test_answers_after_the_caller_gave_up():
+    """Guards against abandoned statements and mixed-up answers."""
+
+    async def main():
+        gateway = fakes.Gateway()
+        gateway.gate = asyncio.Event()
+        async with host(gateway) as h1, clients() as peers:
+            with pytest.raises(exceptions.HostAnswerLost):
+                await peers.run(h1, fakes.request(), 300)
+            gateway.gate.set()
+            gateway.outcome = types.Done(rows=('second',))
+            second = await peers.run(h1, fakes.request(request_id='r2'), 5_000)
+            assert second.rows == ('second',)
+            assert gateway.finished == 2
+
+    run(main())
+
+
+def test_host_that_dies_during_a_call():
+    """Guards against reporting a request as not sent that may have run."""
+
+    async def main():
+        gateway = fakes.Gateway()
+        gateway.gate = asyncio.Event()
+        async with host(gateway) as h1:
+            link = Link(h1.peer_port)
+            moved = fakes.host('h1', port=await link.start())
+            async with clients() as peers:
+                call = asyncio.create_task(
+                    peers.run(moved, fakes.request(), 60_000)
+                )
+                await gateway.started.wait()
+                link.close()
+                with pytest.raises(exceptions.HostAnswerLost):
+                    await call
+            gateway.gate.set()
+
+    run(main())
+
+
+def test_another_host_at_the_same_address():
+    """Guards against sending a request to a host that took an address."""
+
+    async def main():
+        gateway = fakes.Gateway()
+        async with host(gateway) as h1, clients() as peers:
+            with pytest.raises(exceptions.HostError):
+                await peers.run(
+                    fakes.host('gone', port=h1.peer_port),
+                    fakes.request(),
+                    5_000,
+                )
+            assert gateway.requests == []
+
+    run(main())
+
+
+class Authority:
+    """Signs certificates for the tests."""
+
+    def __init__(self, name):
+        self._key = ec.generate_private_key(ec.SECP256R1())
+        self._name = x509.Name(
+            [x509.NameAttribute(x509.NameOID.COMMON_NAME, name)]
+        )
+        self.certificate = self._sign(self._name, self._key, True)
+
+    def _sign(self, name, key, is_authority):
+        now = datetime.datetime.now(datetime.UTC)
+        day = datetime.timedelta(days=1)
+        return (
+            x509.CertificateBuilder()
+            .subject_name(name)
+            .issuer_name(self._name)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - day)
+            .not_valid_after(now + day)
+            .add_extension(x509.BasicConstraints(is_authority, None), True)
+            .sign(self._key, hashes.SHA256())
+        )
+
+    def write(self, folder):
+        """Write the files of a host; returns their settings."""
+        folder.mkdir(exist_ok=True)
+        key = ec.generate_private_key(ec.SECP256R1())
+        name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, 'h')])
+        pem = serialization.Encoding.PEM
+        contents = {
+            'cert': self._sign(name, key, False).public_bytes(pem),
+            'key': key.private_bytes(
+                pem,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            ),
+            'authority': self.certificate.public_bytes(pem),
+        }
+        for file_name, content in contents.items():
+            (folder / file_name).write_bytes(content)
+        return config.Tls(
+            folder / 'cert', folder / 'key', folder / 'authority'
+        )
+
+
+@pytest.mark.parametrize('kind', ['member', 'foreign', 'plain'])
+def test_mutual_tls(kind, tmp_path):
+    """Guards against hosts without a certificate of the fleet."""
+
+    async def main():
+        fleet = Authority('fleet')
+        contexts = tls.PeerTls(fleet.write(tmp_path / 'h1'))
+        own = None
+        if kind == 'member':
+            own = tls.PeerTls(fleet.write(tmp_path / 'h2'))
+        elif kind == 'foreign':
+            files = Authority('other').write(tmp_path / 'h2')
+            (tmp_path / 'h2' / 'authority').write_bytes(
+                (tmp_path / 'h1' / 'authority').read_bytes()
+            )
+            own = tls.PeerTls(files)
+        async with (
+            host(contexts=contexts) as (h1, _),
+            clients(contexts=own) as peers,
+        ):
+            if kind == 'member':
+                await peers.run(h1, fakes.request(), 5_000)
+                return
+            with pytest.raises(exceptions.HostError) as caught:
+                await peers.run(h1, fakes.request(), 1_000)
+            assert type(caught.value) is exceptions.HostError
+
+    run(main())
+
+
+def test_certificates_are_replaced_without_a_restart(tmp_path):
+    """Guards against connections that end, or an old authority that stays."""
+
+    async def main():
+        old, new = Authority('old'), Authority('new')
+        contexts = tls.PeerTls(old.write(tmp_path / 'h1'))
+        old_host = tls.PeerTls(old.write(tmp_path / 'h2'))
+        new_host = tls.PeerTls(new.write(tmp_path / 'h3'))
+        async with (
+            host(contexts=contexts) as (h1, peer_server),
+            clients(contexts=old_host) as first,
+            clients(contexts=old_host) as second,
+            clients(contexts=new_host) as third,
+        ):
+            await first.run(h1, fakes.request(), 5_000)
+            assert not contexts.refresh()
+            (tmp_path / 'h1' / 'key').write_text('half-written')
+            assert not contexts.refresh()
+            new.write(tmp_path / 'h1')
+            assert contexts.refresh()
+            await peer_server.listen(contexts.server)
+            await third.run(h1, fakes.request(), 5_000)
+            await first.run(h1, fakes.request(), 5_000)
+            with pytest.raises(exceptions.HostError):
+                await second.run(h1, fakes.request(), 1_000)
+
+    run(main())
