Serve a statement end to end through three hosts

The daemon builds one host from its parts: peers, gossip, configuration, gateways, entry and the listener for callers.

Rate slots called put_row with one object and the platform's client takes its fields, so no slot was claimed; found by the first run of the daemon.

--- /dev/null
+++ b/samphirestand/daemon.py
@@ -0,0 +1,382 @@
+"""The daemon `samphirestandd`: builds, runs and stops one entry host."""
+
+import argparse
+import asyncio
+import collections.abc
+import contextlib
+import pathlib
+import random
+import signal
+import ssl
+import sys
+from typing import Any
+
+import capnp
+
+from samphirestand.callers import entry as entry_module
+from samphirestand.callers import server as caller_server
+from samphirestand.callers import tokens
+from samphirestand import clock as clock_module
+from samphirestand import config
+from samphirestand import exceptions
+from samphirestand.hosts import client as peer_client
+from samphirestand.hosts import discovery
+from samphirestand.hosts import evidence as evidence_module
+from samphirestand.hosts import gossip as gossip_module
+from samphirestand.hosts import membership as membership_module
+from samphirestand.hosts import rate_slots
+from samphirestand.hosts import routing
+from samphirestand.hosts import server as peer_server
+from samphirestand.hosts import tls
+from samphirestand.hosts import token_exchange
+from samphirestand import interfaces
+from samphirestand import log
+from samphirestand import metrics as metrics_module
+from samphirestand.platform import bootstrap
+from samphirestand.platform import client as platform_client
+from samphirestand.platform import configuration as configuration_module
+from samphirestand.targets import connection
+from samphirestand.targets import gateways as gateways_module
+from samphirestand import types
+
+# How often a starting host looks for a configuration.
+CONFIGURATION_RETRY_MS = 500
+
+EXIT_SETTINGS = 2
+
+_log = log.get_logger(__name__)
+
+
+class _LocalGateways:
+    """Breaks the cycle between the router and the gateways of this host."""
+
+    service: interfaces.GatewayService
+
+    async def run(self, request: types.Request) -> types.Outcome:
+        return await self.service.run(request)
+
+    async def target_status(
+        self, target_id: str, for_write: types.Position | None, wait_ms: int
+    ) -> types.TargetStatus | exceptions.Sentinel:
+        return await self.service.target_status(target_id, for_write, wait_ms)
+
+
+class _Unlimited:
+    """Admits everything until the rate limiter is there."""
+
+    async def admit(
+        self, account: str, deadline_ms: int
+    ) -> types.NotRun | None:
+        return None
+
+    async def give(
+        self, account: str, wanted: int, collect: bool
+    ) -> types.TokenGrant:
+        return types.TokenGrant(0, 0)
+
+
+class _NoOperators:
+    """Stands for the operators' commands and records until they are there."""
+
+    async def execute(self, command: str, operator: str) -> dict[str, Any]:
+        raise exceptions.CommandError('not available yet', step='operators')
+
+    def explain(self, kind: str, subject: str) -> str | exceptions.Sentinel:
+        return exceptions.Sentinel('not available yet')
+
+    def record(self, kind: str, subject: str, reason: str) -> None:
+        _log.info('event', kind=kind, subject=subject, reason=reason)
+
+
+class Daemon:
+    """All parts of one entry host."""
+
+    def __init__(self, settings: config.Settings) -> None:
+        self._settings = settings
+        self._clock = clock_module.SystemClock()
+        self._random = random.Random()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._secret = settings.fleet_secret_file.read_text().strip()
+        self.metrics = metrics_module.Metrics()
+        self.commands = _NoOperators()
+        self._build_hosts()
+        self._build_targets()
+        self._build_callers()
+        self._build_peer_server()
+
+    def _build_hosts(self) -> None:
+        settings = self._settings
+        clock = self._clock
+        local = types.Host(
+            host_id=settings.host_id,
+            zone=settings.zone,
+            incarnation=clock.wall(),
+            caller_url=(
+                f'{"https" if settings.caller_tls else "http"}://'
+                f'{settings.caller_address}:{settings.caller_port}'
+            ),
+            peer_address=settings.peer_address,
+            peer_port=settings.peer_port,
+        )
+        self.membership = membership_module.Membership(local, clock)
+        self.routes = routing.RouteTable(clock)
+        self.platform = platform_client.PlatformClient(
+            settings.platform_url,
+            settings.zone,
+            settings.address_translation,
+        )
+        self.evidence = evidence_module.Evidence(
+            clock,
+            settings.zones,
+            settings.zone,
+            lambda: self.configuration.current.version,
+        )
+        self.configuration = configuration_module.ConfigurationStore(
+            self.platform,
+            clock,
+            is_confirmed=self.evidence.is_confirmed,
+            host_count=self._host_count,
+            on_evidence=self._note_platform,
+            metrics=self.metrics,
+            generator=self._random,
+        )
+        self.configuration.subscribe(self._note_configuration)
+        self.peer_tls = None
+        if settings.peer_tls is not None:
+            self.peer_tls = tls.PeerTls(settings.peer_tls)
+        self.clients = peer_client.PeerClients(
+            self._identity,
+            clock,
+            settings.address_translation,
+            lambda: self.peer_tls.client if self.peer_tls else None,
+            self._random,
+        )
+        self.gossip = gossip_module.Gossip(
+            self.membership,
+            self.routes,
+            self.evidence,
+            self.configuration,
+            self.configuration,
+            self.clients,
+            clock,
+            settings.zones,
+            self._random,
+        )
+        self.discovery = discovery.Discovery(
+            self.platform, self.membership, clock, self._host_count
+        )
+
+    def _build_targets(self) -> None:
+        local = _LocalGateways()
+        self.router = routing.HostRouter(
+            self.configuration,
+            self.membership,
+            local,
+            self.clients,
+            self._clock,
+        )
+        self.gateways = gateways_module.Gateways(
+            self._clock,
+            self._random,
+            connection.Connector(self._settings.address_translation),
+            self.configuration,
+            self.membership,
+            self.routes,
+            self.router,
+            self.metrics,
+            self.commands,
+        )
+        local.service = self.gateways
+
+    def _build_callers(self) -> None:
+        self.rate_slots = rate_slots.RateSlots(
+            self._settings.host_id,
+            self._settings.zone,
+            self._settings.zones,
+            self.platform,
+            self.configuration,
+            self.membership,
+            self.evidence.platform_age_ms,
+            self._clock,
+            self._random,
+        )
+        self.token_exchange = token_exchange.TokenExchange(
+            self.membership, self.clients, self._clock, self._random
+        )
+        self.limiter = _Unlimited()
+        self.entry = entry_module.Entry(
+            clock=self._clock,
+            rng=self._random,
+            configuration=self.configuration,
+            routes=self.routes,
+            router=self.router,
+            membership=self.membership,
+            limiter=self.limiter,
+            signer=tokens.TokenSigner(
+                self._settings.token_secrets_file, self._clock
+            ),
+            metrics=self.metrics,
+        )
+
+    def _build_peer_server(self) -> None:
+        self.peers = peer_server.PeerServer(
+            self._login_identity,
+            self._secret,
+            peer_server.Services(
+                self.gateways,
+                self.gossip,
+                self.limiter,
+                self.configuration,
+                self.commands,
+            ),
+            self.peer_tls.server if self.peer_tls else None,
+        )
+        state = caller_server.State(
+            entry=self.entry,
+            configuration=self.configuration,
+            membership=self.membership,
+            metrics=self.metrics,
+            operators=self.commands,
+            clock=self._clock,
+            max_body_bytes=self._settings.max_body_bytes,
+            operator_keys_by_id={},
+        )
+        self.callers = caller_server.Server(state, self._caller_tls())
+
+    async def start(self) -> None:
+        """Join the fleet, then listen for callers."""
+        settings = self._settings
+        await self.peers.start(settings.peer_address, settings.peer_port)
+        for part in (
+            self.gossip,
+            self.configuration,
+            self.discovery,
+            self.rate_slots,
+        ):
+            self._tasks.append(asyncio.create_task(part.run()))
+        if self.peer_tls is not None:
+            watch = self.peer_tls.watch(self._clock, self.peers.listen)
+            self._tasks.append(asyncio.create_task(watch))
+        await self.gateways.start()
+
+        # Without a configuration every request would be refused, so callers
+        # wait until the platform or a peer has given one.
+        await self._await_configuration()
+        self.callers.listen(settings.caller_port, settings.caller_address)
+        _log.info(
+            'ready',
+            port=settings.caller_port,
+            version=self.configuration.current.version,
+        )
+
+    async def stop(self) -> None:
+        """Hand over and finish what runs; cuts no request."""
+        _log.info('draining')
+        self.membership.set_status(types.HostStatus.DRAINING)
+        self.gossip.push()
+        with contextlib.suppress(exceptions.PlatformError):
+            await self.discovery.refresh()
+        limit_ms = self._settings.stop_limit_ms
+        handover = asyncio.create_task(self.gateways.stop())
+        left = await self.callers.drain(limit_ms)
+        await asyncio.wait({handover}, timeout=limit_ms / 1000)
+        with contextlib.suppress(exceptions.PlatformError):
+            await self.rate_slots.give_up_all()
+        await self.callers.close()
+        await self.peers.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.clients.close()
+        self.platform.close()
+        _log.info('stopped', requests_left=left)
+
+    async def _await_configuration(self) -> None:
+        first = None
+        if self._settings.bootstrap_file is not None:
+            first = bootstrap.load(self._settings.bootstrap_file)
+        while not self.configuration.current.version:
+            try:
+                await self.configuration.refresh()
+                if first is not None:
+                    await bootstrap.write_first(self.configuration, first)
+            except exceptions.PlatformError as error:
+                _log.warning(
+                    'configuration_not_found',
+                    step=error.step,
+                    peer='platform',
+                    reason=error.message,
+                )
+            if not self.configuration.current.version:
+                await self._clock.sleep(CONFIGURATION_RETRY_MS)
+
+    def _host_count(self) -> int:
+        return len(self.membership.reachable())
+
+    def _note_platform(self, asked_ms: int) -> None:
+        self.evidence.platform_read(
+            self.configuration.current.version, asked_ms
+        )
+
+    def _note_configuration(self, configuration: types.Configuration) -> None:
+        self.membership.set_configuration_version(configuration.version)
+        self.membership.set_retired(configuration.retired_host_ids)
+
+    def _identity(self) -> peer_client.Identity:
+        local = self.membership.local
+        return peer_client.Identity(
+            local.host_id, local.zone, local.incarnation, self._secret
+        )
+
+    def _login_identity(self) -> tuple[str, int]:
+        local = self.membership.local
+        return local.host_id, local.incarnation
+
+    def _caller_tls(self) -> ssl.SSLContext | None:
+        files = self._settings.caller_tls
+        if files is None:
+            return None
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(files.certificate_file, files.key_file)
+        return context
+
+
+async def serve(settings: config.Settings) -> None:
+    """Run a host until SIGTERM or SIGINT asks for a planned stop."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    daemon = Daemon(settings)
+    starting = asyncio.create_task(daemon.start())
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait(
+        {starting, stopping}, return_when=asyncio.FIRST_COMPLETED
+    )
+    if starting.done():
+        starting.result()
+    else:
+        starting.cancel()
+    await stopping
+    await daemon.stop()
+
+
+def main(
+    arguments: collections.abc.Sequence[str] | None = None,
+) -> int:
+    """Run ``samphirestandd SETTINGS``; returns the exit code."""
+    parser = argparse.ArgumentParser(prog='samphirestandd', description=__doc__)
+    parser.add_argument('settings', type=pathlib.Path, help='a YAML file')
+    chosen = parser.parse_args(arguments)
+    try:
+        settings = config.load(chosen.settings)
+        log.configure(settings.host_id, settings.log_level)
+        asyncio.run(capnp.run(serve(settings)))
+    except exceptions.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/samphirestand/hosts/rate_slots.py
+++ b/samphirestand/hosts/rate_slots.py
@@ -252,7 +252,7 @@
             slot.key, slot.version, self._host_id, slot.claim, renewal
         )
         try:
-            stored = await self._table.put_row(slot_rows.put(row))
+            stored = await slot_rows.write(self._table, row)
         except exceptions.TableConflict:
             await self._resolve(slot)
             return
@@ -289,7 +289,7 @@
         self._drop(slot, 'given up')
         row = slot_rows.SlotRow(slot.key, slot.version, '', '', 0)
         try:
-            await self._table.put_row(slot_rows.put(row))
+            await slot_rows.write(self._table, row)
         except exceptions.PlatformError as error:
             # The row then becomes free by itself.
             logger.info('rate_slot_not_freed', slot=slot.key, why=str(error))
@@ -399,7 +399,7 @@
             key, slot.version, self._host_id, slot.claim, 0
         )
         try:
-            stored = await self._table.put_row(slot_rows.put(claim))
+            stored = await slot_rows.write(self._table, claim)
         except exceptions.TableConflict:
             del self._attempts_by_claim[slot.claim]
             return
--- a/samphirestand/hosts/slot_rows.py
+++ b/samphirestand/hosts/slot_rows.py
@@ -23,16 +23,6 @@
     def version(self) -> int: ...
 
 
-@dataclasses.dataclass(frozen=True)
-class Put:
-    """A conditional write; version 0 means that the row must not exist."""
-
-    table: str
-    key: str
-    value: Any
-    expected_version: int
-
-
 class Table(Protocol):
     """The calls of the platform client that rate slots need.
 
@@ -44,7 +34,9 @@
     async def get_row(self, table: str, key: str) -> Any:
         """Return a ``StoredRow``, or None if there is none."""
 
-    async def put_row(self, put: Any) -> Any:
+    async def put_row(
+        self, table: str, key: str, value: Any, expected_version: int
+    ) -> Any:
         """Write a row if it has the expected version; return the row."""
 
     async def list_rows(
@@ -95,11 +87,11 @@
         ) from error
 
 
-def put(row: SlotRow) -> Put:
-    """Return the write of ``row`` over the version that it names."""
+async def write(table: Table, row: SlotRow) -> Any:
+    """Write ``row`` over the version that it names; return the stored row."""
     value = {
         'holder': row.holder,
         'claim': row.claim,
         'renewal': row.renewal,
     }
-    return Put(TABLE, row.key, value, row.version)
+    return await table.put_row(TABLE, row.key, value, row.version)
--- a/tests/hosts/test_rate_slots.py
+++ b/tests/hosts/test_rate_slots.py
@@ -10,6 +10,7 @@
 from samphirestand import exceptions
 from samphirestand.hosts import rate_slots
 from samphirestand.hosts import slot_rows
+from samphirestand.platform import rows as table_rows
 from samphirestand import types
 from tests.hosts import fakes
 
@@ -70,8 +71,9 @@
         rows = sorted(self.table.rows_by_key.values(), key=lambda x: x.key)
         return [row for row in rows if row.key.startswith(prefix)]
 
-    async def put_row(self, put):
+    async def put_row(self, table, key, value, expected_version):
         self._read()
+        put = table_rows.Put(table, key, value, expected_version)
         if self.fault == 'late':
             self.table.late.append(put)
         else:
