--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,8 @@
 	$(VENV)/bin/mypy
 
 format: $(STAMP)
-	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
 
 bench: $(STAMP)
 	$(PYTHON) -m bench
--- a/samphirestand/daemon.py
+++ b/samphirestand/daemon.py
@@ -365,7 +365,9 @@
     arguments: collections.abc.Sequence[str] | None = None,
 ) -> int:
     """Run ``samphirestandd SETTINGS``; returns the exit code."""
-    parser = argparse.ArgumentParser(prog='samphirestandd', description=__doc__)
+    parser = argparse.ArgumentParser(
+        prog='samphirestandd', description=__doc__
+    )
     parser.add_argument('settings', type=pathlib.Path, help='a YAML file')
     chosen = parser.parse_args(arguments)
     try:
