Let a zone's verdicts apply in other zones and repair gone hosts

A host that died kept its place in another zone when it had given that zone a later heartbeat than its own zone had seen; a verdict may now lag by the few beats that a live host would be ahead. Repairs carry gone hosts as well, else a host that missed the news spread the dead one again after the tombstones of the others had expired. Hosts no longer start a new incarnation when they are called gone: one host that was cut off alone would have restarted its whole zone that way. They answer with a later heartbeat.

Versions in heartbeats are merged also when the heartbeat itself was known. The router takes the gateways of this host by serve_locally, because they need a router themselves. Each change rides on 12 messages instead of 40, at most 10 changes in a message.

--- a/samphirestand/hosts/gossip.py
+++ b/samphirestand/hosts/gossip.py
@@ -25,7 +25,7 @@
 EXCHANGE_TIMEOUT_MS = 1_000
 
 # Records in one message that changed lately, and in one that repairs.
-CHANGED_MAX = 40
+CHANGED_MAX = 10
 REPAIRED_MAX = 500
 
 # Records that changed less than this ago are still being spread, so that a
@@ -234,7 +234,10 @@
         for each in message.routes:
             self._routes.learn(gossip_codec.decode_route(each))
         self._membership.heard_from(
-            peer_id, message.incarnation, message.heartbeat
+            peer_id,
+            message.incarnation,
+            message.heartbeat,
+            message.configurationVersion,
         )
         if message.heartbeats:
             self._membership.learn_heartbeats(
--- a/samphirestand/hosts/membership.py
+++ b/samphirestand/hosts/membership.py
@@ -33,9 +33,9 @@
 # A gone host is kept that long so that late news don't bring it back.
 TOMBSTONE_MS = 600_000
 
-# How many messages carry a change: about 20 a second are sent, and a change
-# reaches some thousand hosts in about 10 rounds of half a second.
-SPREAD_TIMES = 40
+# How many messages carry a change. A host that it misses by chance gets it
+# with the repair of differing digests.
+SPREAD_TIMES = 12
 
 
 class Condition(enum.StrEnum):
@@ -46,10 +46,12 @@
     GONE = 'gone'
 
 
-_RANKS = {
-    Condition.ALIVE: 0,
-    Condition.SUSPECT: 1,
-    Condition.GONE: 2,
+# A host may have given a later heartbeat to another zone directly than to
+# its own zone before it fell silent. A verdict still applies if it lags by no
+# more beats than this; a live host is ahead of it by 4 or 20 beats.
+_VERDICT_LAG = {
+    Condition.SUSPECT: 3,
+    Condition.GONE: 10,
 }
 
 
@@ -82,19 +84,23 @@
     """The hosts of the own zone that heartbeats are exchanged about."""
 
     def __init__(self, members: list[Member]) -> None:
-        self.members = members
-        ids = [
-            f'{member.host.host_id} {member.host.incarnation}'
-            for member in members
+        self.members = [
+            member for member in members if member.condition != Condition.GONE
         ]
+        ids = [_incarnation_id(member) for member in self.members]
         self.digest = digest.digest64('\n'.join(ids))
-        # The low byte of the key makes room for that of the heartbeat.
+        # The low byte of the key makes room for that of the heartbeat. Gone
+        # hosts have one, too, because they may come back.
         self.members_by_key = {
-            digest.digest64(each) & ~0xFF: member
-            for each, member in zip(ids, members, strict=True)
+            digest.digest64(_incarnation_id(member)) & ~0xFF: member
+            for member in members
         }
 
 
+def _incarnation_id(member: Member) -> str:
+    return f'{member.host.host_id} {member.host.incarnation}'
+
+
 class Membership:
     """The hosts of the fleet; implements ``interfaces.Membership``."""
 
@@ -226,20 +232,24 @@
 
         Its incarnation 0 makes way for whatever the host says itself.
         """
-        if host.host_id not in self._members_by_id:
-            contact = dataclasses.replace(host, incarnation=0)
+        known = self._members_by_id.get(host.host_id)
+        contact = dataclasses.replace(host, incarnation=0)
+        if known is None or (
+            not known.host.incarnation and known.host != contact
+        ):
             self._add(News(contact, 0, 0, Condition.SUSPECT))
 
     def heard_from(
-        self, host_id: str, incarnation: int, heartbeat: int
+        self, host_id: str, incarnation: int, heartbeat: int, version: int = 0
     ) -> None:
-        """Note a heartbeat that came from the host itself.
+        """Note a heartbeat and a version that came from the host itself.
 
         One of an earlier incarnation may have waited in a buffer.
         """
         member = self._members_by_id.get(host_id)
         if member is not None and member.host.incarnation == incarnation:
             self._advance(member, heartbeat)
+            self._raise_version(member, version)
 
     def heard_zone(self, zone: str, at_ms: int, lowest_version: int) -> None:
         """Note that some host of ``zone`` lived at ``at_ms`` local time.
@@ -288,6 +298,7 @@
             [
                 key | (member.heartbeat & 0xFF)
                 for key, member in self._zone_view().members_by_key.items()
+                if member.condition != Condition.GONE
             ],
         ).tobytes()
 
@@ -299,8 +310,9 @@
         if view_digest != self.view_digest or len(beats) != len(members):
             return
         for index, member in enumerate(members):
-            if self._advance_low_byte(member, beats[index]):
-                self._set_version(member, versions, index, version)
+            self._advance_low_byte(member, beats[index])
+            if member.heartbeat & 0xFF == beats[index]:
+                self._raise_version(member, _version(versions, index, version))
 
     def learn_keyed_heartbeats(self, encoded: bytes) -> None:
         """Merge heartbeats of a host of the own zone with another view."""
@@ -322,11 +334,15 @@
         return [member.news for member in members if member is not None]
 
     def entries_in(self, buckets: set[int], limit: int) -> list[News]:
-        """Return the records in ``buckets`` that the digests cover."""
+        """Return the records in ``buckets``.
+
+        Gone hosts are included, so that a host that missed the news doesn't
+        keep them, or spread them again.
+        """
         covered = (
             host_id
             for host_id, member in self._members_by_id.items()
-            if member.host.incarnation and member.condition != Condition.GONE
+            if member.host.incarnation
         )
         return [
             self._members_by_id[host_id].news
@@ -364,8 +380,7 @@
         """Answer news about this host that aren't true."""
         if news.host.incarnation < self.local.incarnation:
             return
-        is_same = news.host.incarnation == self.local.incarnation
-        if not is_same or news.condition == Condition.GONE:
+        if news.host.incarnation > self.local.incarnation:
             self.rejoin(news.host.incarnation + 1)
         elif news.condition != Condition.ALIVE:
             self._own.heartbeat = max(self._own.heartbeat, news.heartbeat) + 1
@@ -395,17 +410,23 @@
             # The own zone is judged by what this host hears itself.
             if news.condition != known.condition == Condition.ALIVE:
                 is_changed = True
-        elif (news.heartbeat, _RANKS[news.condition]) > (
-            known.heartbeat,
-            _RANKS[known.condition],
-        ):
-            known.heartbeat = news.heartbeat
-            known.advanced_ms = self._clock.now()
+        elif self._is_later_verdict(known, news):
             is_changed |= news.condition != known.condition
+            known.heartbeat = max(known.heartbeat, news.heartbeat)
+            known.advanced_ms = self._clock.now()
             known.condition = news.condition
         if is_changed:
             self._changed(known)
 
+    def _is_later_verdict(self, known: Member, news: News) -> bool:
+        """Tell whether another zone's verdict replaces the known one."""
+        if news.condition == Condition.ALIVE:
+            return news.heartbeat > known.heartbeat
+        if known.condition == Condition.GONE:
+            return False
+        lag = _VERDICT_LAG[news.condition]
+        return news.heartbeat + lag >= known.heartbeat
+
     def _advance(self, member: Member, heartbeat: int) -> None:
         if heartbeat <= member.heartbeat:
             return
@@ -415,20 +436,12 @@
             member.condition = Condition.ALIVE
             self._changed(member)
 
-    def _advance_low_byte(self, member: Member, low_byte: int) -> bool:
-        """Tell whether the heartbeat with ``low_byte`` is an advance."""
+    def _advance_low_byte(self, member: Member, low_byte: int) -> None:
         delta = (low_byte - member.heartbeat) & 0xFF
-        if not 0 < delta < 0x80 or member.host.host_id == self._local_id:
-            return False
-        self._advance(member, member.heartbeat + delta)
-        return True
+        if 0 < delta < 0x80 and member.host.host_id != self._local_id:
+            self._advance(member, member.heartbeat + delta)
 
-    def _set_version(
-        self, member: Member, versions: bytes, index: int, version: int
-    ) -> None:
-        if len(versions) > index:
-            lag = (version - versions[index]) & 0xFF
-            version -= lag if lag < 0x80 else lag - 0x100
+    def _raise_version(self, member: Member, version: int) -> None:
         if version > member.host.configuration_version:
             member.host = dataclasses.replace(
                 member.host, configuration_version=version
@@ -458,10 +471,10 @@
             self._changed(member)
 
     def _is_expired(self, member: Member, now_ms: int) -> bool:
-        return (
-            member.condition == Condition.GONE
-            and now_ms - member.advanced_ms >= TOMBSTONE_MS
+        is_obsolete = (
+            member.condition == Condition.GONE or not member.host.incarnation
         )
+        return is_obsolete and now_ms - member.advanced_ms >= TOMBSTONE_MS
 
     def _is_reachable(self, member: Member) -> bool:
         if member.host.host_id == self._local_id:
@@ -511,7 +524,6 @@
                         member
                         for member in self._members_by_id.values()
                         if member.host.zone == self.local.zone
-                        and member.condition != Condition.GONE
                         and member.host.incarnation
                     ),
                     key=lambda member: member.host.host_id,
@@ -547,3 +559,11 @@
         self.hot.discard(member.host.host_id)
         self._zone_changed(member.host.zone)
         self.changes += 1
+
+
+def _version(versions: bytes, index: int, sender_version: int) -> int:
+    """Return a version of which only the low byte was sent."""
+    if len(versions) <= index:
+        return sender_version
+    lag = (sender_version - versions[index]) & 0xFF
+    return sender_version - (lag if lag < 0x80 else lag - 0x100)
--- a/samphirestand/hosts/routing.py
+++ b/samphirestand/hosts/routing.py
@@ -1,10 +1,10 @@
 """Finds the gateway host of a target and sends requests to it."""
 
 import dataclasses
+from typing import Protocol
 
 from samphirestand import clock as clocks
 from samphirestand import exceptions
-from samphirestand.hosts import client
 from samphirestand.hosts import digest
 from samphirestand.hosts import membership as memberships
 from samphirestand import interfaces
@@ -14,7 +14,7 @@
 logger = log.get_logger(__name__)
 
 # How many messages carry a new route; see membership.SPREAD_TIMES.
-SPREAD_TIMES = 40
+SPREAD_TIMES = 12
 
 
 class RouteTable:
@@ -57,6 +57,23 @@
         return [self._routes_by_service[each] for each in services]
 
 
+class Caller(Protocol):
+    """The calls of ``client.PeerClients`` that the router makes."""
+
+    async def run(
+        self, host: types.Host, request: types.Request, timeout_ms: int
+    ) -> types.Outcome: ...
+
+    async def target_status(
+        self,
+        host: types.Host,
+        target_id: str,
+        for_write: types.Position | None,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> types.TargetStatus | exceptions.Sentinel: ...
+
+
 class HostRouter:
     """Runs requests on this host or on another; ``interfaces.Router``."""
 
@@ -64,15 +81,18 @@
         self,
         configuration: interfaces.ConfigurationSource,
         membership: memberships.Membership,
-        gateway: interfaces.GatewayService,
-        clients: client.PeerClients,
+        clients: Caller,
         clock: clocks.Clock,
     ) -> None:
         self._configuration = configuration
         self._membership = membership
-        self._gateway = gateway
         self._clients = clients
         self._clock = clock
+        self._gateway: interfaces.GatewayService | None = None
+
+    def serve_locally(self, gateway: interfaces.GatewayService) -> None:
+        """Name the gateways on this host, which need a router themselves."""
+        self._gateway = gateway
 
     async def run(self, request: types.Request) -> types.Outcome:
         """Run on the gateway host of the target; never raises."""
@@ -115,6 +135,8 @@
         if isinstance(host, exceptions.Sentinel):
             return host
         if host.host_id == self._membership.local.host_id:
+            if self._gateway is None:
+                return exceptions.Sentinel('no gateways on this host')
             return await self._gateway.target_status(
                 target_id, for_write, wait_ms
             )
@@ -145,6 +167,8 @@
     ) -> types.Outcome:
         try:
             if host.host_id == self._membership.local.host_id:
+                if self._gateway is None:
+                    return types.NotRun('not_gateway', 'no gateways here')
                 return await self._gateway.run(request)
             return await self._clients.run(host, request, request.deadline_ms)
         except exceptions.HostAnswerLost as error:
--- a/tests/hosts/fakes.py
+++ b/tests/hosts/fakes.py
@@ -144,7 +144,10 @@
             await self.clock.advance(gossips.ROUND_MS)
 
     def cut_zone(self, zone):
-        self.cut = lambda one, other: (one == zone) != (other == zone)
+        self.cut = lambda one, other: (one[0] == zone) != (other[0] == zone)
+
+    def cut_host(self, host_id):
+        self.cut = lambda one, other: host_id in (one, other)
 
     def heal(self):
         self.cut = lambda one, other: False
@@ -206,7 +209,7 @@
         if (
             peer is None
             or is_paused
-            or self._fleet.cut(self._node.zone, peer.zone)
+            or self._fleet.cut(self._node.host_id, host.host_id)
         ):
             raise exceptions.HostError('cut', step='test', peer=host.host_id)
         return peer
--- a/tests/hosts/test_gossip.py
+++ b/tests/hosts/test_gossip.py
@@ -1,22 +1,434 @@
-"""Tests of gossip and membership on an in-memory fleet."""
+"""Tests of gossip, membership and evidence on an in-memory fleet."""
 
 import asyncio
+import dataclasses
+import random
 
+import pytest
+
+from samphirestand import clock as clocks
+from samphirestand import exceptions
+from samphirestand.hosts import codec
+from samphirestand.hosts import contacts
+from samphirestand.hosts import evidence as evidences
+from samphirestand.hosts import membership as memberships
+from samphirestand import types
 from tests.hosts import fakes
 
+SIZES = {'a': 4, 'b': 3, 'c': 2}
+ALIVE = memberships.Condition.ALIVE
+SUSPECT = memberships.Condition.SUSPECT
+GONE = memberships.Condition.GONE
+
 
 def run(work):
     return asyncio.run(work)
 
 
-def test_hosts_find_each_other_from_contacts():
+async def settled(sizes=SIZES, seed=1):
+    fleet = fakes.Fleet(sizes, seed)
+    await fleet.advance(6_000)
+    return fleet
+
+
+def views(fleet, but=()):
+    return {
+        frozenset(node.reached())
+        for host_id, node in fleet.nodes_by_id.items()
+        if host_id not in but
+    }
+
+
+def target(zone='a', target_id='t1'):
+    return types.Target(target_id, 's', zone, 'ws://x', 2, 16)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_hosts_find_each_other_from_contacts(seed):
     """Guards against hosts that stay unknown or are suspected while alive."""
 
     async def main():
-        fleet = fakes.Fleet({'a': 4, 'b': 3, 'c': 2})
-        await fleet.advance(10_000)
+        fleet = await settled(seed=seed)
+        for _ in range(60):
+            await fleet.advance(500)
+            assert views(fleet) == {frozenset(fleet.nodes_by_id)}
+            for node in fleet.nodes_by_id.values():
+                assert node.evidence.is_confirmed()
+        digests = {
+            node.membership.digests.total
+            for node in fleet.nodes_by_id.values()
+        }
+        assert len(digests) == 1
+
+    run(main())
+
+
+def test_silent_host_becomes_suspect_then_gone():
+    """Guards against work that is placed on a dead host."""
+
+    async def main():
+        fleet = await settled()
+        owner = fleet['b0'].membership.gateway_host(target('a'))
+        fleet.paused_ids.add(owner.host_id)
+        await fleet.advance(5_000)
+        others = {owner.host_id}
+        assert views(fleet, others) == {frozenset(fleet.nodes_by_id) - others}
+        choices = {
+            node.membership.gateway_host(target('a')).host_id
+            for each, node in fleet.nodes_by_id.items()
+            if each != owner.host_id
+        }
+        assert len(choices) == 1
+        assert choices != others
+        await fleet.advance(9_000)
+        for each, node in fleet.nodes_by_id.items():
+            if each != owner.host_id:
+                assert isinstance(
+                    node.membership.host(owner.host_id), exceptions.Sentinel
+                )
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    ('pause_ms', 'incarnation'), [(4_000, 1), (30_000, 2)]
+)
+def test_paused_host_returns(pause_ms, incarnation):
+    """Guards against a resumed host that suspects all, or stays gone."""
+
+    async def main():
+        fleet = await settled()
+        fleet.paused_ids.add('a0')
+        await fleet.advance(pause_ms)
+        fleet.paused_ids.clear()
+        fleet['a0'].gossip.round()
+        assert {'a0', 'a1', 'a2', 'a3'} <= fleet['a0'].reached()
+        await fleet.advance(6_000)
+        assert views(fleet) == {frozenset(fleet.nodes_by_id)}
+        assert fleet['a0'].membership.local.incarnation == incarnation
+        assert fleet['b0'].membership.host('a0').incarnation == incarnation
+
+    run(main())
+
+
+def test_evidence_ages_while_a_host_is_paused():
+    """Guards against a resumed host that trusts an old configuration."""
+
+    async def main():
+        fleet = await settled()
+        fleet.paused_ids.add('a0')
+        await fleet.advance(6_000)
+        assert not fleet['a0'].evidence.is_confirmed()
+
+    run(main())
+
+
+def test_zone_that_is_cut_off():
+    """Guards against a configuration that is trusted in a cut-off zone."""
+
+    async def main():
+        fleet = await settled()
+        fleet.cut_zone('c')
+        await fleet.advance(4_000)
+        assert fleet['c0'].reached() == {'c0', 'c1'}
+        assert 'c0' not in fleet['a0'].reached()
+        # Gateways of the zone's targets move, also in the view of the zone.
+        moved = fleet['a0'].membership.gateway_host(target('c'))
+        assert moved.zone != 'c'
+        assert fleet['c0'].membership.gateway_host(target('a')).zone == 'c'
+        await fleet.advance(3_000)
+        for node in fleet.nodes_by_id.values():
+            assert not node.evidence.is_confirmed()
+        # One host that reads the platform is enough for its side.
+        fleet['a0'].evidence.platform_read(fleet.clock.now())
+        await fleet.advance(3_000)
+        assert fleet['b0'].evidence.is_confirmed()
+        assert not fleet['c0'].evidence.is_confirmed()
+        fleet.heal()
+        await fleet.advance(5_000)
+        assert views(fleet) == {frozenset(fleet.nodes_by_id)}
+        assert fleet['c0'].evidence.is_confirmed()
+
+    run(main())
+
+
+def test_configuration_reaches_all_and_never_goes_back():
+    """Guards against a change that stays unknown or is taken back."""
+
+    async def main():
+        fleet = await settled()
+        fleet.paused_ids.add('b2')
+        fleet['a0'].configuration.apply_rows(
+            fakes.change(version) for version in range(1, 6)
+        )
+        await fleet.clock.advance(0)
+        await fleet.advance(2_000)
+        fleet.paused_ids.clear()
+        await fleet.advance(5_000)
+        for node in fleet.nodes_by_id.values():
+            assert node.configuration.current.version == 5
+            # Rows that the host already had were never offered to it.
+            assert node.configuration.applied == [1, 2, 3, 4, 5]
+            for host in node.membership.reachable():
+                assert host.configuration_version == 5
+
+    run(main())
+
+
+def test_version_is_pushed_at_once():
+    """Guards against a change that waits for the next round."""
+
+    async def main():
+        fleet = await settled()
+        fleet['a0'].configuration.apply_rows([fakes.change(1)])
+        await fleet.clock.settle()
+        knowing = [
+            node
+            for node in fleet.nodes_by_id.values()
+            if node.configuration.current.version == 1
+        ]
+        assert len(knowing) > 5
+
+    run(main())
+
+
+def test_routes_of_the_highest_term_win():
+    """Guards against an old primary that gossip brings back."""
+
+    async def main():
+        fleet = await settled()
+        fleet['a0'].routes.learn(types.Route('s', 4, 't2'))
+        fleet['b0'].routes.learn(types.Route('s', 3, 't1'))
+        await fleet.advance(4_000)
+        late = fleet.add('a9', 'a')
+        late.membership.learn_contact(fleet['a1'].membership.local)
+        await fleet.advance(30_000)
+        for node in fleet.nodes_by_id.values():
+            assert node.routes.primary('s') == types.Route('s', 4, 't2')
+
+    run(main())
+
+
+def test_draining_and_retired_hosts_get_no_gateways():
+    """Guards against new work on hosts that are leaving."""
+
+    async def main():
+        fleet = await settled()
+        fleet['a0'].membership.set_status(types.HostStatus.DRAINING)
+        for node in fleet.nodes_by_id.values():
+            node.membership.set_retired(frozenset({'a1', 'a2'}))
+        await fleet.advance(3_000)
         for node in fleet.nodes_by_id.values():
-            assert node.reached() == set(fleet.nodes_by_id)
-            assert node.evidence.is_confirmed()
+            chosen = {
+                node.membership.gateway_host(target('a', f't{each}')).host_id
+                for each in range(20)
+            }
+            assert chosen == {'a3'}
+
+    run(main())
+
+
+def test_restarted_fleet_of_a_zone_is_found_again():
+    """Guards against dead contacts that hide the hosts that replaced them."""
+
+    async def main():
+        fleet = await settled()
+        for number in range(SIZES['c']):
+            del fleet.nodes_by_id[f'c{number}']
+        await fleet.advance(20_000)
+        new = fleet.add('d9', 'c')
+        new.membership.learn_contact(fleet['a0'].membership.local)
+        await fleet.advance(15_000)
+        assert 'd9' in fleet['b1'].reached()
+        assert fleet['b1'].membership.gateway_host(target('c')).host_id == 'd9'
+
+    run(main())
+
+
+def news(heartbeat=5, condition=ALIVE, incarnation=2, revision=1, **changes):
+    host = fakes.host('x', zone=changes.pop('zone', 'b'))
+    host = dataclasses.replace(host, incarnation=incarnation, **changes)
+    return memberships.News(host, revision, heartbeat, condition)
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'condition', 'incarnation'),
+    [
+        # The news of an earlier incarnation change nothing.
+        (news(), news(99, GONE, 1), ALIVE, 2),
+        (news(5, GONE), news(99, ALIVE, 1), GONE, 2),
+        (news(), news(1, ALIVE, 3), ALIVE, 3),
+        # A verdict holds until a later heartbeat refutes it.
+        (news(5), news(5, SUSPECT), SUSPECT, 2),
+        (news(5, SUSPECT), news(5), SUSPECT, 2),
+        (news(5, SUSPECT), news(6), ALIVE, 2),
+        (news(5, GONE), news(5, SUSPECT), GONE, 2),
+        (news(5, GONE), news(6), ALIVE, 2),
+        # The host itself may have been heard a little later.
+        (news(7), news(5, SUSPECT), SUSPECT, 2),
+        (news(9), news(5, SUSPECT), ALIVE, 2),
+        (news(14), news(5, GONE), GONE, 2),
+        (news(25), news(5, GONE), ALIVE, 2),
+        # The own zone is judged by this host alone.
+        (news(5, zone='a'), news(5, GONE, zone='a'), ALIVE, 2),
+    ],
+)
+def test_order_of_news(first, second, condition, incarnation):
+    """Guards against old news that replace newer ones."""
+    membership = memberships.Membership(fakes.host('me'), clocks.ManualClock())
+    membership.learn(news(1, zone=first.host.zone))
+    membership.learn(first)
+    membership.learn(second)
+    member = {each.host.host_id: each for each in membership.members()}['x']
+    assert member.condition == condition
+    assert member.host.incarnation == incarnation
+
+
+@pytest.mark.parametrize(
+    ('incarnation', 'heartbeat', 'reached'),
+    [(2, 6, True), (1, 6_000, False), (2, 5, False)],
+)
+def test_heartbeats_of_an_old_incarnation(incarnation, heartbeat, reached):
+    """Guards against a late message of a dead process."""
+    membership = memberships.Membership(fakes.host('me'), clocks.ManualClock())
+    membership.learn(news(5, SUSPECT, zone='a'))
+    membership.heard_from('x', incarnation, heartbeat)
+    reachable = {host.host_id for host in membership.reachable()}
+    assert ('x' in reachable) == reached
+
+
+@pytest.mark.parametrize(
+    ('said', 'incarnation'),
+    [(news(9, GONE, 1), 1), (news(9, ALIVE, 4), 5), (news(9, GONE, 0), 1)],
+)
+def test_host_refutes_what_is_said_about_it(said, incarnation):
+    """Guards against a live host that stays declared gone."""
+    local = dataclasses.replace(fakes.host('x'), incarnation=1)
+    membership = memberships.Membership(local, clocks.ManualClock())
+    membership.learn(said)
+    assert membership.local.incarnation == incarnation
+    assert (membership.heartbeat > 9) == (said.host.incarnation == 1)
+
+
+@pytest.mark.parametrize('cut_for_ms', [4_000, 40_000])
+def test_partition_inside_a_zone_heals(cut_for_ms):
+    """Guards against hosts that stay gone for those who missed them."""
+
+    async def main():
+        fleet = await settled({'a': 6})
+        fleet.cut_host('a0')
+        await fleet.advance(cut_for_ms)
+        assert fleet['a0'].reached() == {'a0'}
+        fleet.heal()
+        await fleet.advance(40_000)
+        assert views(fleet) == {frozenset(fleet.nodes_by_id)}
 
     run(main())
+
+
+def test_views_of_placement_agree_after_a_split():
+    """Guards against two hosts that both stay gateway of a target."""
+
+    async def main():
+        fleet = await settled()
+        fleet.cut_zone('a')
+        await fleet.advance(5_000)
+        split = {
+            node.membership.gateway_host(target('a')).host_id
+            for node in fleet.nodes_by_id.values()
+        }
+        assert len(split) > 1
+        fleet.heal()
+        await fleet.advance(5_000)
+        agreed = {
+            node.membership.gateway_host(target('a')).host_id
+            for node in fleet.nodes_by_id.values()
+        }
+        assert len(agreed) == 1
+
+    run(main())
+
+
+def test_late_request_carries_no_evidence():
+    """Guards against ages that were true when a buffered request left."""
+
+    async def main():
+        fleet = await settled()
+        request = fleet['b0'].gossip.receive(
+            'x', codec.schema.Gossip.new_message().as_reader()
+        )
+        fleet.cut_zone('a')
+        await fleet.advance(20_000)
+        for node in fleet.nodes_by_id.values():
+            if node.zone == 'a':
+                node.gossip.receive('b0', request.as_reader())
+                assert not node.evidence.is_confirmed()
+
+    run(main())
+
+
+def test_bad_news_does_not_stop_gossip():
+    """Guards against a peer of another version that breaks the exchange."""
+
+    async def main():
+        fleet = await settled()
+        message = codec.schema.Gossip.new_message(
+            hosts=[{'hostId': 'x', 'status': 'new', 'condition': 'odd'}],
+            heartbeats=b'123',
+            keyedHeartbeats=b'123',
+            zones=b'123',
+            hostBuckets=b'123',
+        )
+        answer = fleet['a0'].gossip.receive('b0', message.as_reader())
+        assert answer.incarnation == 1
+        assert 'x' not in fleet['a0'].reached()
+
+    run(main())
+
+
+def test_contacts_are_few():
+    """Guards against connections that grow with the number of hosts."""
+    membership = memberships.Membership(fakes.host('me'), clocks.ManualClock())
+    for zone in 'abcdefghi':
+        for number in range(100):
+            membership.learn_contact(fakes.host(f'{zone}{number}', zone))
+    chooser = contacts.Contacts(membership, _Never())
+    chosen = {
+        host.host_id for _ in range(500) for host in chooser.choose(set())
+    }
+    limit = contacts.OWN_ZONE_CONTACTS + 8 * contacts.OTHER_ZONE_CONTACTS
+    assert len(chosen) <= limit
+    assert {each[0] for each in chosen} == set('abcdefghi')
+
+
+class _Never(random.Random):
+    """Random numbers without the rare choice of any host."""
+
+    def random(self):
+        return 0.999
+
+
+@pytest.mark.parametrize(
+    ('platform_ms', 'zones_ms', 'version', 'confirmed'),
+    [
+        (5_000, {}, 3, True),
+        (5_001, {}, 3, False),
+        (None, {'b': 5_000, 'c': 5_000}, 3, True),
+        (None, {'b': 5_000, 'c': 5_001}, 3, False),
+        (None, {'b': 0}, 3, False),
+        (None, {}, 3, False),
+        # Evidence for a newer version says nothing about the one in force.
+        (0, {'b': 0, 'c': 0}, 4, False),
+    ],
+)
+def test_confirmation(platform_ms, zones_ms, version, confirmed):
+    """Guards against a wrong answer at the limits of both conditions."""
+    clock = clocks.ManualClock()
+    applied = [3]
+    evidence = evidences.Evidence(clock, 'abc', 'a', lambda: applied[0])
+    evidence.heard(version, clock.now(), platform_ms, zones_ms)
+    assert evidence.is_confirmed() == confirmed
+    applied[0] = 4
+    assert evidence.is_confirmed() == (confirmed or version == 4)
+    clock.set(clock.now() + 5_001)
+    assert not evidence.is_confirmed()
