Fix the arguments of the platform evidence in the daemon

The daemon passed the version where the instant is expected, after the order of the arguments had changed, so that no reading of the head ever counted as evidence. The arguments are keywords now. Rate slots get the age of any contact with the platform, also for a head that isn't applied here yet, and the router takes the gateways by serve_locally.

--- a/samphirestand/daemon.py
+++ b/samphirestand/daemon.py
@@ -29,7 +29,6 @@
 from samphirestand.hosts import server as peer_server
 from samphirestand.hosts import tls
 from samphirestand.hosts import token_exchange
-from samphirestand import interfaces
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand.platform import bootstrap
@@ -47,20 +46,6 @@
 _log = log.get_logger(__name__)
 
 
-class _LocalGateways:
-    """Breaks the cycle between the router and the gateways of this host."""
-
-    service: interfaces.GatewayService
-
-    async def run(self, request: types.Request) -> types.Outcome:
-        return await self.service.run(request)
-
-    async def target_status(
-        self, target_id: str, for_write: types.Position | None, wait_ms: int
-    ) -> types.TargetStatus | exceptions.Sentinel:
-        return await self.service.target_status(target_id, for_write, wait_ms)
-
-
 class _Unlimited:
     """Admits everything until the rate limiter is there."""
 
@@ -167,13 +152,8 @@
         )
 
     def _build_targets(self) -> None:
-        local = _LocalGateways()
         self.router = routing.HostRouter(
-            self.configuration,
-            self.membership,
-            local,
-            self.clients,
-            self._clock,
+            self.configuration, self.membership, self.clients, self._clock
         )
         self.gateways = gateways_module.Gateways(
             self._clock,
@@ -186,7 +166,7 @@
             self.metrics,
             self.commands,
         )
-        local.service = self.gateways
+        self.router.serve_locally(self.gateways)
 
     def _build_callers(self) -> None:
         self.rate_slots = rate_slots.RateSlots(
@@ -196,7 +176,7 @@
             self.platform,
             self.configuration,
             self.membership,
-            self.evidence.platform_age_ms,
+            self.evidence.platform_contact_age_ms,
             self._clock,
             self._random,
         )
@@ -314,9 +294,7 @@
         return len(self.membership.reachable())
 
     def _note_platform(self, asked_ms: int) -> None:
-        self.evidence.platform_read(
-            self.configuration.current.version, asked_ms
-        )
+        self.evidence.platform_read(asked_ms=asked_ms)
 
     def _note_configuration(self, configuration: types.Configuration) -> None:
         self.membership.set_configuration_version(configuration.version)
--- a/samphirestand/hosts/evidence.py
+++ b/samphirestand/hosts/evidence.py
@@ -46,7 +46,7 @@
         self._waiting = Facts()
         self._waiting_version = 0
 
-    def platform_read(self, asked_ms: int, head_version: int = 0) -> None:
+    def platform_read(self, *, asked_ms: int, head_version: int = 0) -> None:
         """Note that this host read the head at ``asked_ms`` or later.
 
         ``head_version`` is needed only if it isn't applied here yet.
--- a/tests/hosts/test_gossip.py
+++ b/tests/hosts/test_gossip.py
@@ -140,7 +140,7 @@
         for node in fleet.nodes_by_id.values():
             assert not node.evidence.is_confirmed()
         # One host that reads the platform is enough for its side.
-        fleet['a0'].evidence.platform_read(fleet.clock.now())
+        fleet['a0'].evidence.platform_read(asked_ms=fleet.clock.now())
         await fleet.advance(3_000)
         assert fleet['b0'].evidence.is_confirmed()
         assert not fleet['c0'].evidence.is_confirmed()
