--- a/samphirestand/platform/configuration.py
+++ b/samphirestand/platform/configuration.py
@@ -159,6 +159,8 @@
             if row.version <= self._current.version:
                 self._check_same(row)
                 continue
+            if not rows.follows(self._current, row):
+                continue
             advanced = rows.advance(self._current, row)
             if isinstance(advanced, exceptions.Sentinel):
                 self._metrics.count('configuration_rows_not_applied')
--- a/samphirestand/platform/rows.py
+++ b/samphirestand/platform/rows.py
@@ -145,16 +145,19 @@
         ) from error
 
 
+def follows(configuration: types.Configuration, row: types.ChangeRow) -> bool:
+    """Tell whether ``row`` is the next version or a newer snapshot."""
+    if row.document.get('kind') == SNAPSHOT_KIND:
+        return row.version > configuration.version
+    return row.version == configuration.version + 1
+
+
 def advance(
     configuration: types.Configuration, row: types.ChangeRow
 ) -> types.Configuration | exceptions.Sentinel:
-    """Return the configuration after ``row``."""
+    """Return the configuration after ``row``, which must follow it."""
     if row.document.get('kind') == SNAPSHOT_KIND:
         return _from_snapshot(row)
-    if row.version != configuration.version + 1:
-        return exceptions.Sentinel(
-            f'version {row.version} does not follow {configuration.version}'
-        )
     change = changes.from_document(row.document)
     if isinstance(change, exceptions.Sentinel):
         return change
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -1,5 +1,6 @@
 """An in-memory platform with faults and a store on top of it."""
 
+import asyncio
 import copy
 import random
 
@@ -14,8 +15,8 @@
     """Table service and object store; faults are taken from a list.
 
     Each call takes the next entry of ``faults``: ``''`` for none, ``down``
-    for no effect, ``lost`` for an effect without an answer. Late effects are
-    kept in ``delayed`` until ``deliver`` is called (fault ``late``).
+    for no effect, ``lost`` for an effect without an answer, ``late`` for an
+    effect that waits until ``deliver`` is called.
     """
 
     def __init__(self):
@@ -25,20 +26,26 @@
         self.down = False
         self.delayed = []
         self.before_transact = None
-
-    def _fault(self):
+        self.calls = []
+        self.pauses = None
+
+    async def _fault(self, call):
+        self.calls.append(call)
+        # Pauses of random length let concurrent calls overtake each other.
+        for _ in range(self.pauses.randrange(4) if self.pauses else 0):
+            await asyncio.sleep(0)
         fault = self.faults.pop(0) if self.faults else ''
         if self.down or fault == 'down':
             raise _unavailable()
         return fault
 
     async def get_row(self, table, key):
-        self._answer(self._fault())
+        self._answer(await self._fault(f'get {table}/{key}'))
         found = self.rows_by_place.get((table, key))
         return copy.deepcopy(found)
 
     async def list_rows(self, table, prefix='', after='', limit=100):
-        self._answer(self._fault())
+        self._answer(await self._fault(f'list {table} {after}'))
         found = [
             copy.deepcopy(row)
             for (place, key), row in sorted(self.rows_by_place.items())
@@ -47,7 +54,7 @@
         return found[:limit]
 
     async def transact(self, puts):
-        fault = self._fault()
+        fault = await self._fault('transact')
         if self.before_transact is not None:
             hook, self.before_transact = self.before_transact, None
             await hook()
@@ -58,16 +65,16 @@
         self._answer(fault)
 
     async def put_row(self, table, key, value, expected_version=0):
-        fault = self._fault()
+        fault = await self._fault(f'put {table}/{key}')
         self._put([rows.Put(table, key, value, expected_version)])
         self._answer(fault)
 
     async def get_object(self, name):
-        self._answer(self._fault())
+        self._answer(await self._fault(f'object {name}'))
         return self.objects_by_name.get(name)
 
     async def put_object(self, name, data):
-        fault = self._fault()
+        fault = await self._fault(f'put object {name}')
         self.objects_by_name[name] = data
         self._answer(fault)
 
