--- a/bench/checker.py
+++ b/bench/checker.py
@@ -2,8 +2,9 @@
 
 The checker knows nothing of the proxy's inside. Times are wall times of one
 machine. The workload has properties that the checker relies on: each key is
-written by one caller, each ``SET`` carries the caller's next sequence number,
-and a key is not used again after a write of it whose outcome is unknown.
+written by one caller, each written value starts with the caller's next
+sequence number, and a key is not used again after a write of it whose outcome
+is unknown.
 """
 
 import collections
@@ -153,7 +154,7 @@
     if call.outcome != records.DONE:
         return
     place = (call.service, records.key_of(call.statement))
-    if call.statement.startswith('SET '):
+    if call.statement.startswith(('SET ', 'APPEND ')):
         sequence = records.sequence_of(records.value_of(call.statement))
         target = session.pending if call.group else session.written
         target[place] = sequence
--- a/bench/records.py
+++ b/bench/records.py
@@ -146,5 +146,5 @@
 
 
 def sequence_of(value: str) -> int:
-    """Return the sequence number at the start of a ``SET`` value."""
-    return int(value.partition(':')[0])
+    """Return the sequence number of the last part of a value."""
+    return int(value.rpartition(',')[2].partition(':')[0])
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,352 @@
+"""The scenarios: loads by account and faults by time."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from bench import fleet as fleet_module
+from bench import http
+
+# Offered load of an account as a share of its rate.
+USUAL_LOAD = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class KillPrimary:
+    """Kills the primary of a service, by the service's number."""
+
+    service: int
+
+
+@dataclasses.dataclass(frozen=True)
+class CutZone:
+    """Cuts a zone off from the others, and from the platform if asked.
+
+    Callers still reach the hosts of the zone. The zone is given by number,
+    or as that of a service's primary.
+    """
+
+    zone: int | None = None
+    primary_of: int | None = None
+    from_platform: bool = False
+    is_silent: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class HealZones:
+    """Ends all cuts between zones."""
+
+
+@dataclasses.dataclass(frozen=True)
+class SetLag:
+    """Sets the lag of all replicas; None is the usual one."""
+
+    lag_ms: int | None
+
+
+@dataclasses.dataclass(frozen=True)
+class SetPlatform:
+    """Sets the outage of the platform: ``hang``, ``error`` or none."""
+
+    outage: str
+
+
+@dataclasses.dataclass(frozen=True)
+class KillHost:
+    """Kills a host, by number, and starts it again after a while."""
+
+    host: int
+    down_ms: int = 5_000
+
+
+@dataclasses.dataclass(frozen=True)
+class WithdrawKey:
+    """Withdraws the key of an account, by number."""
+
+    account: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StopHosts:
+    """Stops every host in turn and starts it again."""
+
+    pause_ms: int = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class SilenceTargets:
+    """Lets all existing connections of a service's targets go silent."""
+
+    service: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RetireTarget:
+    """Retires a target, by number."""
+
+    target: int
+
+
+Step = (
+    KillPrimary
+    | CutZone
+    | HealZones
+    | SetLag
+    | SetPlatform
+    | KillHost
+    | WithdrawKey
+    | StopHosts
+    | SilenceTargets
+    | RetireTarget
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """A load and faults; ``steps`` are ``(at_ms, step)``."""
+
+    name: str
+    duration_ms: int
+    steps: tuple[tuple[int, Step], ...] = ()
+    loads_by_account: tuple[tuple[int, float], ...] = ()
+
+
+SCENARIOS = (
+    Scenario('calm', 20_000),
+    Scenario('primary-killed', 30_000, ((8_000, KillPrimary(0)),)),
+    Scenario(
+        'primary-cut-off',
+        40_000,
+        (
+            (8_000, CutZone(primary_of=0)),
+            (28_000, HealZones()),
+        ),
+    ),
+    Scenario('noisy-account', 25_000, loads_by_account=((1, 5.0),)),
+    Scenario(
+        'replicas-behind',
+        30_000,
+        ((5_000, SetLag(10_000)), (20_000, SetLag(None))),
+    ),
+    Scenario(
+        'platform-down',
+        40_000,
+        ((5_000, SetPlatform('hang')), (30_000, SetPlatform(''))),
+    ),
+    Scenario(
+        'zone-cut-off',
+        40_000,
+        (
+            (8_000, CutZone(zone=0, from_platform=True)),
+            (28_000, HealZones()),
+        ),
+    ),
+    Scenario(
+        'hosts-killed',
+        35_000,
+        ((5_000, KillHost(0)), (10_000, KillHost(4)), (15_000, KillHost(8))),
+    ),
+    Scenario('key-withdrawn', 25_000, ((8_000, WithdrawKey(2)),)),
+    Scenario('planned-stops', 60_000, ((5_000, StopHosts()),)),
+    Scenario('silent-connections', 25_000, ((8_000, SilenceTargets(0)),)),
+    Scenario('target-retired', 30_000, ((8_000, RetireTarget(1)),)),
+    Scenario(
+        'two-at-once',
+        45_000,
+        (
+            (5_000, SetPlatform('hang')),
+            (10_000, KillPrimary(0)),
+            (10_000, CutZone(zone=1)),
+            (30_000, HealZones()),
+            (30_000, SetPlatform('')),
+        ),
+    ),
+)
+
+
+class FaultScript:
+    """Carries out the steps of a scenario and watches the hosts."""
+
+    def __init__(
+        self, fleet: fleet_module.Fleet, host_ids_off: set[str]
+    ) -> None:
+        self._fleet = fleet
+        self._host_ids_off = host_ids_off
+        self._cut_groups: set[str] = set()
+        self._tasks: list[asyncio.Task[None]] = []
+        self.withdrawn_accounts: set[str] = set()
+
+    async def run(self, scenario: Scenario) -> None:
+        """Carry out the steps; ends when the last one is done."""
+        started = self._fleet.clock.now()
+        watch = asyncio.create_task(self._watch())
+        try:
+            for at_ms, step in scenario.steps:
+                due = started + at_ms - self._fleet.clock.now()
+                await self._fleet.clock.sleep(due)
+                await self._carry_out(step)
+            await asyncio.gather(*self._tasks)
+            due = started + scenario.duration_ms - self._fleet.clock.now()
+            await self._fleet.clock.sleep(due)
+        finally:
+            watch.cancel()
+
+    async def _carry_out(self, step: Step) -> None:
+        fleet = self._fleet
+        match step:
+            case KillPrimary():
+                target = await fleet.primary(self._service(step.service))
+                if target is not None:
+                    await fleet.kill(target.target_id)
+            case CutZone():
+                await self._cut(step)
+            case HealZones():
+                groups = sorted(self._cut_groups)
+                await fleet.set_links(groups, state='up')
+                fleet.note('healed', ', '.join(groups))
+                self._cut_groups.clear()
+            case SetLag():
+                usual = fleet.figures['lag_ms']
+                lag = usual if step.lag_ms is None else step.lag_ms
+                for target in fleet.targets:
+                    await self._target_fault(target, {'lag_ms': lag})
+                fleet.note('fault', f'lag {lag} ms')
+            case SetPlatform():
+                port = fleet.platform_port
+                await fleet_module.post(
+                    f'http://{fleet_module.ADDRESS}:{port}/faults',
+                    {'outage': step.outage},
+                )
+                fleet.note('fault', f'platform {step.outage or "up"}')
+            case KillHost():
+                host = fleet.hosts[step.host]
+                await fleet.kill(host.host_id)
+                self._start(self._restart(host, step.down_ms))
+            case WithdrawKey():
+                await self._withdraw(step)
+            case StopHosts():
+                await self._stop_hosts(step)
+            case SilenceTargets():
+                name = self._service(step.service)
+                for target in fleet.targets:
+                    if target.service == name:
+                        await self._target_fault(target, {'silent': True})
+                fleet.note('fault', f'silent connections of {name}')
+            case RetireTarget():
+                target = fleet.targets[step.target]
+                answer = await self.command(
+                    f'RETIRE TARGET {target.target_id}'
+                )
+                fleet.note('retired', target.target_id)
+                self._accepted(f'retire {target.target_id}', answer)
+
+    async def command(self, text: str) -> dict[str, Any]:
+        """Send an operator's command to a host that takes it."""
+        fleet = self._fleet
+        for host in fleet.hosts:
+            channel = http.Channel(fleet_module.ADDRESS, host.link_port)
+            key = fleet.keys_by_account[fleet_module.OPERATOR]
+            try:
+                response = await channel.request(
+                    'POST', '/v1/operator', {'command': text}, key
+                )
+            except (http.Unsent, http.Lost):
+                continue
+            finally:
+                channel.close()
+            if response.status == 200:
+                return response.document
+            fleet.note('refused', text, text=str(response.document))
+        return {}
+
+    def _accepted(self, change: str, answer: dict[str, Any]) -> None:
+        version = answer.get('version')
+        if isinstance(version, int):
+            self._fleet.note('accepted', change, version)
+
+    async def _withdraw(self, step: WithdrawKey) -> None:
+        fleet = self._fleet
+        account = list(fleet.accounts)[step.account]
+        key_id = fleet.keys_by_account[account].partition('.')[0]
+        answer = await self.command(f'WITHDRAW KEY {key_id}')
+        if answer:
+            fleet.note('withdrawn', key_id)
+            self._accepted(f'withdraw {key_id}', answer)
+        self.withdrawn_accounts.add(account)
+
+    async def _cut(self, step: CutZone) -> None:
+        fleet = self._fleet
+        zone = fleet.zones[step.zone or 0]
+        if step.primary_of is not None:
+            target = await fleet.primary(self._service(step.primary_of))
+            zone = target.zone if target else zone
+        groups = fleet.groups_of_zone(zone)
+        if step.from_platform:
+            groups.append(fleet_module.pair(zone, fleet_module.PLATFORM))
+        state = 'blackhole' if step.is_silent else 'cut'
+        await fleet.set_links(groups, state=state)
+        self._cut_groups.update(groups)
+        fleet.note('fault', zone, text=f'{state} {", ".join(groups)}')
+
+    async def _stop_hosts(self, step: StopHosts) -> None:
+        for host in self._fleet.hosts:
+            # Callers leave a host that says that it is draining; those that
+            # don't are served until the listener closes.
+            await self._fleet.stop_host(host)
+            self._host_ids_off.add(host.host_id)
+            self._fleet.start_host(host)
+            await self._until_ready(host)
+            self._host_ids_off.discard(host.host_id)
+            await self._fleet.clock.sleep(step.pause_ms)
+
+    async def _restart(self, host: fleet_module.Host, down_ms: int) -> None:
+        self._host_ids_off.add(host.host_id)
+        await self._fleet.clock.sleep(down_ms)
+        self._fleet.start_host(host)
+        await self._until_ready(host)
+        self._host_ids_off.discard(host.host_id)
+
+    async def _until_ready(self, host: fleet_module.Host) -> None:
+        for _ in range(200):
+            document = await self._health(host)
+            if document.get('status') == 'ready':
+                return
+            await self._fleet.clock.sleep(100)
+
+    async def _watch(self) -> None:
+        """Record what hosts say about their configuration."""
+        while True:
+            for host in self._fleet.hosts:
+                document = await self._health(host)
+                if 'version' in document:
+                    self._fleet.note(
+                        'health',
+                        host.host_id,
+                        document['version'],
+                        document.get('status', ''),
+                    )
+            await self._fleet.clock.sleep(500)
+
+    async def _health(self, host: fleet_module.Host) -> dict[str, Any]:
+        channel = http.Channel(fleet_module.ADDRESS, host.caller_port)
+        try:
+            response = await channel.request(
+                'GET', '/v1/health', timeout_s=1.0
+            )
+        except (http.Unsent, http.Lost):
+            return {}
+        finally:
+            channel.close()
+        return response.document
+
+    async def _target_fault(
+        self, target: fleet_module.Target, fault: dict[str, Any]
+    ) -> None:
+        if target.target_id in self._fleet.processes_by_name:
+            await fleet_module.post(f'{target.control_url}/faults', fault)
+
+    def _service(self, number: int) -> str:
+        return list(self._fleet.services)[number]
+
+    def _start(self, work: Any) -> None:
+        self._tasks.append(asyncio.create_task(work))
--- a/standins/target.py
+++ b/standins/target.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import signal
 import time
 from typing import Any
@@ -50,6 +51,7 @@
     lag_ms: int
     require_lock: bool
     translation: dict[str, str]
+    record_file: str
 
 
 @dataclasses.dataclass
@@ -76,6 +78,10 @@
         )
         self.faults = Faults()
         self.records: list[dict[str, Any]] = []
+        self._record_fd = -1
+        if options.record_file:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._record_fd = os.open(options.record_file, flags, 0o600)
         self.handlers_by_id: dict[int, SessionHandler] = {}
         self.slots = asyncio.Semaphore(options.slots)
         self.running = 0
@@ -112,6 +118,12 @@
                 self._puller.cancel()
             self._puller = asyncio.create_task(self._replicate(source[1]))
 
+    def note(self, record: dict[str, Any]) -> None:
+        """Keep a record, in the file even if the process is killed next."""
+        self.records.append(record)
+        if self._record_fd >= 0:
+            os.write(self._record_fd, json.dumps(record).encode() + b'\n')
+
     async def stop(self) -> None:
         """End the connections and let waiting calls return."""
         self.is_stopping = True
@@ -173,6 +185,9 @@
         record['transaction'] = number if number is not None else after
         record['run_wall_ms'] = self.clock.wall()
         record['result'] = encode(answer)
+        # Probes come every 250 ms and would fill the record.
+        if not isinstance(call, messages.Status):
+            self.note(record)
         self.after_change()
         return answer
 
@@ -293,11 +308,10 @@
             'overlapped': self._order.locked(),
             'message': message,
         }
-        # Probes come every 250 ms and would fill the record.
-        if not isinstance(call, messages.Status):
-            server.records.append(record)
         async with self._order:
             answer = await server.execute(self.connection_id, call, record)
+        if 'result' not in record:
+            server.note(record)
         if answer is None:
             return
         if self.connection_id in server.faults.silent_connection_ids:
@@ -605,6 +619,11 @@
         metavar='IP:PORT=IP:PORT',
         help='address translation towards the primary',
     )
+    add(
+        '--record-file',
+        default='',
+        help='JSON lines of what GET /log returns, kept if killed',
+    )
     found = parser.parse_args(arguments)
     return Options(
         server_id=found.server_id,
@@ -619,6 +638,7 @@
         lag_ms=found.lag_ms,
         require_lock=not found.no_lock,
         translation=dict(each.split('=', 1) for each in found.translate),
+        record_file=found.record_file,
     )
 
 
