--- a/samphirestand/daemon.py
+++ b/samphirestand/daemon.py
@@ -14,6 +14,7 @@
 import capnp
 
 from samphirestand.callers import entry as entry_module
+from samphirestand.callers import limiter as limiter_module
 from samphirestand.callers import server as caller_server
 from samphirestand.callers import tokens
 from samphirestand import clock as clock_module
@@ -46,20 +47,6 @@
 _log = log.get_logger(__name__)
 
 
-class _Unlimited:
-    """Admits everything until the rate limiter is there."""
-
-    async def admit(
-        self, account: str, deadline_ms: int
-    ) -> types.NotRun | None:
-        return None
-
-    async def give(
-        self, account: str, wanted: int, collect: bool
-    ) -> types.TokenGrant:
-        return types.TokenGrant(0, 0)
-
-
 class _NoOperators:
     """Stands for the operators' commands and records until they are there."""
 
@@ -183,7 +170,19 @@
         self.token_exchange = token_exchange.TokenExchange(
             self.membership, self.clients, self._clock, self._random
         )
-        self.limiter = _Unlimited()
+        self.limiter = limiter_module.Limiter(
+            self._clock,
+            self._random,
+            self.configuration,
+            self.rate_slots,
+            self.token_exchange,
+            self.metrics,
+        )
+        self.rate_slots.subscribe(
+            lambda claimed: self.limiter.slots_claimed(
+                1, int(claimed.never_held)
+            )
+        )
         self.entry = entry_module.Entry(
             clock=self._clock,
             rng=self._random,
