--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -124,7 +124,7 @@
         default=0.25,
         help='multiplies the rates and bursts of all accounts',
     )
-    add('--base-port', type=int, default=21_000)
+    add('--base-port', type=int, default=0, help='default: a free range')
     add('--output', type=pathlib.Path, default=pathlib.Path('run/bench'))
     return parser.parse_args(arguments)
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,8 +5,10 @@
 import dataclasses
 import hashlib
 import json
+import os
 import pathlib
 import random
+import socket
 import subprocess
 import sys
 from typing import Any
@@ -24,6 +26,10 @@
 CLIENTS = 'clients'
 OPERATOR = 'operator'
 START_LIMIT_S = 60
+# Below the ports that the system gives to outgoing connections.
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+PORTS = 200
 STOP_LIMIT_S = 75
 
 
@@ -90,7 +96,7 @@
         self.events: list[records.Event] = []
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self._rng = random.Random(seed)
-        self._next_port = base_port
+        self._next_port = base_port or _free_range()
         self._links_by_process: dict[str, list[dict[str, Any]]] = (
             collections.defaultdict(list)
         )
@@ -270,7 +276,11 @@
         )
 
     def _port(self) -> int:
+        # Processes on a port in use would end, and the load would reach
+        # another fleet.
         self._next_port += 1
+        if not _is_free(self._next_port):
+            raise RuntimeError(f'port {self._next_port} is in use')
         return self._next_port
 
     def _make_targets(self) -> list[Target]:
@@ -454,6 +464,9 @@
     async def _until_answers(self, url: str) -> None:
         end = self.clock.now() + START_LIMIT_S * 1_000
         while True:
+            for name, process in self.processes_by_name.items():
+                if process.poll() is not None:
+                    raise RuntimeError(f'{name} ended, see {self.folder}')
             try:
                 await get(url)
                 return
@@ -463,6 +476,29 @@
             await asyncio.sleep(0.1)
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ADDRESS, port))
+        except OSError:
+            return False
+    return True
+
+
+def _free_range() -> int:
+    """Return the start of a range of free ports.
+
+    The process id makes two benches on one machine choose different ones.
+    """
+    ranges = (LAST_PORT - FIRST_PORT) // PORTS
+    for attempt in range(ranges):
+        start = FIRST_PORT + (os.getpid() + attempt) % ranges * PORTS
+        if all(_is_free(port) for port in range(start, start + PORTS)):
+            return start
+    raise RuntimeError('no free range of ports')
+
+
 async def get(url: str) -> dict[str, Any]:
     """Fetch a JSON document."""
     response = await httpclient.AsyncHTTPClient().fetch(url)
--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,129 @@
+"""Tests of the callers' HTTP client and of the load."""
+
+import asyncio
+import itertools
+import types
+
+import pytest
+
+from bench import fleet as fleet_module
+from bench import http
+from bench import load
+from samphirestand import clock
+from tests import processes
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+CLOSING = ANSWER.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+
+
+async def serve(reply):
+    """Answer each request on a connection with the next of ``reply``."""
+
+    async def connected(reader, writer):
+        for answer in reply:
+            await reader.readuntil(b'\r\n\r\n')
+            if answer is None:
+                break
+            writer.write(answer)
+        writer.close()
+
+    server = await asyncio.start_server(connected, '127.0.0.1', 0)
+    return server.sockets[0].getsockname()[1]
+
+
+@pytest.mark.parametrize(
+    ('reply', 'error'),
+    [
+        ([ANSWER], None),
+        ([None], http.Lost),
+        ([ANSWER[:-1], None], http.Lost),
+        ([b'HTTP/1.1 200 OK\r\n\r\n'], http.Garbled),
+        ([ANSWER.replace(b'{}', b'[]')], http.Garbled),
+        ([ANSWER.replace(b'{}', b'{x')], http.Garbled),
+    ],
+)
+def test_client_tells_lost_from_garbled(reply, error):
+    """Guards against a lost answer that counts as a refusal."""
+
+    async def main():
+        channel = http.Channel('127.0.0.1', await serve(reply))
+        if error is None:
+            assert (await channel.request('GET', '/')).status == 200
+            return
+        with pytest.raises(error) as info:
+            await channel.request('GET', '/')
+        assert type(info.value) is error
+
+    asyncio.run(main())
+
+
+def test_client_obeys_connection_close():
+    """Guards against requests on a connection that the host is closing."""
+
+    async def main():
+        port = await serve([CLOSING])
+        channel = http.Channel('127.0.0.1', port)
+        for _ in range(3):
+            assert (await channel.request('GET', '/')).status == 200
+
+    asyncio.run(main())
+
+
+def test_client_knows_that_nothing_was_sent():
+    """Guards against a refused connection that counts as a lost answer."""
+
+    async def main():
+        (port,) = processes.free_ports(1)
+        with pytest.raises(http.Unsent):
+            await http.Channel('127.0.0.1', port).request('GET', '/')
+
+    asyncio.run(main())
+
+
+def sent_by(seed, monkeypatch):
+    """Return what the callers of one account send to a silent channel."""
+
+    class Channel:
+        def __init__(self, address, port):
+            pass
+
+        async def request(self, method, path, body, key, timeout_s):
+            sent.append((path, dict(body)))
+            number = next(transactions)
+            return http.Response(
+                200,
+                {'outcome': 'done', 'transaction': f's.t.h.{number}'},
+            )
+
+        def close(self):
+            pass
+
+    sent = []
+    transactions = itertools.count()
+    monkeypatch.setattr(http, 'Channel', Channel)
+    fleet = types.SimpleNamespace(
+        hosts=[fleet_module.Host('h1', 'z', 1, 2, 3)],
+        services={'cases': {'max_read_age_ms': 1_000}},
+        keys_by_account={'acme': 'kid.secret'},
+    )
+
+    async def main():
+        manual = clock.ManualClock()
+        shared = load.Shared(fleet, manual, [], set(), {}, {})
+        run = load.AccountLoad(shared, 'acme', 50.0, seed).run(10_000)
+        task = asyncio.create_task(run)
+        await manual.advance(12_000)
+        await task
+        return shared.calls
+
+    return sent, asyncio.run(main())
+
+
+def test_load_is_seeded(monkeypatch):
+    """Guards against runs that can't be repeated."""
+    first, calls = sent_by(1, monkeypatch)
+    assert first == sent_by(1, monkeypatch)[0]
+    assert first != sent_by(2, monkeypatch)[0]
+    # Mean 500 arrivals; the seed fixes the number.
+    assert 400 < len(calls) < 700
+    assert {call.operation for call in calls} >= {'execute', 'commit'}
