--- a/samphirestand/callers/refusals.py
+++ b/samphirestand/callers/refusals.py
@@ -34,5 +34,14 @@
             if refusal.request_id == request_id
         ]
 
+    def latest(self, account: str, limit: int) -> list[types.Refusal]:
+        """Return the latest refusals, oldest first; of all if no account."""
+        found = [
+            refusal
+            for refusal in self._refusals_by_id.values()
+            if account in ('', refusal.account)
+        ]
+        return found[max(0, len(found) - limit) :]
+
     def __len__(self) -> int:
         return len(self._refusals_by_id)
--- a/samphirestand/platform/changes.py
+++ b/samphirestand/platform/changes.py
@@ -248,11 +248,14 @@
     The first ``skip`` parts of a place are left out; the first part of a
     place in a change is its kind.
     """
-    return '; '.join(
-        f'{".".join(str(part) for part in each["loc"][skip:]) or "document"}: '
-        f'{each["input"]!r}: {each["msg"]}'
-        for each in error.errors()
-    )
+    return '; '.join(_clause(each, skip) for each in error.errors())
+
+
+def _clause(error: Any, skip: int) -> str:
+    place = '.'.join(str(part) for part in error['loc'][skip:]) or 'document'
+    if error['type'] in ('missing', 'missing_argument'):
+        return f'{place}: missing'
+    return f'{place}: {error["input"]!r}: {error["msg"]}'
 
 
 def same_intent(first: Change, second: Change) -> bool:
--- a/samphirestand/platform/configuration.py
+++ b/samphirestand/platform/configuration.py
@@ -147,6 +147,18 @@
         """Return a row of the history if this host still keeps it."""
         return self._rows_by_version.get(version)
 
+    async def history(self, count: int) -> list[types.ChangeRow]:
+        """Return the latest ``count`` rows, oldest first.
+
+        Raises ``PlatformError`` if older rows than this host keeps are
+        needed and the platform doesn't answer.
+        """
+        first = max(1, self._current.version - count + 1)
+        last = self._current.version
+        if last >= first and first not in self._rows_by_version:
+            return await self._read_history(first, last)
+        return [self._rows_by_version[each] for each in range(first, last + 1)]
+
     def apply_rows(
         self, new_rows: collections.abc.Iterable[types.ChangeRow]
     ) -> int:
@@ -375,6 +387,22 @@
             raise _missing(version)
         return rows.decode_row(row.value)
 
+    async def _read_history(
+        self, first: int, last: int
+    ) -> list[types.ChangeRow]:
+        found: list[types.ChangeRow] = []
+        while first + len(found) <= last:
+            page = await self._platform.list_rows(
+                rows.HISTORY_TABLE,
+                after=rows.history_key(first + len(found) - 1),
+                limit=ROWS_PER_ANSWER,
+            )
+            page = [each for each in page if each.key.isdigit()]
+            if not page:
+                raise _missing(first + len(found))
+            found += [rows.decode_row(each.value) for each in page]
+        return found[: last - first + 1]
+
     async def _fetch(self, version: int) -> None:
         """Read rows until this host has ``version``."""
         if version - self._current.version > rows.SNAPSHOT_EVERY:
