--- a/samphirestand/daemon.py
+++ b/samphirestand/daemon.py
@@ -9,12 +9,12 @@
 import signal
 import ssl
 import sys
-from typing import Any
 
 import capnp
 
 from samphirestand.callers import entry as entry_module
 from samphirestand.callers import limiter as limiter_module
+from samphirestand.callers import refusals as refusals_module
 from samphirestand.callers import server as caller_server
 from samphirestand.callers import tokens
 from samphirestand import clock as clock_module
@@ -32,6 +32,9 @@
 from samphirestand.hosts import token_exchange
 from samphirestand import log
 from samphirestand import metrics as metrics_module
+from samphirestand.operators import commands
+from samphirestand.operators import explain
+from samphirestand.platform import audit as audit_module
 from samphirestand.platform import bootstrap
 from samphirestand.platform import client as platform_client
 from samphirestand.platform import configuration as configuration_module
@@ -47,19 +50,6 @@
 _log = log.get_logger(__name__)
 
 
-class _NoOperators:
-    """Stands for the operators' commands and records until they are there."""
-
-    async def execute(self, command: str, operator: str) -> dict[str, Any]:
-        raise exceptions.CommandError('not available yet', step='operators')
-
-    def explain(self, kind: str, subject: str) -> str | exceptions.Sentinel:
-        return exceptions.Sentinel('not available yet')
-
-    def record(self, kind: str, subject: str, reason: str) -> None:
-        _log.info('event', kind=kind, subject=subject, reason=reason)
-
-
 class Daemon:
     """All parts of one entry host."""
 
@@ -70,11 +60,12 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._secret = settings.fleet_secret_file.read_text().strip()
         self.metrics = metrics_module.Metrics()
-        self.commands = _NoOperators()
+        self.refusals = refusals_module.Refusals()
         self._build_hosts()
         self._build_targets()
         self._build_callers()
-        self._build_peer_server()
+        self._build_operators()
+        self._build_servers()
 
     def _build_hosts(self) -> None:
         settings = self._settings
@@ -113,6 +104,13 @@
             generator=self._random,
         )
         self.configuration.subscribe(self._note_configuration)
+        self.audit = audit_module.Audit(
+            self.platform,
+            clock,
+            settings.host_id,
+            metrics=self.metrics,
+            generator=self._random,
+        )
         self.peer_tls = None
         if settings.peer_tls is not None:
             self.peer_tls = tls.PeerTls(settings.peer_tls)
@@ -151,7 +149,7 @@
             self.routes,
             self.router,
             self.metrics,
-            self.commands,
+            self.audit,
         )
         self.router.serve_locally(self.gateways)
 
@@ -195,9 +193,32 @@
                 self._settings.token_secrets_file, self._clock
             ),
             metrics=self.metrics,
+            refusals=self.refusals,
         )
 
-    def _build_peer_server(self) -> None:
+    def _build_operators(self) -> None:
+        self.explainer = explain.Explainer(
+            configuration=self.configuration,
+            membership=self.membership,
+            routes=self.routes,
+            refusals=self.refusals,
+            trail=self.audit,
+            peers=self.clients,
+            clock=self._clock,
+            rate_slots=self.rate_slots.held,
+        )
+        self.commands = commands.Commands(
+            store=self.configuration,
+            membership=self.membership,
+            routes=self.routes,
+            refusals=self.refusals,
+            trail=self.audit,
+            recorder=self.audit,
+            explainer=self.explainer,
+            clock=self._clock,
+        )
+
+    def _build_servers(self) -> None:
         self.peers = peer_server.PeerServer(
             self._login_identity,
             self._secret,
@@ -206,7 +227,7 @@
                 self.gossip,
                 self.limiter,
                 self.configuration,
-                self.commands,
+                self.explainer,
             ),
             self.peer_tls.server if self.peer_tls else None,
         )
@@ -231,6 +252,7 @@
             self.configuration,
             self.discovery,
             self.rate_slots,
+            self.audit,
         ):
             self._tasks.append(asyncio.create_task(part.run()))
         if self.peer_tls is not None:
@@ -263,6 +285,7 @@
             await self.rate_slots.give_up_all()
         await self.callers.close()
         await self.peers.close()
+        await self.audit.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -354,6 +377,10 @@
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
+    except OSError as error:
+        # An address in use or a secret that can't be read.
+        print(f'{chosen.settings}: {error}', file=sys.stderr)
+        return EXIT_SETTINGS
     return 0
 
 
--- a/samphirestand/hosts/server.py
+++ b/samphirestand/hosts/server.py
@@ -72,21 +72,6 @@
         self.explainer = explainer
 
 
-def listening_socket(address: str, port: int) -> socket.socket:
-    """Return a listening socket whose connections send at once.
-
-    asyncio sets TCP_NODELAY only on sockets that name their protocol.
-    Without it an answer waited up to 40 ms for the peer's delayed
-    acknowledgement of the packet before.
-    """
-    family = socket.AF_INET6 if ':' in address else socket.AF_INET
-    found = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    found.bind((address, port))
-    found.listen(BACKLOG)
-    return found
-
-
 class PeerServer:
     """Listens for other hosts."""
 
