Let a session go on at once on the primary that it wrote to

Cause: before a statement the gateway compared the session with the state of its latest probe, which is up to 250 ms old. A session that had just written was ahead of it, so its read of the primary was refused with replica_behind and its next write was held as not_primary. The gateway now asks the target once before it says so.

Ruled out: dropping the check before the statement, because a write must be refused before it runs when a failover discarded the session's position.

The three new tests fail without the change.

--- a/samphirestand/targets/admission.py
+++ b/samphirestand/targets/admission.py
@@ -2,11 +2,13 @@
 
 from samphirestand.targets import confirmation as confirmation_module
 from samphirestand.targets import context as context_module
+from samphirestand.targets import history
 from samphirestand.targets import probe as probe_module
 from samphirestand.targets import refusals
 from samphirestand import types
 
 PRIMARY = 'primary'
+FRESH_STATE_MS = 500
 
 
 class Admission:
@@ -96,6 +98,21 @@
         if self.hold_transactions_reason:
             raise self.refuse('not_primary', self.hold_transactions_reason)
 
+    async def primary_state_for(
+        self, session: types.Position | None
+    ) -> types.TargetState:
+        """Return the state of a primary, new enough for a session.
+
+        The latest probe may be older than the session's last write on this
+        very primary. Raises ``Refused`` like ``primary_state``.
+        """
+        state = self.primary_state()
+        if session is None:
+            return state
+        if history.place(state.history, session) is history.Place.BEHIND:
+            await self._probe.fresh(FRESH_STATE_MS)
+        return self.primary_state()
+
     def primary_state(self) -> types.TargetState:
         """Return the state of a primary that was confirmed lately.
 
--- a/samphirestand/targets/reads.py
+++ b/samphirestand/targets/reads.py
@@ -44,7 +44,7 @@
     async def _run_on_primary(
         self, request: types.Request, deadline: int
     ) -> types.Done:
-        state = self.admission.primary_state()
+        state = await self.admission.primary_state_for(request.session)
         self._check_session(state.history, request)
         answer = await self.runner.run(
             request, lambda: self._call(request), deadline
--- a/samphirestand/targets/transaction_requests.py
+++ b/samphirestand/targets/transaction_requests.py
@@ -34,7 +34,7 @@
     async def begin(self, request: types.Request, deadline: int) -> types.Done:
         """Begin a transaction; raises ``Refused``."""
         self.admission.check_new_transaction()
-        state = self.admission.primary_state()
+        state = await self.admission.primary_state_for(request.session)
         writes_module.check_session(self.admission, state.history, request)
         if not self.transactions.has_room(request.account):
             raise self.admission.refuse(
--- a/samphirestand/targets/writes.py
+++ b/samphirestand/targets/writes.py
@@ -26,7 +26,7 @@
         """Run a write; raises ``Refused``."""
         started = self.context.clock.now()
         self.admission.check_new_work()
-        state = self.admission.primary_state()
+        state = await self.admission.primary_state_for(request.session)
         check_session(self.admission, state.history, request)
         answer = await self.runner.run(
             request, lambda: self._call(request), deadline
--- /dev/null
+++ b/tests/targets/test_sessions.py
@@ -0,0 +1,32 @@
+"""Tests of sessions on a primary."""
+
+import pytest
+
+from samphirestand import types
+from tests.targets import test_gateway
+
+
+@pytest.mark.parametrize(
+    'operation, mode',
+    [
+        ('execute', types.Mode.READ),
+        ('execute', types.Mode.WRITE),
+        ('begin', types.Mode.WRITE),
+    ],
+)
+def test_a_session_goes_on_at_once_on_its_primary(operation, mode):
+    """Guards against refusals because the last probe predates a write."""
+
+    async def case(fleet):
+        written = await fleet.run('t0')
+        followed = await fleet.run(
+            't0',
+            operation,
+            statement='GET x' if mode is types.Mode.READ else 'SET y 1',
+            mode=mode,
+            request_id='r2',
+            session=written.position,
+        )
+        assert isinstance(followed, types.Done), followed
+
+    test_gateway.run(case)
