--- a/samphirestand/config.py
+++ b/samphirestand/config.py
@@ -51,11 +51,15 @@
     caller_tls: TlsModel | None = None
     peer_tls: TlsModel | None = None
 
-    @pydantic.model_validator(mode='after')
-    def _zone_is_listed(self) -> 'SettingsModel':
-        if self.zone not in self.zones:
-            raise ValueError(f'zone must be one of zones: {self.zones}')
-        return self
+    @pydantic.field_validator('zones')
+    @classmethod
+    def _zone_is_listed(
+        cls, zones: list[str], info: pydantic.ValidationInfo
+    ) -> list[str]:
+        zone = info.data.get('zone')
+        if zone is not None and zone not in zones:
+            raise ValueError(f'zone {zone!r} must be one of the zones')
+        return zones
 
 
 @dataclasses.dataclass(frozen=True)
@@ -99,9 +103,10 @@
     """
     try:
         document = yaml.safe_load(path.read_text())
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, 'strerror', None) or str(error)
         raise exceptions.SettingsError(
-            f'{path}: {error.strerror}', step='settings'
+            f'{path}: {reason}', step='settings'
         ) from error
     except yaml.YAMLError as error:
         raise exceptions.SettingsError(
@@ -117,11 +122,14 @@
 
 
 def _describe(path: pathlib.Path, error: pydantic.ValidationError) -> str:
-    lines = [
-        f'{path}: {_place(each["loc"])}: {each["input"]!r}: {each["msg"]}'
-        for each in error.errors()
-    ]
-    return '\n'.join(lines)
+    return '\n'.join(_clause(path, each) for each in error.errors())
+
+
+def _clause(path: pathlib.Path, error: Any) -> str:
+    place = f'{path}: {_place(error["loc"])}'
+    if error['type'] == 'missing':
+        return f'{place}: missing'
+    return f'{place}: {error["input"]!r}: {error["msg"]}'
 
 
 def _place(location: tuple[Any, ...]) -> str:
--- a/samphirestand/platform/bootstrap.py
+++ b/samphirestand/platform/bootstrap.py
@@ -58,8 +58,9 @@
     """Read the file; raises ``SettingsError`` that says what is wrong."""
     try:
         model = _File.model_validate(yaml.safe_load(path.read_text()))
-    except OSError as error:
-        raise _invalid(path, error.strerror or str(error)) from error
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, 'strerror', None) or str(error)
+        raise _invalid(path, reason) from error
     except yaml.YAMLError as error:
         raise _invalid(path, f'not YAML: {error}') from error
     except pydantic.ValidationError as error:
