--- a/samphirestand/config.py
+++ b/samphirestand/config.py
@@ -43,7 +43,7 @@
     platform_url: str = pydantic.Field(pattern=r'^https?://')
     fleet_secret_file: pathlib.Path
     token_secrets_file: pathlib.Path
-    operator_keys_file: pathlib.Path
+    bootstrap_file: pathlib.Path | None = None
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     max_body_bytes: int = pydantic.Field(1_048_576, ge=1_024, le=16_777_216)
     stop_limit_ms: int = pydantic.Field(65_000, ge=1_000, le=600_000)
@@ -51,11 +51,15 @@
     caller_tls: TlsModel | None = None
     peer_tls: TlsModel | None = None
 
-    @pydantic.model_validator(mode='after')
-    def _zone_is_listed(self) -> 'SettingsModel':
-        if self.zone not in self.zones:
-            raise ValueError(f'zone must be one of zones: {self.zones}')
-        return self
+    @pydantic.field_validator('zones')
+    @classmethod
+    def _zone_is_listed(
+        cls, zones: list[str], info: pydantic.ValidationInfo
+    ) -> list[str]:
+        zone = info.data.get('zone')
+        if zone is not None and zone not in zones:
+            raise ValueError(f'zone {zone!r} must be one of the zones')
+        return zones
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,7 +85,7 @@
     platform_url: str
     fleet_secret_file: pathlib.Path
     token_secrets_file: pathlib.Path
-    operator_keys_file: pathlib.Path
+    bootstrap_file: pathlib.Path | None
     log_level: str
     max_body_bytes: int
     stop_limit_ms: int
@@ -99,9 +103,10 @@
     """
     try:
         document = yaml.safe_load(path.read_text())
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, 'strerror', None) or str(error)
         raise exceptions.SettingsError(
-            f'{path}: {error.strerror}', step='settings'
+            f'{path}: {reason}', step='settings'
         ) from error
     except yaml.YAMLError as error:
         raise exceptions.SettingsError(
@@ -117,11 +122,14 @@
 
 
 def _describe(path: pathlib.Path, error: pydantic.ValidationError) -> str:
-    lines = [
-        f'{path}: {_place(each["loc"])}: {each["input"]!r}: {each["msg"]}'
-        for each in error.errors()
-    ]
-    return '\n'.join(lines)
+    return '\n'.join(_clause(path, each) for each in error.errors())
+
+
+def _clause(path: pathlib.Path, error: Any) -> str:
+    place = f'{path}: {_place(error["loc"])}'
+    if error['type'] == 'missing':
+        return f'{place}: missing'
+    return f'{place}: {error["input"]!r}: {error["msg"]}'
 
 
 def _place(location: tuple[Any, ...]) -> str:
@@ -140,7 +148,7 @@
         platform_url=model.platform_url.rstrip('/'),
         fleet_secret_file=folder / model.fleet_secret_file,
         token_secrets_file=folder / model.token_secrets_file,
-        operator_keys_file=folder / model.operator_keys_file,
+        bootstrap_file=_optional(folder, model.bootstrap_file),
         log_level=model.log_level,
         max_body_bytes=model.max_body_bytes,
         stop_limit_ms=model.stop_limit_ms,
@@ -153,9 +161,14 @@
 def _tls(model: TlsModel | None, folder: pathlib.Path) -> Tls | None:
     if model is None:
         return None
-    authority = model.authority_file
     return Tls(
         certificate_file=folder / model.certificate_file,
         key_file=folder / model.key_file,
-        authority_file=folder / authority if authority else None,
+        authority_file=_optional(folder, model.authority_file),
     )
+
+
+def _optional(
+    folder: pathlib.Path, path: pathlib.Path | None
+) -> pathlib.Path | None:
+    return None if path is None else folder / path
