Let the rate owner collect tokens for its own callers

TokenExchange.take answers nothing when this host is the rate owner, so callers of the owner host only had its own bucket. The limiter is told whether it is the owner and then queues its own need with the hosts that ask it. The simulated fleet hid this: it answered an owner that asked itself.

A held question is given up after 30 instead of 50 ms, because the token exchange drops an answer after 90 ms and a last round may take 40 ms.

The test of coalesced questions makes another host the owner: an owner asks nobody through take.

--- a/samphirestand/callers/collector.py
+++ b/samphirestand/callers/collector.py
@@ -11,9 +11,10 @@
 from samphirestand import types
 
 # A question that the first round can't satisfy stays for further rounds, so
-# that hosts are served in turn. Callers wait 100 ms at most for a token, and
-# the asker counts the validity of its tokens from the question.
-LONGEST_HOLD_MS = 50
+# that hosts are served in turn. A last round begins before this time and its
+# answer must reach the asker within 90 ms, after which it is lost; and the
+# asker counts the validity of its tokens from the question.
+LONGEST_HOLD_MS = 30
 HOLD_SHARE = 4
 ROUND_PAUSE_MS = 10
 
--- a/samphirestand/callers/limiter.py
+++ b/samphirestand/callers/limiter.py
@@ -143,13 +143,18 @@
         rate_slots: interfaces.RateSlots,
         token_source: interfaces.TokenSource,
         metrics: metrics_module.Metrics,
+        is_owner: collections.abc.Callable[[str], bool] = lambda account: (
+            False
+        ),
     ) -> None:
+        """``is_owner`` tells whether this host is an account's rate owner."""
         self._clock = clock
         self._rng = rng
         self._configuration = configuration
         self._rate_slots = rate_slots
         self._token_source = token_source
         self._metrics = metrics
+        self._is_owner = is_owner
         self._births_ms: list[int] = []
         self._accounts_by_name: dict[str, _Account] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -320,7 +325,7 @@
 
     async def _ask(self, state: _Account, wanted: int, asked_ms: int) -> None:
         try:
-            grant = await self._token_source.take(state.name, wanted)
+            grant = await self._take(state, wanted)
         except Exception as error:
             _log.warning('no tokens', step='rate', error=str(error))
             grant = types.TokenGrant(0, 0)
@@ -340,6 +345,12 @@
         if state.waiters:
             self._ask_if_short(state)
 
+    async def _take(self, state: _Account, wanted: int) -> types.TokenGrant:
+        if not self._is_owner(state.name):
+            return await self._token_source.take(state.name, wanted)
+        # The owner's own callers queue with the hosts that ask it.
+        return await state.collector.collect(wanted, state.quota.validity_ms)
+
     def _ask_pause(self, vain_asks: int) -> int:
         longest = min(
             LONGEST_ASK_PAUSE_MS, FIRST_ASK_PAUSE_MS * 2 ** min(vain_asks, 8)
--- a/samphirestand/daemon.py
+++ b/samphirestand/daemon.py
@@ -175,6 +175,10 @@
             self.rate_slots,
             self.token_exchange,
             self.metrics,
+            lambda account: (
+                self.membership.rate_owner(account).host_id
+                == self._settings.host_id
+            ),
         )
         self.rate_slots.subscribe(
             lambda claimed: self.limiter.slots_claimed(
--- a/tests/callers/fleet.py
+++ b/tests/callers/fleet.py
@@ -37,6 +37,7 @@
             self,
             self,
             metrics.Metrics(),
+            lambda account: fleet.owner is self,
         )
         self.limiter.slots_claimed(slots, never_held=slots)
 
@@ -44,6 +45,7 @@
         return self.slots
 
     async def take(self, account, wanted):
+        assert self.fleet.owner is not self
         return await self.fleet.ask(self, self.fleet.owner, wanted, True)
 
     async def collect(self, account, wanted):
@@ -93,8 +95,6 @@
         nothing = types.TokenGrant(0, 0)
         if not self.transfers:
             return nothing
-        if asker is giver:
-            return await giver.limiter.give(ACCOUNT, wanted, collect)
         asked_ms = self.clock.now()
         await self.clock.sleep(self.delay())
         if not self.linked(asker.number, giver.number) or self.loses():
--- a/tests/callers/test_limiter.py
+++ b/tests/callers/test_limiter.py
@@ -160,6 +160,7 @@
 
     async def main():
         hosts = fleet.Fleet(10, 20, [0, 1])
+        hosts.owner = hosts.hosts[1]
         asked = []
 
         async def take(account, wanted):
