--- a/tests/callers/test_limiter.py
+++ b/tests/callers/test_limiter.py
@@ -112,6 +112,44 @@
     assert hosts.excess() <= 0
 
 
+async def flood(hosts, share, demand_ms, gap_ms, most_delay_ms, seed):
+    """Let one host collect tokens ahead, then use all that the fleet has."""
+    rng = random.Random(seed)
+    hosts.delay = lambda: rng.randint(0, most_delay_ms)
+    hosts.owner = hosts.hosts[1]
+    tasks = []
+    end_ms = hosts.clock.now() + demand_ms
+    while hosts.clock.now() < end_ms:
+        tasks.append(asyncio.create_task(hosts.request(0)))
+        mean_ms = 1_000 / (hosts.rate * share)
+        await hosts.clock.advance(max(1, int(rng.uniform(0, 2 * mean_ms))))
+    await hosts.clock.advance(gap_ms)
+    for number in range(HOSTS):
+        for _ in range(hosts.burst + 1):
+            tasks.append(asyncio.create_task(hosts.request(number, 0)))
+    await hosts.clock.advance(200)
+    fleet.results(tasks)
+
+
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.given(
+    rate=strategies.integers(20, 400),
+    burst=strategies.integers(10, 100),
+    share=strategies.floats(0.3, 2.0),
+    demand_ms=strategies.integers(200, 2_000),
+    gap_ms=strategies.integers(0, 600),
+    most_delay_ms=strategies.integers(0, 100),
+    seed=strategies.integers(0, 1_000),
+)
+def test_transferred_and_refilled_tokens_together(
+    rate, burst, share, demand_ms, gap_ms, most_delay_ms, seed
+):
+    """Guards against buckets that refill beside tokens on other hosts."""
+    hosts = fleet.Fleet(rate, burst, [0, 1, 1, 1])
+    asyncio.run(flood(hosts, share, demand_ms, gap_ms, most_delay_ms, seed))
+    assert hosts.excess() <= 0
+
+
 @pytest.mark.parametrize('numbers', [[3, 4, 5], [8], [0]])
 def test_one_zone_gets_the_whole_rate(numbers):
     """Guards against refusals of an account whose callers are in one zone."""
