Simulate the fleet with the real token exchange

The simulated fleet asked each peer once for an equal part, so a fraction of a token often took several rounds. The exchange asks those that gave all a second time.

--- a/tests/callers/fleet.py
+++ b/tests/callers/fleet.py
@@ -4,13 +4,14 @@
 import random
 
 from samphirestand.callers import limiter
+from samphirestand import exceptions
+from samphirestand.hosts import token_exchange
 from samphirestand import metrics
 from samphirestand import types
 from tests.callers import fakes
 
 ACCOUNT = 'feldwacht-1'
 DELAY_MS = 4
-TIMEOUT_MS = 150
 
 
 class Configuration:
@@ -24,18 +25,21 @@
 
 
 class Host:
-    """One limiter with its slots; asks the other hosts through the fleet."""
+    """One limiter with its slots, and the token exchange of its host."""
 
     def __init__(self, fleet, number, slots):
         self.fleet = fleet
         self.number = number
         self.slots = slots
+        self.local = types.Host(f'h{number}', '', 1, '', '', 0)
         self.limiter = limiter.Limiter(
             fleet.clock,
             random.Random(number),
             fleet.configuration,
             self,
-            self,
+            token_exchange.TokenExchange(
+                self, self, fleet.clock, random.Random(number)
+            ),
             metrics.Metrics(),
             lambda account: fleet.owner is self,
         )
@@ -44,23 +48,15 @@
     def held(self):
         return self.slots
 
-    async def take(self, account, wanted):
-        assert self.fleet.owner is not self
-        return await self.fleet.ask(self, self.fleet.owner, wanted, True)
+    def rate_owner(self, account):
+        return self.fleet.owner.local
 
-    async def collect(self, account, wanted):
-        """Ask the peers at once, each for its part of what is wanted."""
-        peers = [each for each in self.fleet.hosts if each is not self]
-        asked = [
-            self.fleet.ask(self, peer, wanted // len(peers) + 1, False)
-            for peer in peers
-        ]
-        grants = await asyncio.gather(*asked)
-        useful = [grant for grant in grants if grant.tokens]
-        return types.TokenGrant(
-            sum(grant.tokens for grant in useful),
-            min((grant.valid_ms for grant in useful), default=0),
-        )
+    def reachable(self):
+        return [host.local for host in self.fleet.hosts]
+
+    async def take_tokens(self, host, account, wanted, collect, timeout_ms):
+        giver = self.fleet.hosts[int(host.host_id[1:])]
+        return await self.fleet.ask(self, giver, wanted, collect, timeout_ms)
 
 
 def results(tasks):
@@ -90,24 +86,34 @@
         ]
         self.owner = self.hosts[0]
 
-    async def ask(self, asker, giver, wanted, collect):
+    async def ask(self, asker, giver, wanted, collect, timeout_ms):
         """Carry a question and its answer, either of which may be lost."""
-        nothing = types.TokenGrant(0, 0)
-        if not self.transfers:
-            return nothing
-        asked_ms = self.clock.now()
+        end_ms = self.clock.now() + timeout_ms
+        answer = asyncio.create_task(self.carry(asker, giver, wanted, collect))
+        while not answer.done():
+            if self.clock.now() >= end_ms:
+                # The giver doesn't learn that nobody waits any more.
+                raise exceptions.HostError('no answer', step='rate')
+            await self.clock.sleep(1)
+        return answer.result()
+
+    async def carry(self, asker, giver, wanted, collect):
+        """Return the answer; never, if one of the messages is lost."""
         await self.clock.sleep(self.delay())
-        if not self.linked(asker.number, giver.number) or self.loses():
-            await self.clock.sleep(TIMEOUT_MS)
-            return nothing
+        if not self.can_send(asker, giver):
+            await asyncio.get_running_loop().create_future()
         grant = await giver.limiter.give(ACCOUNT, wanted, collect)
         await self.clock.sleep(self.delay())
-        if not self.linked(asker.number, giver.number) or self.loses():
-            left_ms = asked_ms + TIMEOUT_MS - self.clock.now()
-            await self.clock.sleep(left_ms)
-            return nothing
+        if not self.can_send(asker, giver):
+            await asyncio.get_running_loop().create_future()
         return grant
 
+    def can_send(self, asker, giver):
+        """Tell whether a message gets from one host to the other."""
+        if not self.transfers or self.loses():
+            return False
+        return self.linked(asker.number, giver.number)
+
     async def request(self, number, deadline_ms=5_000):
         """Ask one host for admission and note what it says."""
         refusal = await self.hosts[number].limiter.admit(ACCOUNT, deadline_ms)
