Let requests wait up to a second for a rate token

Cause: a small account's tokens come one at a time from other hosts, and a wait of 100 ms refused requests that were inside the rate. A queue longer than what the rate admits in the wait is refused at once, so an account far over its rate holds a bounded number of callers.

--- a/samphirestand/callers/limiter.py
+++ b/samphirestand/callers/limiter.py
@@ -20,7 +20,9 @@
 from samphirestand import metrics as metrics_module
 from samphirestand import types
 
-LONGEST_WAIT_MS = 100
+# With 100 ms, up to 20% of a small account's requests were refused although
+# it was inside its rate: its tokens come one at a time from other hosts.
+LONGEST_WAIT_MS = 1_000
 
 # A giver keeps what its own callers will need in this time.
 RESERVE_MS = 200
@@ -159,7 +161,9 @@
     ) -> types.NotRun | None:
         """Take a token of ``account``, or refuse.
 
-        Waits up to 100 ms and no longer than ``deadline_ms`` from now.
+        Waits up to a second and no longer than half of ``deadline_ms``, which
+        leaves time to run. Refuses at once if more requests wait than the
+        rate admits in that time.
         """
         now = self._clock.now()
         state = self._account(account, now)
@@ -170,9 +174,13 @@
             self._ask_if_short(state)
             return None
 
+        wait_ms = min(LONGEST_WAIT_MS, deadline_ms // 2)
+        if len(state.waiters) * 1_000 > state.quota.rate * wait_ms:
+            self._metrics.count('limiter.refused')
+            return self._refusal(state)
         waiter = _Waiter(
             asyncio.get_running_loop().create_future(),
-            now + min(LONGEST_WAIT_MS, deadline_ms),
+            now + wait_ms,
         )
         state.waiters.append(waiter)
         if not state.is_pumping:
--- a/samphirestand/hosts/token_exchange.py
+++ b/samphirestand/hosts/token_exchange.py
@@ -9,8 +9,8 @@
 from samphirestand import interfaces
 from samphirestand import types
 
-# A request over the rate waits at most 100 ms for tokens, so a later answer
-# is useless to it.
+# Transferred tokens are valid for at most 500 ms from the question, so a late
+# answer brings little, and the next question waits for this one.
 TAKE_TIMEOUT_MS = 90
 COLLECT_TIMEOUT_MS = 40
 COLLECT_ROUNDS = 2
