--- /dev/null
+++ b/bench/gossip_cost.py
@@ -0,0 +1,440 @@
+"""Measures what gossip costs a host: bytes and processor time a second.
+
+Prints JSON. Costs are measured in the steady state, in which every host is
+alive and nothing changes but heartbeats and ages, for several numbers of
+hosts, routes and zones. Two real hosts in each zone exchange real messages;
+the other hosts are records whose heartbeats advance as they would. The cost
+of an RPC itself is measured over loopback and added to each exchange. Bytes
+are those of the TCP streams, without the headers of TCP and IP.
+
+``spread`` runs whole fleets in memory and says how old news get and how many
+live hosts were suspected.
+"""
+
+import argparse
+import asyncio
+import collections.abc
+import dataclasses
+import json
+import random
+import sys
+import time
+from typing import Any
+
+import capnp
+
+from samphirestand import clock as clocks
+from samphirestand import exceptions
+from samphirestand.hosts import client
+from samphirestand.hosts import codec
+from samphirestand.hosts import contacts
+from samphirestand.hosts import evidence as evidences
+from samphirestand.hosts import gossip as gossips
+from samphirestand.hosts import membership as memberships
+from samphirestand.hosts import routing
+from samphirestand.hosts import server
+from samphirestand import log
+from samphirestand import types
+
+ROUNDS_PER_SECOND = 1_000 / gossips.ROUND_MS
+REAL_HOSTS_PER_ZONE = 2
+WARM_UP_ROUNDS = 20
+MEASURED_ROUNDS = 20
+RPC_EXCHANGES = 1_000
+RPC_PAYLOAD_BYTES = 400
+
+HOSTS = (9, 100, 300, 1_000, 3_000)
+ROUTES = (0, 100, 500, 2_000)
+ZONES = (3, 9, 18)
+SPREADS = ((9, 4), (90, 9), (333, 1))
+
+
+class Configuration:
+    """A configuration that never changes."""
+
+    def __init__(self) -> None:
+        self.current = types.Configuration(version=7)
+
+    def is_confirmed(self) -> bool:
+        return True
+
+    def subscribe(
+        self, callback: collections.abc.Callable[[types.Configuration], None]
+    ) -> None:
+        """Nothing will be announced."""
+
+    def apply_rows(
+        self, new_rows: collections.abc.Iterable[types.ChangeRow]
+    ) -> int:
+        return self.current.version
+
+    def changes_after(self, version: int) -> list[types.ChangeRow]:
+        return []
+
+
+class Node:
+    """A real host of the measured fleet."""
+
+    def __init__(self, fleet: 'Fleet', local: types.Host) -> None:
+        clock = fleet.clock
+        self.fleet = fleet
+        self.membership = memberships.Membership(local, clock)
+        self.routes = routing.RouteTable(clock)
+        self.evidence = evidences.Evidence(
+            clock, fleet.zones, local.zone, lambda: 7
+        )
+        configuration = Configuration()
+        self.gossip = gossips.Gossip(
+            self.membership,
+            self.routes,
+            self.evidence,
+            configuration,
+            configuration,
+            Calls(self),
+            clock,
+            fleet.zones,
+            fleet.rng,
+        )
+        self.contacts = contacts.Contacts(self.membership, fleet.rng)
+
+    async def gossip_round(self) -> int:
+        """Do what a host does in a round; returns the exchanges."""
+        self.membership.tick()
+        hosts = self.contacts.choose(set())
+        for host in hosts:
+            await self.gossip.exchange(host)
+        return len(hosts)
+
+
+class Calls:
+    """The calls of a node."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    async def gossip(
+        self, host: types.Host, state: Any, timeout_ms: int
+    ) -> Any:
+        return await self._node.fleet.deliver(self._node, host, state)
+
+    async def configuration_changes(
+        self, host: types.Host, after: int, timeout_ms: int
+    ) -> list[types.ChangeRow]:
+        return []
+
+
+class Fleet:
+    """The real hosts, the records of the others and what they cost."""
+
+    def __init__(self, hosts: int, routes: int, zones: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.clock = clocks.ManualClock()
+        self.zones = [f'zone-{number:02d}' for number in range(zones)]
+        self.hosts = [
+            _host(number, self.zones[number % zones])
+            for number in range(hosts)
+        ]
+        real = self.hosts[: REAL_HOSTS_PER_ZONE * zones]
+        self.nodes_by_zone: dict[str, list[Node]] = {}
+        for host in real:
+            nodes = self.nodes_by_zone.setdefault(host.zone, [])
+            nodes.append(Node(self, host))
+        self.nodes = [
+            node for nodes in self.nodes_by_zone.values() for node in nodes
+        ]
+        self.payload_bytes = 0
+        self.counts_bytes = False
+        for node in self.nodes:
+            self._fill(node, routes)
+
+    def _fill(self, node: Node, routes: int) -> None:
+        for host in self.hosts:
+            node.membership.learn(
+                memberships.News(host, 1, 1, memberships.Condition.ALIVE)
+            )
+        for number in range(routes):
+            node.routes.learn(
+                types.Route(f'service-{number:05d}', 3, f'target-{number:05d}')
+            )
+        # Nothing is new any more.
+        for hot in (node.membership.hot, node.routes.hot):
+            while hot:
+                hot.take(1_000)
+
+    async def deliver(self, sender: Node, host: types.Host, state: Any) -> Any:
+        """Pass a message to a real host of the same zone as ``host``."""
+        nodes = [
+            node
+            for node in self.nodes_by_zone.get(host.zone, [])
+            if node is not sender
+        ]
+        if not nodes:
+            raise exceptions.HostError('no such host', step='gossip')
+        answer = self.rng.choice(nodes).gossip.receive(
+            sender.membership.local.host_id, state.as_reader()
+        )
+        if self.counts_bytes:
+            self.payload_bytes += len(state.to_bytes())
+            self.payload_bytes += len(answer.to_bytes())
+        return answer.as_reader()
+
+    def advance_records(self, number: int) -> None:
+        """Let heartbeats arrive as if all hosts gossiped, a little uneven."""
+        now_ms = self.clock.now()
+        for node in self.nodes:
+            zone = node.membership.local.zone
+            for member in node.membership.members():
+                if member.host.zone == zone:
+                    beat = number + 5 - self.rng.randrange(3)
+                    member.heartbeat = max(member.heartbeat, beat)
+                    member.advanced_ms = now_ms
+
+    async def measure(self) -> dict[str, float]:
+        """Return the costs of a host without those of the RPC."""
+        exchanges = 0
+        elapsed_ns = 0
+        for number in range(WARM_UP_ROUNDS + 2 * MEASURED_ROUNDS):
+            self.clock.set(self.clock.now() + gossips.ROUND_MS)
+            self.advance_records(number)
+            # Counting bytes takes time, so each is measured on its own.
+            self.counts_bytes = (
+                WARM_UP_ROUNDS <= number < WARM_UP_ROUNDS + MEASURED_ROUNDS
+            )
+            is_timed = number >= WARM_UP_ROUNDS + MEASURED_ROUNDS
+            started_ns = time.process_time_ns()
+            for node in self.nodes:
+                done = await node.gossip_round()
+                exchanges += done if is_timed else 0
+            if is_timed:
+                elapsed_ns += time.process_time_ns() - started_ns
+        seconds = MEASURED_ROUNDS / ROUNDS_PER_SECOND * len(self.nodes)
+        return {
+            'exchanges_per_s': exchanges / seconds,
+            'payload_bytes_per_s': self.payload_bytes / seconds,
+            'processor_ms_per_s': elapsed_ns / 1e6 / seconds,
+        }
+
+
+class WholeFleet(Fleet):
+    """A fleet of real hosts only."""
+
+    def __init__(self, hosts: int, routes: int, zones: int, seed: int) -> None:
+        super().__init__(hosts, routes, zones, seed)
+        self.nodes = [Node(self, host) for host in self.hosts]
+        self._nodes_by_id = {
+            node.membership.local.host_id: node for node in self.nodes
+        }
+        for node in self.nodes:
+            self._fill(node, routes)
+
+    async def deliver(self, sender: Node, host: types.Host, state: Any) -> Any:
+        answer = self._nodes_by_id[host.host_id].gossip.receive(
+            sender.membership.local.host_id, state.as_reader()
+        )
+        return answer.as_reader()
+
+
+@dataclasses.dataclass(frozen=True)
+class RpcCost:
+    """What one exchange costs beyond its messages, both sides together."""
+
+    bytes: float
+    processor_us: float
+
+
+class Forwarder:
+    """Forwards a connection and counts its bytes."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.bytes = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> int:
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far = await asyncio.open_connection('127.0.0.1', self._port)
+        for pair in ((reader, far[1]), (far[0], writer)):
+            self._tasks.add(asyncio.create_task(self._pump(*pair)))
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65_536):
+            self.bytes += len(data)
+            writer.write(data)
+        writer.close()
+
+    def close(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+
+class Echo:
+    """Stands for all services of the measured server."""
+
+    def receive(self, peer_id: str, state: Any) -> Any:
+        return state
+
+
+async def measure_rpc() -> RpcCost:
+    """Exchange messages of a fixed size over loopback."""
+    services: Any = server.Services(None, Echo(), None, None, None)  # type: ignore[arg-type]
+    peers = server.PeerServer(lambda: ('h0', 1), 'secret', services)
+    port = await peers.start('127.0.0.1', 0)
+    forwarder = Forwarder(port)
+    forwarded_port = await forwarder.start()
+    clients = client.PeerClients(
+        lambda: client.Identity('h1', 'a', 1, 'secret'), clocks.SystemClock()
+    )
+    message = codec.schema.Gossip.new_message(
+        heartbeats=bytes(RPC_PAYLOAD_BYTES)
+    )
+    payload = 2 * len(message.to_bytes())
+    counted = _host(0, 'a', forwarded_port)
+    direct = _host(0, 'a', port)
+    for host in (counted, direct):
+        await clients.gossip(host, message, 5_000)
+    before = forwarder.bytes
+    for _ in range(RPC_EXCHANGES):
+        await clients.gossip(counted, message, 5_000)
+    counted_bytes = (forwarder.bytes - before) / RPC_EXCHANGES - payload
+    started_ns = time.process_time_ns()
+    for _ in range(RPC_EXCHANGES):
+        await clients.gossip(direct, message, 5_000)
+    elapsed_ns = time.process_time_ns() - started_ns
+    await clients.close()
+    forwarder.close()
+    await peers.close()
+    return RpcCost(counted_bytes, elapsed_ns / 1e3 / RPC_EXCHANGES)
+
+
+async def measure_point(
+    rpc: RpcCost, hosts: int, routes: int, zones: int, seed: int
+) -> dict[str, Any]:
+    """Return the cost of a host; each byte is sent by one host."""
+    fleet = Fleet(hosts, routes, zones, seed)
+    costs = await fleet.measure()
+    exchanges = costs['exchanges_per_s']
+    sent_bytes = costs['payload_bytes_per_s'] + exchanges * rpc.bytes
+    processor_ms = (
+        costs['processor_ms_per_s'] + exchanges * rpc.processor_us / 1e3
+    )
+    return {
+        'hosts': hosts,
+        'routes': routes,
+        'zones': zones,
+        'exchanges_per_s': round(exchanges, 1),
+        'sent_bytes_per_s': round(sent_bytes),
+        'processor_percent': round(processor_ms / 10, 2),
+    }
+
+
+async def measure_spread(
+    hosts: int, zones: int, seconds: int, seed: int
+) -> dict[str, Any]:
+    """Run a whole fleet and look for news that are late."""
+    fleet = WholeFleet(hosts, 0, zones, seed)
+    silent_ms: list[int] = []
+    ages_ms: list[int] = []
+    suspected = 0
+    for number in range(int(seconds * ROUNDS_PER_SECOND)):
+        fleet.clock.set(fleet.clock.now() + gossips.ROUND_MS)
+        fleet.rng.shuffle(fleet.nodes)
+        for node in fleet.nodes:
+            await node.gossip_round()
+        if number < WARM_UP_ROUNDS:
+            continue
+        now_ms = fleet.clock.now()
+        for node in fleet.nodes:
+            for member in node.membership.members():
+                if member.host.zone != node.membership.local.zone:
+                    continue
+                silent_ms.append(now_ms - member.advanced_ms)
+                if member.condition != memberships.Condition.ALIVE:
+                    suspected += 1
+            ages_ms += node.evidence.zone_ages_ms().values()
+    return {
+        'hosts': hosts,
+        'zones': zones,
+        'seconds': seconds,
+        'silence_ms': _percentiles(silent_ms),
+        'zone_age_ms': _percentiles(ages_ms),
+        'suspected_share': suspected / max(len(silent_ms), 1),
+    }
+
+
+def _percentiles(values: list[int]) -> dict[str, int]:
+    if not values:
+        return {}
+    values = sorted(values)
+    last = len(values) - 1
+    return {
+        'p50': values[last // 2],
+        'p99': values[int(last * 0.99)],
+        'p99.99': values[int(last * 0.9999)],
+        'max': values[last],
+    }
+
+
+def _host(number: int, zone: str, port: int = 8_000) -> types.Host:
+    address = f'10.{number >> 16}.{number >> 8 & 255}.{number & 255}'
+    if zone == 'a':
+        address = '127.0.0.1'
+    return types.Host(
+        host_id=f'h{number}',
+        zone=zone,
+        incarnation=1,
+        caller_url=f'http://{address}:8080',
+        peer_address=address,
+        peer_port=port,
+        configuration_version=7,
+    )
+
+
+async def measure(seed: int, spread_seconds: int) -> dict[str, Any]:
+    rpc = await measure_rpc()
+    result: dict[str, Any] = {
+        'seed': seed,
+        'rpc': dataclasses.asdict(rpc),
+        'by_hosts': [
+            await measure_point(rpc, hosts, 300, 3 if hosts < 18 else 9, seed)
+            for hosts in HOSTS
+        ],
+        'by_routes': [
+            await measure_point(rpc, 1_000, routes, 9, seed)
+            for routes in ROUTES
+        ],
+        'by_zones': [
+            await measure_point(rpc, 1_000, 300, zones, seed)
+            for zones in ZONES
+        ],
+        'spread': [],
+    }
+    if spread_seconds:
+        result['spread'] = [
+            await measure_spread(hosts, zones, spread_seconds, seed)
+            for hosts, zones in SPREADS
+        ]
+    return result
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--spread-seconds', type=int, default=30)
+    chosen = parser.parse_args()
+    log.configure('bench', 'error')
+    work = measure(chosen.seed, chosen.spread_seconds)
+    result = asyncio.run(capnp.run(work))
+    print(json.dumps(result, indent=2))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/samphirestand/hosts/gossip.py
+++ b/samphirestand/hosts/gossip.py
@@ -112,7 +112,7 @@
     async def exchange(self, host: types.Host) -> None:
         """Exchange gossip with one host; failures are left to membership."""
         try:
-            answer = await self._ask(host, self._request())
+            answer = await self._ask(host, self._request(host))
             if self._needs_repair(answer):
                 await self._repair(host)
         except exceptions.HostError as error:
@@ -122,7 +122,7 @@
         """Fetch the records that differ from those of ``host``."""
         self._repaired_ms = self._clock.now()
         for _ in range(REPAIRS_IN_A_ROW):
-            answer = await self._ask(host, self._repair_request())
+            answer = await self._ask(host, self._repair_request(host))
             if max(len(answer.hosts), len(answer.routes)) < REPAIRED_MAX // 2:
                 return
 
@@ -136,13 +136,17 @@
 
     # Messages
 
-    def _request(self) -> Any:
+    def _request(self, host: types.Host) -> Any:
         message = codec.schema.Gossip.new_message()
         self._fill(message)
+        # Heartbeats go both ways: with answers alone, a host in a zone of 333
+        # was falsely suspected by another about once a second.
+        if host.zone == self._membership.local.zone:
+            self._fill_heartbeats(message)
         return message
 
-    def _repair_request(self) -> Any:
-        message = self._request()
+    def _repair_request(self, host: types.Host) -> Any:
+        message = self._request(host)
         message.hostBuckets = self._membership.digests.encode()
         message.routeBuckets = self._routes.digests.encode()
         return message
@@ -178,7 +182,10 @@
         )
         local = self._membership.local
         if isinstance(peer, types.Host) and peer.zone == local.zone:
-            self._fill_heartbeats(message, request)
+            if request.viewDigest == self._membership.view_digest:
+                self._fill_heartbeats(message)
+            else:
+                message.keyedHeartbeats = self._membership.keyed_heartbeats()
         return message
 
     def _fill_repair(self, message: Any, request: Any) -> None:
@@ -194,10 +201,7 @@
         )
         message.routes = [gossip_codec.encode_route(each) for each in routes]
 
-    def _fill_heartbeats(self, message: Any, request: Any) -> None:
-        if request.viewDigest != self._membership.view_digest:
-            message.keyedHeartbeats = self._membership.keyed_heartbeats()
-            return
+    def _fill_heartbeats(self, message: Any) -> None:
         beats, versions = self._membership.heartbeats()
         message.heartbeats = beats
         message.versions = versions
--- a/samphirestand/hosts/peer.capnp
+++ b/samphirestand/hosts/peer.capnp
@@ -93,9 +93,8 @@
   primaryTargetId @2 :Text;
 }
 
-# Requests carry what changed lately; answers also carry what ages: evidence
-# and heartbeats. Ages count only in answers, because the asker can add the
-# time since it asked, whereas a request may have waited in a buffer.
+# Ages are sent only in answers, because the asker can add the time since it
+# asked, whereas a request may have waited in a buffer.
 struct Gossip {
   hosts @0 :List(HostEntry);
   routes @1 :List(RouteEntry);
