Keep the refusals of the entry that the explanations read

The entry replaced an empty store of refusals by one of its own, because an empty store is false.

The change id is left out of the stored command, as it has a field of its own, and an answer of one wide row is shown as fields.

--- a/samphirestand/callers/entry.py
+++ b/samphirestand/callers/entry.py
@@ -166,7 +166,10 @@
         self._limiter = limiter
         self._signer = signer
         self._metrics = metrics
-        self.refusals = refusals or refusals_module.Refusals()
+        # An empty store is false, so only None stands for none.
+        if refusals is None:
+            refusals = refusals_module.Refusals()
+        self.refusals = refusals
         self._chooser = targeting.Chooser(
             clock, rng, routes, membership.local.zone
         )
--- a/samphirestand/operators/commands.py
+++ b/samphirestand/operators/commands.py
@@ -1,6 +1,7 @@
 """Carries out operators' commands."""
 
 import collections.abc
+import re
 import secrets
 from typing import Any
 from typing import Protocol
@@ -38,6 +39,11 @@
 
 Document = dict[str, Any]
 
+# The change id at the end of a command is kept beside it.
+_CHANGE_OPTION = re.compile(
+    r"""\s+(AS|USING)\s+CHANGE\s+('[^']*'|"[^"]*")[\s;]*$""", re.IGNORECASE
+)
+
 
 class Store(interfaces.ConfigurationSource, Protocol):
     """The configuration with its history."""
@@ -179,7 +185,7 @@
             change_id=options.change_id or secrets.token_hex(CHANGE_ID_BYTES),
             author=operator,
             reason=options.reason,
-            command=command.strip(),
+            command=_CHANGE_OPTION.sub('', command).strip(),
             if_version=options.if_version,
             repeated=options.is_repeated,
         )
@@ -363,13 +369,12 @@
 
 
 def _change_row(row: types.ChangeRow) -> Document:
-    because = f' because {row.reason}' if row.reason else ''
     return {
         'time': explain.moment(row.wall_ms),
         'kind': 'change',
         'subject': row.author,
         'host': '',
-        'reason': f'version {row.version}: {row.command}{because}',
+        'reason': f'version {row.version}: {row.command}',
         'stored': True,
     }
 
--- a/samphirestand/operators/display.py
+++ b/samphirestand/operators/display.py
@@ -8,6 +8,9 @@
 _ROWS = 'rows'
 _NOTES = 'notes'
 
+# One row with more columns than this is shown as fields.
+WIDEST = 7
+
 
 def as_json(document: dict[str, Any]) -> str:
     """Return the whole answer as indented JSON."""
@@ -37,6 +40,8 @@
     # One column of sentences needs no heading.
     if len(names) == 1:
         return [_cell(row[names[0]]) for row in rows]
+    if len(rows) == 1 and len(names) > WIDEST:
+        return [f'{name}: {_cell(rows[0][name])}' for name in names]
     cells = [names] + [
         [_cell(row.get(name)) for name in names] for row in rows
     ]
--- a/tests/operators/test_commands.py
+++ b/tests/operators/test_commands.py
@@ -26,13 +26,15 @@
 def test_accepted_change_names_the_hosts():
     """Guards against an answer that hides hosts on the old version."""
     found = fakes.make()
-    answer = execute(found, "ALTER ACCOUNT a RATE 5 BECAUSE 'less'")
+    command = "ALTER ACCOUNT a RATE 5 BECAUSE 'less'"
+    answer = execute(found, f"{command} AS CHANGE 'c1';")
     assert answer['outcome'] == 'accepted'
     assert answer['version'] == found.store.current.version == 7
     assert answer['running'] == ['h1', 'h2', 'h3']
     assert answer['hosts_unconfirmed'] == 0
     row = found.store.row(7)
     assert (row.author, row.reason) == ('ada', 'less')
+    assert (row.command, row.change_id) == (command, 'c1')
 
 
 def test_hosts_that_lag_are_named_after_a_limit():
--- a/tests/operators/test_explain.py
+++ b/tests/operators/test_explain.py
@@ -3,10 +3,13 @@
 import ast
 import asyncio
 import pathlib
+import random
 
 import pytest
 
+from samphirestand.callers import entry
 from samphirestand import exceptions
+from samphirestand import metrics
 from samphirestand.operators import codes
 from samphirestand.operators import explain
 from samphirestand import types
@@ -141,6 +144,24 @@
     assert expected in ask(found, f'EXPLAIN HOST {host_id}')
 
 
+def test_entry_keeps_the_given_refusals():
+    """Guards against an empty store that the entry replaces."""
+    found = fakes.make()
+    made = entry.Entry(
+        clock=found.clock,
+        rng=random.Random(1),
+        configuration=found.store,
+        routes=found.routes,
+        router=None,
+        membership=found.membership,
+        limiter=None,
+        signer=None,
+        metrics=metrics.Metrics(),
+        refusals=found.refusals,
+    )
+    assert made.refusals is found.refusals
+
+
 def codes_in_source():
     """Return the codes that the product's refusals are made with."""
     found = set()
