--- a/samphirestand/callers/server.py
+++ b/samphirestand/callers/server.py
@@ -369,8 +369,10 @@
             status_name = types.HostStatus.DRAINING.value
         elif not self.state.configuration.is_confirmed():
             status_name = types.HostStatus.CUT_OFF.value
-        ready = status_name == types.HostStatus.READY.value
-        self.set_status(200 if ready else 503)
+        # A host that is cut off still serves what it can; with another status
+        # a balancer would take all hosts of its zone out of use.
+        is_leaving = status_name == types.HostStatus.DRAINING.value
+        self.set_status(503 if is_leaving else 200)
         await self.send(
             {
                 'status': status_name,
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -253,10 +253,12 @@
         assert self.fetch('/v1/health').code == 200
         self.world.configuration.confirmed = False
         answer = self.fetch('/v1/health')
-        assert answer.code == 503
+        # A zone that is cut off must keep its hosts in use.
+        assert answer.code == 200
         assert json.loads(answer.body)['status'] == 'cut_off'
         self.state.is_draining = True
         answer = self.fetch('/v1/health')
+        assert answer.code == 503
         assert json.loads(answer.body)['status'] == 'draining'
         self.post('/v1/statements', STATEMENT)
         counters = json.loads(self.fetch('/v1/metrics').body)['counters']
