--- a/tests/callers/fleet.py
+++ b/tests/callers/fleet.py
@@ -13,6 +13,9 @@
 ACCOUNT = 'feldwacht-1'
 DELAY_MS = 4
 
+# An answer after this time is as good as none.
+LOST_MS = 1_000
+
 
 class Configuration:
     """A configuration with one account."""
@@ -88,31 +91,36 @@
 
     async def ask(self, asker, giver, wanted, collect, timeout_ms):
         """Carry a question and its answer, either of which may be lost."""
-        end_ms = self.clock.now() + timeout_ms
+        if not self.transfers:
+            raise exceptions.HostError('no transfers', step='rate')
         answer = asyncio.create_task(self.carry(asker, giver, wanted, collect))
-        while not answer.done():
-            if self.clock.now() >= end_ms:
-                # The giver doesn't learn that nobody waits any more.
-                raise exceptions.HostError('no answer', step='rate')
-            await self.clock.sleep(1)
+        timer = asyncio.create_task(self.clock.sleep(timeout_ms))
+        await asyncio.wait(
+            {answer, timer}, return_when=asyncio.FIRST_COMPLETED
+        )
+        timer.cancel()
+        # After a time-out the giver doesn't learn that nobody waits.
+        if not answer.done():
+            raise exceptions.HostError('no answer', step='rate')
         return answer.result()
 
     async def carry(self, asker, giver, wanted, collect):
-        """Return the answer; never, if one of the messages is lost."""
+        """Return the answer; too late, if one of the messages is lost."""
         await self.clock.sleep(self.delay())
         if not self.can_send(asker, giver):
-            await asyncio.get_running_loop().create_future()
+            await self.clock.sleep(LOST_MS)
+            return types.TokenGrant(0, 0)
         grant = await giver.limiter.give(ACCOUNT, wanted, collect)
         await self.clock.sleep(self.delay())
         if not self.can_send(asker, giver):
-            await asyncio.get_running_loop().create_future()
+            await self.clock.sleep(LOST_MS)
+            return types.TokenGrant(0, 0)
         return grant
 
     def can_send(self, asker, giver):
         """Tell whether a message gets from one host to the other."""
-        if not self.transfers or self.loses():
-            return False
-        return self.linked(asker.number, giver.number)
+        is_linked = self.linked(asker.number, giver.number)
+        return is_linked and not self.loses()
 
     async def request(self, number, deadline_ms=5_000):
         """Ask one host for admission and note what it says."""
--- a/tests/callers/measure_limiter.py
+++ b/tests/callers/measure_limiter.py
@@ -14,10 +14,11 @@
 from tests.callers import fleet
 
 SEED = 20_261_204
-DURATION_MS = 10_000
+REQUESTS = 1_500
 
-# Rate and burst of a large and of two small accounts.
-ACCOUNTS = [(300, 150), (20, 10), (5, 5)]
+# Rate and burst: a large and a small account of the examples, and smaller
+# ones whose bucket on a host never holds a whole token.
+ACCOUNTS = [(300, 600), (20, 40), (20, 10), (5, 10)]
 
 # Demand as a share of the rate, and the hosts that it reaches.
 CASES = {
@@ -31,10 +32,11 @@
 }
 
 
-async def run(hosts, share, numbers, duration_ms=DURATION_MS):
+async def run(hosts, share, numbers, duration_ms=None):
     """Return the admitted and refused requests and the worst window."""
     rng = random.Random(SEED)
     numbers = list(numbers)
+    duration_ms = duration_ms or REQUESTS * 1_000 / (share * hosts.rate)
     tasks = []
     at_ms = 0.0
     while at_ms < duration_ms:
@@ -62,7 +64,7 @@
 
 def main():
     """Print a table of refused requests in percent."""
-    print(f'seed {SEED}, {DURATION_MS} ms, refused in percent')
+    print(f'seed {SEED}, {REQUESTS} requests, refused in percent')
     print(f'{"":47}  central  transfers  static')
     for rate, burst in ACCOUNTS:
         for name, (share, numbers) in CASES.items():
--- a/tests/callers/test_limiter.py
+++ b/tests/callers/test_limiter.py
@@ -127,7 +127,7 @@
     for number in range(HOSTS):
         for _ in range(hosts.burst + 1):
             tasks.append(asyncio.create_task(hosts.request(number, 0)))
-    await hosts.clock.advance(200)
+    await hosts.clock.advance(1_500)
     fleet.results(tasks)
 
 
@@ -201,12 +201,12 @@
         hosts.owner = hosts.hosts[1]
         asked = []
 
-        async def take(account, wanted):
+        async def take_tokens(host, account, wanted, collect, timeout_ms):
             asked.append(wanted)
             await hosts.clock.sleep(50)
             return types.TokenGrant(0, 0)
 
-        hosts.hosts[0].take = take
+        hosts.hosts[0].take_tokens = take_tokens
         tasks = [asyncio.create_task(hosts.request(0, 200)) for _ in range(5)]
         await hosts.clock.advance(40)
         assert len(asked) == 1
