bench: Model the callers' delay in the callers, and add paused processes

In the planned-stops scenario 21 requests looked interrupted. All of them were sent to a forwarded port after the host behind it had closed its listener: the port accepts what the host would refuse, so the callers took the request as sent. Callers now connect to hosts directly and wait for the delay themselves. Bounds of a change count from the sending of the command, as its answer waits until the change has spread.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -23,7 +23,6 @@
 ADDRESS = '127.0.0.1'
 PLATFORM_DELAY_MS = 1
 PLATFORM = 'platform'
-CLIENTS = 'clients'
 OPERATOR = 'operator'
 START_LIMIT_S = 60
 # Below the ports that the system gives to outgoing connections.
@@ -35,13 +34,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Host:
-    """An entry host; callers use ``link_port``."""
+    """An entry host."""
 
     host_id: str
     zone: str
     caller_port: int
     peer_port: int
-    link_port: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -302,19 +300,12 @@
             self.zones, self.figures['hosts_per_zone'], strict=True
         ):
             for number in range(1, count + 1):
-                port = self._port()
                 hosts.append(
                     Host(
                         host_id=f'{zone.lower()}-{number}',
                         zone=zone,
-                        caller_port=port,
+                        caller_port=self._port(),
                         peer_port=self._port(),
-                        link_port=self._link(
-                            CLIENTS,
-                            pair(CLIENTS, zone),
-                            port,
-                            self.figures['caller_delay_ms'],
-                        ),
                     )
                 )
         return hosts
--- a/bench/http.py
+++ b/bench/http.py
@@ -27,11 +27,17 @@
 
 
 class Channel:
-    """One persistent connection to a host, for one request at a time."""
+    """One persistent connection to a host, for one request at a time.
 
-    def __init__(self, address: str, port: int) -> None:
+    The network's one-way delay is waited for here and not in a forwarded
+    port: a port accepts connections to a host that refuses them, and the
+    caller would take a request as sent that never left.
+    """
+
+    def __init__(self, address: str, port: int, delay_ms: int = 0) -> None:
         self._address = address
         self._port = port
+        self._delay_s = delay_ms / 1000
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -56,9 +62,12 @@
         reader, writer = await self._open(timeout_s)
         try:
             async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(self._delay_s)
                 writer.write(head + body)
                 await writer.drain()
-                return await self._read(reader)
+                response = await self._read(reader)
+                await asyncio.sleep(self._delay_s)
+                return response
         except TimeoutError as error:
             self.close()
             raise Lost('no answer in time') from error
@@ -86,6 +95,7 @@
         if self._reader is None or self._writer is None:
             try:
                 async with asyncio.timeout(timeout_s):
+                    await asyncio.sleep(2 * self._delay_s)
                     self._reader, self._writer = await asyncio.open_connection(
                         self._address, self._port
                     )
--- a/bench/load.py
+++ b/bench/load.py
@@ -275,7 +275,9 @@
         call.host = self._host.host_id
         if call.host not in self._channels:
             self._channels[call.host] = http.Channel(
-                fleet_module.ADDRESS, self._host.link_port
+                fleet_module.ADDRESS,
+                self._host.caller_port,
+                self._shared.fleet.figures['caller_delay_ms'],
             )
         return self._channels[call.host]
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import dataclasses
+import signal
 from typing import Any
 
 from bench import fleet as fleet_module
 from bench import http
+from bench import records
 
 # Offered load of an account as a share of its rate.
 USUAL_LOAD = 0.5
+COMMAND_ATTEMPTS = 5
+COMMAND_PAUSE_MS = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +63,22 @@
     down_ms: int = 5_000
 
 
+@dataclasses.dataclass(frozen=True)
+class PauseHost:
+    """Pauses the process of a host, by number."""
+
+    host: int
+    pause_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PausePrimary:
+    """Pauses the primary of a service, which then returns."""
+
+    service: int
+    pause_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class WithdrawKey:
     """Withdraws the key of an account, by number."""
@@ -94,6 +114,8 @@
     | SetLag
     | SetPlatform
     | KillHost
+    | PauseHost
+    | PausePrimary
     | WithdrawKey
     | StopHosts
     | SilenceTargets
@@ -146,6 +168,14 @@
         35_000,
         ((5_000, KillHost(0)), (10_000, KillHost(4)), (15_000, KillHost(8))),
     ),
+    Scenario(
+        'paused',
+        40_000,
+        (
+            (5_000, PauseHost(1, 15_000)),
+            (8_000, PausePrimary(0, 12_000)),
+        ),
+    ),
     Scenario('key-withdrawn', 25_000, ((8_000, WithdrawKey(2)),)),
     Scenario('planned-stops', 60_000, ((5_000, StopHosts()),)),
     Scenario('silent-connections', 25_000, ((8_000, SilenceTargets(0)),)),
@@ -222,6 +252,15 @@
                 host = fleet.hosts[step.host]
                 await fleet.kill(host.host_id)
                 self._start(self._restart(host, step.down_ms))
+            case PauseHost():
+                self._start(self._pause(fleet.hosts[step.host], step.pause_ms))
+            case PausePrimary():
+                target = await fleet.primary(self._service(step.service))
+                if target is not None:
+                    fleet.note('fault', target.target_id, text='paused')
+                    await self._target_fault(
+                        target, {'freeze_ms': step.pause_ms}
+                    )
             case WithdrawKey():
                 await self._withdraw(step)
             case StopHosts():
@@ -234,17 +273,36 @@
                 fleet.note('fault', f'silent connections of {name}')
             case RetireTarget():
                 target = fleet.targets[step.target]
-                answer = await self.command(
-                    f'RETIRE TARGET {target.target_id}'
+                await self._change(
+                    f'RETIRE TARGET {target.target_id}',
+                    'retired',
+                    target.target_id,
                 )
-                fleet.note('retired', target.target_id)
-                self._accepted(f'retire {target.target_id}', answer)
+
+    async def _change(self, text: str, kind: str, subject: str) -> None:
+        """Send a change and note it, if accepted, from its sending on.
+
+        The answer waits for the change to spread, so the bounds would be
+        laxer if they counted from there.
+        """
+        for _ in range(COMMAND_ATTEMPTS):
+            sent_ms = self._fleet.clock.wall()
+            answer = await self.command(text)
+            if answer.get('outcome') == 'accepted':
+                version = int(answer['version'])
+                self._fleet.events += [
+                    records.Event(kind, subject, sent_ms),
+                    records.Event('accepted', text, sent_ms, version),
+                ]
+                return
+            await self._fleet.clock.sleep(COMMAND_PAUSE_MS)
+        raise RuntimeError(f'{text} was never accepted: {answer}')
 
     async def command(self, text: str) -> dict[str, Any]:
         """Send an operator's command to a host that takes it."""
         fleet = self._fleet
         for host in fleet.hosts:
-            channel = http.Channel(fleet_module.ADDRESS, host.link_port)
+            channel = http.Channel(fleet_module.ADDRESS, host.caller_port)
             key = fleet.keys_by_account[fleet_module.OPERATOR]
             try:
                 response = await channel.request(
@@ -259,19 +317,10 @@
             fleet.note('refused', text, text=str(response.document))
         return {}
 
-    def _accepted(self, change: str, answer: dict[str, Any]) -> None:
-        version = answer.get('version')
-        if isinstance(version, int):
-            self._fleet.note('accepted', change, version)
-
     async def _withdraw(self, step: WithdrawKey) -> None:
-        fleet = self._fleet
-        account = list(fleet.accounts)[step.account]
-        key_id = fleet.keys_by_account[account].partition('.')[0]
-        answer = await self.command(f'WITHDRAW KEY {key_id}')
-        if answer:
-            fleet.note('withdrawn', key_id)
-            self._accepted(f'withdraw {key_id}', answer)
+        account = list(self._fleet.accounts)[step.account]
+        key_id = self._fleet.keys_by_account[account].partition('.')[0]
+        await self._change(f'WITHDRAW KEY {key_id}', 'withdrawn', key_id)
         self.withdrawn_accounts.add(account)
 
     async def _cut(self, step: CutZone) -> None:
@@ -299,6 +348,15 @@
             self._host_ids_off.discard(host.host_id)
             await self._fleet.clock.sleep(step.pause_ms)
 
+    async def _pause(self, host: fleet_module.Host, pause_ms: int) -> None:
+        process = self._fleet.processes_by_name[host.host_id]
+        self._fleet.note('fault', host.host_id, text='paused')
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await self._fleet.clock.sleep(pause_ms)
+        finally:
+            process.send_signal(signal.SIGCONT)
+
     async def _restart(self, host: fleet_module.Host, down_ms: int) -> None:
         self._host_ids_off.add(host.host_id)
         await self._fleet.clock.sleep(down_ms)
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -84,7 +84,7 @@
     """Return what the callers of one account send to a silent channel."""
 
     class Channel:
-        def __init__(self, address, port):
+        def __init__(self, address, port, delay_ms):
             pass
 
         async def request(self, method, path, body, key, timeout_s):
@@ -102,7 +102,8 @@
     transactions = itertools.count()
     monkeypatch.setattr(http, 'Channel', Channel)
     fleet = types.SimpleNamespace(
-        hosts=[fleet_module.Host('h1', 'z', 1, 2, 3)],
+        hosts=[fleet_module.Host('h1', 'z', 1, 2)],
+        figures={'caller_delay_ms': 0},
         services={'cases': {'max_read_age_ms': 1_000}},
         keys_by_account={'acme': 'kid.secret'},
     )
