--- a/samphirestand/hosts/server.py
+++ b/samphirestand/hosts/server.py
@@ -184,9 +184,9 @@
     async def work(
         self, call: collections.abc.Coroutine[Any, Any, Any]
     ) -> Any:
-        """Run ``call`` to its end even if the caller hangs up or gives up.
+        """Run ``call`` in a task of its own, whose end ``close`` awaits.
 
-        The library cancels a method when its caller disappears; a statement
+        The library cancels a method when its caller hangs up; a statement
         that was sent to a target must not be abandoned in the middle.
         """
         task = asyncio.create_task(call)
--- a/tests/hosts/test_gossip.py
+++ b/tests/hosts/test_gossip.py
@@ -12,6 +12,7 @@
 from samphirestand.hosts import contacts
 from samphirestand.hosts import evidence as evidences
 from samphirestand.hosts import membership as memberships
+from samphirestand.hosts import routing
 from samphirestand import types
 from tests.hosts import fakes
 
@@ -175,6 +176,36 @@
     run(main())
 
 
+@pytest.mark.parametrize(
+    ('offered', 'applied', 'is_pulled'),
+    [
+        (3, [1, 2, 3, 4, 5], False),
+        (5, [1, 2, 3, 4, 5], False),
+        (6, [1, 2, 3, 4, 5, 6], True),
+    ],
+)
+def test_versions_that_a_peer_offers(offered, applied, is_pulled):
+    """Guards against a peer that takes an accepted change back."""
+
+    async def main():
+        fleet = await settled()
+        node = fleet['a0']
+        node.configuration.apply_rows(
+            fakes.change(version) for version in range(1, 6)
+        )
+        # The peer sends all it has, whatever it is asked for.
+        fleet['b0'].configuration.changes_after = lambda _: [
+            fakes.change(version) for version in range(1, offered + 1)
+        ]
+        message = codec.schema.Gossip.new_message(configurationVersion=offered)
+        node.gossip.receive('b0', message.as_reader())
+        await fleet.clock.settle()
+        assert node.configuration.applied == applied
+        assert (node.calls.pulls > 0) == is_pulled
+
+    run(main())
+
+
 def test_version_is_pushed_at_once():
     """Guards against a change that waits for the next round."""
 
@@ -209,6 +240,45 @@
     run(main())
 
 
+@pytest.mark.parametrize(
+    ('term', 'target_id', 'kept'),
+    [(3, 't1', 't2'), (4, 't1', 't2'), (5, 't1', 't1')],
+)
+def test_route_of_another_term(term, target_id, kept):
+    """Guards against a route of a term that is over."""
+    routes = routing.RouteTable(clocks.ManualClock())
+    routes.learn(types.Route('s', 4, 't2'))
+    routes.learn(types.Route('s', term, target_id))
+    assert routes.primary('s').primary_target_id == kept
+
+
+def test_heartbeats_between_hosts_with_different_views():
+    """Guards against suspicions while news of a new host still spread."""
+
+    async def main():
+        fleet = await settled({'a': 3})
+        node, peer = fleet['a0'], fleet['a1']
+        peer.membership.learn(news(zone='a'))
+        peer.membership.heard_from('a2', 1, 60)
+        request = codec.schema.Gossip.new_message(
+            viewDigest=node.membership.view_digest
+        )
+        answer = peer.gossip.receive('a0', request.as_reader()).as_reader()
+        assert not answer.heartbeats
+        assert beats(node)['a2'] < 60
+        node.gossip.receive('a1', answer)
+        assert beats(node)['a2'] == 60
+
+    run(main())
+
+
+def beats(node):
+    return {
+        member.host.host_id: member.heartbeat
+        for member in node.membership.members()
+    }
+
+
 def test_draining_and_retired_hosts_get_no_gateways():
     """Guards against new work on hosts that are leaving."""
 
--- a/tests/hosts/test_rpc.py
+++ b/tests/hosts/test_rpc.py
@@ -337,6 +337,27 @@
     run(main())
 
 
+def test_caller_that_dies_during_a_call():
+    """Guards against a statement that is abandoned in the middle."""
+
+    async def main():
+        gateway = fakes.Gateway()
+        gateway.gate = asyncio.Event()
+        async with host(gateway) as h1:
+            async with clients() as peers:
+                call = asyncio.create_task(
+                    peers.run(h1, fakes.request(), 60_000)
+                )
+                await gateway.started.wait()
+            with pytest.raises(exceptions.HostAnswerLost):
+                await call
+            await asyncio.sleep(0.05)
+            gateway.gate.set()
+        assert gateway.finished == 1
+
+    run(main())
+
+
 def test_host_that_dies_during_a_call():
     """Guards against reporting a request as not sent that may have run."""
 
