--- a/samphirestand/operators/language.py
+++ b/samphirestand/operators/language.py
@@ -256,7 +256,7 @@
 
 
 # The names of the fields that the leading values of an action stand for.
-_LEADING = {
+LEADING = {
     'create_account': ('name',),
     'alter_account': ('name',),
     'drop_account': ('name',),
@@ -273,7 +273,7 @@
 
 
 def _document(action: Any) -> dict[str, Any]:
-    leading = _LEADING[action.data]
+    leading = LEADING[action.data]
     document = {'kind': str(action.data)}
     for name, token in zip(leading, action.children, strict=False):
         document[name] = _text(token)
--- a/samphirestand/platform/bootstrap.py
+++ b/samphirestand/platform/bootstrap.py
@@ -1,6 +1,7 @@
 """Writes the first configuration from a YAML file."""
 
 import pathlib
+import secrets
 from typing import Any
 
 import pydantic
@@ -11,7 +12,7 @@
 from samphirestand.platform import configuration
 
 AUTHOR = 'bootstrap'
-CHANGE_ID = 'bootstrap'
+CHANGE_ID_BYTES = 8
 
 
 class _Service(pydantic.BaseModel):
@@ -89,7 +90,7 @@
     return await store.propose(
         configuration.Proposal(
             change=first,
-            change_id=CHANGE_ID,
+            change_id=secrets.token_hex(CHANGE_ID_BYTES),
             author=AUTHOR,
             reason='first configuration',
             command='BOOTSTRAP',
