--- a/bench/checker.py
+++ b/bench/checker.py
@@ -510,6 +510,7 @@
             and other.wall_ms > event.wall_ms
         ]
         until = min(restored, default=None)
+        findings.judge(True, f'{event.subject} was retired')
         for record in evidence.records_by_server.get(event.subject, []):
             is_after = record['wall_ms'] > event.wall_ms + TARGET_BOUND_MS
             if not is_after or (until and record['wall_ms'] > until):
