--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,9 +4,9 @@
 import asyncio
 import json
 import pathlib
+import signal
 import sys
 import traceback
-from typing import Any
 
 from bench import checker
 from bench import fleet as fleet_module
@@ -53,16 +53,33 @@
     finally:
         await fleet.stop()
     evidence.save(folder / 'evidence.json')
+    return judge(scenario.name, mode, evidence)
+
+
+def judge(
+    scenario: str, mode: str, evidence: records.Evidence
+) -> report.Result:
+    """Return the verdicts and the measures of a run."""
     return report.Result(
-        scenario.name,
+        scenario,
         mode,
         checker.check(evidence),
-        measures_module.measure(
-            evidence, frozenset(script.withdrawn_accounts)
-        ),
+        measures_module.measure(evidence),
     )
 
 
+def judge_again(output: pathlib.Path) -> list[report.Result]:
+    """Judge the evidence of earlier runs."""
+    results = []
+    for scenario in scenarios.SCENARIOS:
+        for mode in MODES:
+            path = output / f'{scenario.name}-{mode}' / 'evidence.json'
+            if path.exists():
+                evidence = records.Evidence.load(path)
+                results.append(judge(scenario.name, mode, evidence))
+    return results
+
+
 def _loads(
     scenario: scenarios.Scenario,
     shared: load.Shared,
@@ -83,8 +100,16 @@
 
 
 async def run(options: argparse.Namespace) -> list[report.Result]:
-    """Run the chosen scenarios, one after the other."""
-    results = []
+    """Run the chosen scenarios, one after the other.
+
+    The report is written after each, and a SIGTERM stops the processes of
+    the fleet before it ends this one.
+    """
+    results: list[report.Result] = []
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
     chosen = [
         each
         for each in scenarios.SCENARIOS
@@ -100,6 +125,7 @@
                 traceback.print_exc()
                 continue
             results.append(result)
+            write_report(results, options)
             print(report.table([result]), flush=True)
             for verdict in result.verdicts:
                 for text in verdict.violations[:3]:
@@ -107,6 +133,20 @@
     return results
 
 
+def write_report(
+    results: list[report.Result], options: argparse.Namespace
+) -> None:
+    """Write ``report.json`` to the output folder."""
+    shown = {
+        name: value
+        for name, value in vars(options).items()
+        if name != 'output'
+    }
+    document = report.document(results, shown)
+    path = options.output / 'report.json'
+    path.write_text(json.dumps(document, indent=1))
+
+
 def parse(arguments: list[str] | None = None) -> argparse.Namespace:
     """Return the options of the command line."""
     parser = argparse.ArgumentParser(
@@ -125,6 +165,11 @@
         help='multiplies the rates and bursts of all accounts',
     )
     add('--base-port', type=int, default=0, help='default: a free range')
+    add(
+        '--judge-again',
+        action='store_true',
+        help='start nothing; judge the evidence in the output folder',
+    )
     add('--output', type=pathlib.Path, default=pathlib.Path('run/bench'))
     return parser.parse_args(arguments)
 
@@ -133,14 +178,11 @@
     """Run the bench; 1 if the product broke an invariant or a run failed."""
     options = parse()
     options.output = options.output.resolve()
-    results = asyncio.run(run(options))
-    shown: dict[str, Any] = {
-        name: value
-        for name, value in vars(options).items()
-        if name != 'output'
-    }
-    path = options.output / 'report.json'
-    path.write_text(json.dumps(report.document(results, shown), indent=1))
+    if options.judge_again:
+        results = judge_again(options.output)
+        write_report(results, options)
+    else:
+        results = asyncio.run(run(options))
     print()
     print(report.table(results))
     is_bad = any(
--- a/bench/checker.py
+++ b/bench/checker.py
@@ -573,6 +573,14 @@
 ) -> None:
     events = sorted(evidence.events, key=lambda event: event.wall_ms)
     accepted = [event for event in events if event.kind == 'accepted']
+    changes_by_version: dict[int, str] = {}
+    for event in accepted:
+        # Two operators who both won would each think theirs is in force.
+        first = changes_by_version.setdefault(event.value, event.subject)
+        findings.judge(
+            first == event.subject,
+            f'version {event.value} is {first!r} and {event.subject!r}',
+        )
     highest_by_host: dict[str, int] = {}
     for event in events:
         if event.kind == 'started':
--- a/tests/bench/test_checker.py
+++ b/tests/bench/test_checker.py
@@ -282,6 +282,10 @@
     run.events.append(records.Event('health', 'h1', 9_500, 1, 'cut_off'))
 
 
+def two_winners(run):
+    run.events.append(records.Event('accepted', 'other', 1_000, 2))
+
+
 def change_not_in_force(run):
     run.events[-1] = dataclasses.replace(run.events[-1], value=1)
 
@@ -319,6 +323,7 @@
         (bad_exit, 12),
         (never_stops, 12),
         (version_goes_back, 13),
+        (two_winners, 13),
         (change_not_in_force, 13),
     ],
 )
--- /dev/null
+++ b/tests/bench/test_fleet.py
@@ -0,0 +1,91 @@
+"""Tests of the fleet's set-up and of the report, without processes."""
+
+import socket
+
+import pytest
+import yaml
+
+from bench import baseline
+from bench import checker
+from bench import fleet as fleet_module
+from bench import measures
+from bench import records
+from bench import report
+
+
+def make(folder, deployment='bagmati', base_port=0):
+    return fleet_module.Fleet(
+        deployment,
+        folder,
+        scale=0.5,
+        base_port=base_port,
+        seed=1,
+        is_baseline=False,
+    )
+
+
+@pytest.mark.parametrize(
+    ('deployment', 'hosts', 'zones'), [('bagmati', 9, 3), ('feldwacht', 9, 4)]
+)
+def test_every_way_between_zones_is_a_link(tmp_path, deployment, hosts, zones):
+    """Guards against a cut that leaves a way between two zones."""
+    fleet = make(tmp_path, deployment)
+    assert (len(fleet.hosts), len(fleet.zones)) == (hosts, zones)
+    for zone in fleet.zones:
+        translation = fleet._translations_by_zone[zone]
+        foreign = {
+            f'127.0.0.1:{port}'
+            for place, port in (
+                *((each.zone, each.peer_port) for each in fleet.hosts),
+                *((each.zone, each.port) for each in fleet.targets),
+                ('platform', fleet.platform_port),
+            )
+            if place != zone
+        }
+        assert set(translation) == foreign
+        assert not foreign & set(translation.values())
+
+
+def test_keys_of_a_seed_and_the_scale(tmp_path):
+    """Guards against runs that can't be repeated."""
+    fleet = make(tmp_path)
+    assert fleet.keys_by_account == make(tmp_path).keys_by_account
+    fleet._write_files()
+    bootstrap = yaml.safe_load((tmp_path / 'bootstrap.yaml').read_text())
+    assert bootstrap['accounts'][0]['rate'] == 150
+    assert fleet.keys_by_account['archive'] not in str(bootstrap)
+
+
+def test_port_in_use_is_refused(tmp_path):
+    """Guards against load that reaches another fleet."""
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        with pytest.raises(RuntimeError, match='in use'):
+            make(tmp_path, base_port=port - 1)
+
+
+def test_report_names_broken_invariants():
+    """Guards against violations that the table hides."""
+    empty = records.Evidence([], {}, {}, [], {}, {}, [])
+    verdicts = checker.check(empty)
+    verdicts[8] = checker.Verdict(9, 3, ('x ran',))
+    found = report.Result(
+        'calm', 'baseline', verdicts, measures.measure(empty)
+    )
+    assert report.table([found]).endswith('9:1')
+    document = report.document([found], {})
+    assert document['results'][0]['invariants'][8]['first'] == ['x ran']
+
+
+def test_baseline_splits_rates():
+    """Guards against a baseline that limits nothing."""
+    bucket = baseline.Bucket(rate=1.0, burst=2.0)
+    assert [bucket.take(now) for now in (1, 1, 1, 1_001, 1_001)] == [
+        True,
+        True,
+        False,
+        True,
+        False,
+    ]
