--- a/samphirestand/targets/gateways.py
+++ b/samphirestand/targets/gateways.py
@@ -69,7 +69,10 @@
         if gateway is not None:
             return await gateway.run(request)
         if request.operation in ('statement', 'commit', 'rollback'):
-            return transaction_requests.ended(self._ends, request).outcome
+            done = transaction_requests.committed(self._ends, request)
+            return (
+                done or transaction_requests.ended(self._ends, request).outcome
+            )
         return refusals.not_run(
             'not_gateway',
             'this host is not the gateway of the target',
--- a/samphirestand/targets/transaction_requests.py
+++ b/samphirestand/targets/transaction_requests.py
@@ -103,6 +103,17 @@
 
         A repeated commit gets the outcome of the first one.
         """
+        try:
+            return await self._commit(request, deadline)
+        except refusals.Refused:
+            done = committed(self.ends, request)
+            if done is None:
+                raise
+            return done
+
+    async def _commit(
+        self, request: types.Request, deadline: int
+    ) -> types.Done:
         transaction = self._find(request)
         key = f'{request.account}/{request.request_id}'
         call = messages.Commit(key, transaction.term)
@@ -340,7 +351,28 @@
             step='transaction',
             peer=request.target_id,
         )
-    return _refused(end.outcome, request.target_id)
+    if request.operation == 'commit' and not isinstance(
+        end.outcome, types.Done
+    ):
+        return _refused(end.outcome, request.target_id)
+    return refusals.not_run(
+        'transaction_lost',
+        'the transaction has ended',
+        step='transaction',
+        peer=request.target_id,
+    )
+
+
+def committed(
+    ends: transactions_module.Ends, request: types.Request
+) -> types.Done | None:
+    """Return the outcome of an earlier commit that a request repeats."""
+    end = ends.get(request.transaction_id)
+    if end is None or end.account != request.account:
+        return None
+    if request.operation == 'commit' and isinstance(end.outcome, types.Done):
+        return end.outcome
+    return None
 
 
 def _refused(outcome: types.Outcome, target_id: str) -> refusals.Refused:
--- a/tests/targets/test_gateway.py
+++ b/tests/targets/test_gateway.py
@@ -1,34 +1,405 @@
-"""Tests of the gateway: outcomes, transactions, keys and the lock."""
+"""Tests of the gateway: outcomes, transactions, keys, reads and the lock."""
 
 import asyncio
+import dataclasses
+
+import pytest
 
 from samphirestand import types
 from tests.targets import fakes
 
+READ = {'mode': types.Mode.READ, 'statement': 'GET x', 'request_id': 'read'}
+
+
+def keys_of(fleet, target_id='t0'):
+    """Return the keys that a server's log has written, in order."""
+    entries = fleet.servers_by_id[target_id].database.entries
+    return [key for entry in entries for key, _ in entry.changes]
+
+
+def withdraw(fleet, key_id='ka'):
+    """Withdraw a key."""
+    keys = fleet.configuration.current.keys_by_id
+    withdrawn = dataclasses.replace(keys[key_id], withdrawn=True)
+    fleet.configuration.apply(keys_by_id=keys | {key_id: withdrawn})
+
+
+def retire(fleet, target_id):
+    """Retire a target."""
+    current = fleet.configuration.current.targets_by_id
+    target = dataclasses.replace(current[target_id], retired=True)
+    fleet.configuration.apply(targets_by_id=current | {target_id: target})
+
+
+async def begin(fleet, **fields):
+    """Begin a transaction and return its id."""
+    begun = await fleet.run('t0', 'begin', **fields)
+    assert isinstance(begun, types.Done), begun
+    return begun.transaction_id
+
+
+def start(fleet, target_id='t0', **fields):
+    """Start a request without waiting for it."""
+    gateways = fleet.hosts_by_id[fleet.placement[target_id]].gateways
+    return asyncio.ensure_future(
+        gateways.run(fakes.request(target_id, **fields))
+    )
+
+
+@pytest.mark.parametrize(
+    ('lost', 'fields', 'outcome', 'code', 'entries'),
+    [
+        (None, {}, types.Done, None, 1),
+        ('Execute', {}, types.Unknown, 'answer_lost', 1),
+        ('Execute', {'repeatable': True}, types.Done, None, 1),
+        (None, {'statement': 'NO'}, types.NotRun, 'bad_statement', 0),
+        (None, {'key_id': 'no'}, types.NotRun, 'key_unknown', 0),
+        (None, {'key_id': ''}, types.NotRun, 'key_missing', 0),
+        (None, {'key_id': 'kb'}, types.NotRun, 'key_unknown', 0),
+        (None, {'target_id': 't1'}, types.NotRun, 'not_primary', 0),
+        (
+            None,
+            {'session': types.Position(3, 1)},
+            types.NotRun,
+            'not_primary',
+            0,
+        ),
+    ],
+)
+def test_outcome_of_a_write(lost, fields, outcome, code, entries):
+    """Guards against "not run" for what ran, and writes that run twice."""
+
+    async def case(fleet):
+        fleet.network.lose_answers['t0', lost] = 1
+        target_id = fields.get('target_id', 't0')
+        sent = {'target_id': target_id} | fields
+        result = await fleet.run(**sent)
+        assert isinstance(result, outcome), result
+        assert getattr(result, 'code', None) == code
+        assert len(keys_of(fleet)) == entries
+
+    fakes.play(case)
+
+
+def test_a_refused_repetition_of_a_lost_write_is_unknown():
+    """Guards against "not run" when only the second attempt was refused."""
+
+    async def case(fleet):
+        fleet.network.lose_answers['t0', 'Execute'] = 1
+        task = start(fleet, repeatable=True)
+        await fleet.clock.advance(100)
+        withdraw(fleet)
+        await fleet.until(task)
+        assert isinstance(task.result(), types.Unknown)
+        assert len(keys_of(fleet)) == 1
+
+    fakes.play(case)
+
+
+def test_a_key_withdrawn_in_the_queue_stops_the_request():
+    """Guards against a check that is made only on arrival, invariant 6."""
+
+    async def case(fleet):
+        fleet.servers_by_id['t0'].statement_ms = 100
+        tasks = [start(fleet, request_id=f'r{number}') for number in range(3)]
+        await fleet.clock.advance(50)
+        withdraw(fleet)
+        await fleet.until(asyncio.gather(*tasks))
+        assert tasks[2].result().code == 'key_withdrawn'
+        assert len(keys_of(fleet)) == 2
+
+    fakes.play(case)
 
-def run(case, **options):
-    """Run ``case`` with a started fleet."""
 
-    async def main():
-        fleet = fakes.Fleet(**options)
-        await fleet.start()
-        try:
-            await case(fleet)
-        finally:
-            await fleet.stop()
+def test_transactions_do_not_mix():
+    """Guards against two transactions on one connection, invariant 3."""
 
-    asyncio.run(main())
+    async def case(fleet):
+        ids = [
+            await begin(fleet, account=account) for account in ('a', 'b', 'a')
+        ]
+        used = fleet.gateway('t0').transactions.by_id.values()
+        assert len({each.connection for each in used}) == 3
+        for number, transaction_id in enumerate(ids):
+            fields = {'account': 'ab'[number % 2]}
+            fields['transaction_id'] = transaction_id
+            statement = f'SET k{number} v'
+            await fleet.run('t0', 'statement', statement=statement, **fields)
+        fields = {'account': 'a', 'transaction_id': ids[0]}
+        await fleet.run('t0', 'rollback', **fields)
+        for number in (1, 2):
+            done = await fleet.run(
+                't0',
+                'commit',
+                account='ab'[number % 2],
+                transaction_id=ids[number],
+                request_id=f'c{number}',
+            )
+            assert isinstance(done, types.Done)
+        assert keys_of(fleet) == ['k1', 'k2']
+
+    fakes.play(case)
 
 
-def test_a_write_is_acknowledged_and_read_back():
-    """Guards against a gateway that never gets confirmation."""
+@pytest.mark.parametrize(
+    ('operation', 'fields', 'code', 'outcome'),
+    [
+        (
+            'statement',
+            {'account': 'b'},
+            'transaction_account_mismatch',
+            types.NotRun,
+        ),
+        (
+            'statement',
+            {'transaction_id': 'no'},
+            'transaction_lost',
+            types.NotRun,
+        ),
+        (
+            'commit',
+            {'transaction_id': 'no'},
+            'transaction_lost',
+            types.Unknown,
+        ),
+    ],
+)
+def test_use_of_another_transaction(operation, fields, code, outcome):
+    """Guards against accounts that use each other's transactions."""
 
     async def case(fleet):
+        transaction_id = await begin(fleet)
+        fields_with_id = {'transaction_id': transaction_id} | fields
+        result = await fleet.run('t0', operation, **fields_with_id)
+        assert isinstance(result, outcome)
+        assert result.code == code
+
+    fakes.play(case)
+
+
+async def stay_idle(fleet):
+    await fleet.clock.advance(30_500)
+
+
+async def grow_old(fleet):
+    (transaction_id,) = fleet.gateway('t0').transactions.by_id
+    for _ in range(4):
+        await fleet.clock.advance(15_200)
+        await fleet.run('t0', 'statement', transaction_id=transaction_id)
+
+
+async def lose_key(fleet):
+    withdraw(fleet)
+
+
+async def lose_lock(fleet):
+    fleet.network.cut.add(frozenset(('h0', 't0')))
+    await fleet.clock.advance(5_000)
+    fleet.network.heal()
+    await fleet.clock.advance(1_000)
+
+
+async def lose_statement(fleet):
+    (transaction_id,) = fleet.gateway('t0').transactions.by_id
+    fleet.network.lose_answers['t0', 'Statement'] = 1
+    lost = await fleet.run('t0', 'statement', transaction_id=transaction_id)
+    assert isinstance(lost, types.NotRun)
+
+
+@pytest.mark.parametrize(
+    'happen', [stay_idle, grow_old, lose_key, lose_lock, lose_statement]
+)
+def test_an_aborted_transaction_has_no_effect(happen):
+    """Guards against transactions that outlive their key or their limits."""
+
+    async def case(fleet):
+        transaction_id = await begin(fleet)
+        fields = {'transaction_id': transaction_id}
+        await fleet.run('t0', 'statement', **fields)
+        await happen(fleet)
+        await fleet.clock.advance(500)
+        assert not fleet.gateway('t0').transactions.by_id
+        result = await fleet.run('t0', 'commit', **fields)
+        assert isinstance(result, types.NotRun), result
+        assert not keys_of(fleet)
+        sessions = fleet.servers_by_id['t0'].database.sessions_by_id
+        assert not any(each.transaction for each in sessions.values())
+
+    fakes.play(case)
+
+
+@pytest.mark.parametrize(
+    ('lost', 'expected'), [(0, types.Done), (1, types.Unknown)]
+)
+def test_a_repeated_commit_gets_the_same_outcome(lost, expected):
+    """Guards against "not run" for a commit whose first answer was lost."""
+
+    async def case(fleet):
+        fields = {'transaction_id': await begin(fleet)}
+        await fleet.run('t0', 'statement', **fields)
+        fleet.network.lose_answers['t0', 'Commit'] = lost
+        results = [await fleet.run('t0', 'commit', **fields) for _ in range(2)]
+        assert [type(each) for each in results] == [expected, expected]
+        assert len(keys_of(fleet)) == 1
+
+    fakes.play(case)
+
+
+def test_one_account_gets_half_of_the_connections():
+    """Guards against an account that takes every connection."""
+
+    async def case(fleet):
+        outcomes = [
+            await fleet.run('t0', 'begin', request_id=f'r{number}')
+            for number in range(8)
+        ]
+        # 11 of the 16 connections are in the pool.
+        assert [isinstance(each, types.Done) for each in outcomes] == (
+            [True] * 5 + [False] * 3
+        )
+        assert isinstance(
+            await fleet.run('t0', 'begin', account='b'), types.Done
+        )
+        assert isinstance(await fleet.run('t0'), types.Done)
+
+    fakes.play(case)
+
+
+def test_a_caller_that_is_gone_leaves_no_answer_behind():
+    """Guards against an answer that meets another call, invariant 8."""
+
+    async def case(fleet):
+        fleet.servers_by_id['t0'].statement_ms = 50
+        task = start(fleet, statement='SET gone 1')
+        await fleet.clock.advance(10)
+        task.cancel()
+        await fleet.clock.settle()
+        read = await fleet.run('t0', **READ)
+        assert read.rows == ()
+        assert fleet.gateway('t0')._scheduler.running == 0
+
+    fakes.play(case)
+
+
+@pytest.mark.parametrize('max_age_ms', [0, 100, 300, 3_000])
+@pytest.mark.parametrize('cut_ms', [0, 1_000, 4_500])
+def test_a_replica_read_is_no_older_than_allowed(max_age_ms, cut_ms):
+    """Guards against a cut-off replica that reports its own age."""
+
+    async def case(fleet):
+        await fleet.run('t0')
+        await fleet.clock.advance(500)
+        fleet.network.partition({'t1', 'h1'}, {'t0', 'h0', 't2', 'h2'})
+        await fleet.clock.advance(cut_ms)
+        fields = READ | {'max_age_ms': max_age_ms}
+        read = await fleet.run('t1', **fields)
+        if isinstance(read, types.Done):
+            assert read.rows == (['x', '1'],)
+            assert cut_ms <= read.age_ms <= max_age_ms
+        else:
+            assert read.code in ('replica_too_old', 'not_primary')
+            assert max_age_ms < cut_ms + 300
+
+    fakes.play(case)
+
+
+@pytest.mark.parametrize(
+    ('lag_ms', 'is_read'), [(0, True), (30, True), (2_000, False)]
+)
+def test_a_replica_read_holds_the_session(lag_ms, is_read):
+    """Guards against a read that misses the session's own write."""
+
+    async def case(fleet):
+        fleet.servers_by_id['t1'].database.lag_ms = lag_ms
+        await fleet.clock.advance(500)
         written = await fleet.run('t0')
-        assert isinstance(written, types.Done), written
-        read = await fleet.run(
-            't0', statement='GET x', mode=types.Mode.READ, request_id='r2'
+        fields = READ | {'max_age_ms': 5_000, 'session': written.position}
+        read = await fleet.run('t1', **fields)
+        if is_read:
+            assert read.rows == (['x', '1'],)
+        else:
+            assert read.code == 'replica_behind'
+
+    fakes.play(case)
+
+
+def test_a_foreign_lock_makes_not_gateway():
+    """Guards against two hosts that run statements on one target."""
+
+    async def case(fleet):
+        for target_id in fakes.TARGET_IDS:
+            fleet.placement[target_id] = 'h1'
+        fleet.network.cut.add(frozenset(('h0', 't0')))
+        await fleet.clock.advance(1_000)
+        refused = await fleet.run('t0')
+        assert (refused.code, refused.hint) == ('not_gateway', 'h0')
+        await fleet.clock.advance(4_000)
+        assert isinstance(await fleet.run('t0'), types.Done)
+
+    fakes.play(case)
+
+
+def test_a_handover_interrupts_nothing():
+    """Guards against a planned move that drops work, invariant 12."""
+
+    async def case(fleet):
+        old = fleet.hosts_by_id['h0'].gateways
+        fields = {'transaction_id': await begin(fleet)}
+        await fleet.run('t0', 'statement', statement='SET k 1', **fields)
+        fleet.servers_by_id['t0'].statement_ms = 300
+        task = start(fleet)
+        await fleet.clock.advance(50)
+        fleet.placement['t0'] = 'h1'
+        await fleet.clock.advance(1_000)
+        assert isinstance(task.result(), types.Done)
+        committing = asyncio.ensure_future(
+            old.run(fakes.request('t0', 'commit', **fields, request_id='c'))
         )
-        assert read.rows == (['x', '1'],)
+        await fleet.until(committing)
+        assert isinstance(committing.result(), types.Done)
+        await fleet.clock.advance(1_000)
+        assert 't0' not in old.gateways_by_target_id
+        assert isinstance(await fleet.run('t0', request_id='n'), types.Done)
+        repeated = await old.run(
+            fakes.request('t0', 'commit', **fields, request_id='c')
+        )
+        assert isinstance(repeated, types.Done)
+
+    fakes.play(case)
+
+
+def test_a_retired_replica_takes_no_work():
+    """Guards against new work on a target that leaves, invariant 11."""
+
+    async def case(fleet):
+        retire(fleet, 't1')
+        fields = READ | {'max_age_ms': 5_000}
+        assert (await fleet.run('t1', **fields)).code == 'target_leaving'
+
+    fakes.play(case)
+
+
+@pytest.mark.parametrize('commit_after_ms', [0, 2_000, 10_000])
+def test_a_retired_primary_is_replaced(commit_after_ms):
+    """Guards against a planned replacement that cuts a transaction off."""
+
+    async def case(fleet):
+        writer = fakes.Writer(fleet)
+        await writer.write_for(300)
+        fields = {'transaction_id': await begin(fleet)}
+        await fleet.run('t0', 'statement', statement='SET k 1', **fields)
+        retire(fleet, 't0')
+        await fleet.clock.advance(commit_after_ms)
+        committed = await fleet.run('t0', 'commit', **fields)
+        assert isinstance(committed, types.Done)
+        await fleet.clock.advance(2_000)
+        (primary,) = fleet.primaries()
+        assert primary != 't0'
+        await writer.write_for(300)
+        assert isinstance(writer.outcomes[-1], types.Done)
+        writer.check()
+        assert 'k' in keys_of(fleet, primary)
+        fields = READ | {'max_age_ms': 5_000}
+        assert (await fleet.run('t0', **fields)).code == 'target_leaving'
 
-    run(case)
+    fakes.play(case)
--- /dev/null
+++ b/tests/targets/test_history.py
@@ -0,0 +1,92 @@
+"""Tests of positions and term histories, and of replica ages."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from samphirestand.targets import ages
+from samphirestand.targets import history
+from samphirestand import types
+
+# Term 1 owns entries 1 to 5, term 3 owns 6 to 8, and term 4 owns 9.
+LOG = types.History(((1, 0), (3, 5), (4, 8)), 9)
+
+
+@pytest.mark.parametrize(
+    ('term', 'offset', 'place'),
+    [
+        (1, 0, history.Place.HELD),
+        (1, 5, history.Place.HELD),
+        (1, 6, history.Place.DISCARDED),
+        (2, 5, history.Place.DISCARDED),
+        (3, 4, history.Place.DISCARDED),
+        (3, 8, history.Place.HELD),
+        (3, 9, history.Place.DISCARDED),
+        (4, 9, history.Place.HELD),
+        (4, 10, history.Place.BEHIND),
+        (5, 1, history.Place.BEHIND),
+    ],
+)
+def test_place(term, offset, place):
+    """Guards against offsets that are compared without their terms."""
+    assert history.place(LOG, types.Position(term, offset)) is place
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(1, 3), strategies.integers(0, 4)
+        ),
+        min_size=1,
+        max_size=6,
+    ),
+    strategies.integers(1, 20),
+    strategies.integers(0, 24),
+)
+def test_a_growing_log_never_discards_what_it_may_still_receive(
+    growth, term, offset
+):
+    """Guards against a session refused that only had to wait."""
+    starts, end, current = [], 0, 0
+    places = []
+    for terms, entries in growth:
+        current += terms
+        starts.append((current, end))
+        end += entries
+        log = types.History(tuple(starts), end)
+        places.append(history.place(log, types.Position(term, offset)))
+    order = [
+        history.Place.BEHIND,
+        history.Place.HELD,
+        history.Place.DISCARDED,
+    ]
+    ranks = [order.index(place) for place in places]
+    # Held once is held for ever; discarded once is discarded for ever.
+    assert ranks == sorted(ranks)
+    assert not (
+        history.Place.HELD in places and history.Place.DISCARDED in places
+    )
+
+
+def state(term, offset, role='replica'):
+    """Return the state of a server whose log has one term."""
+    return types.TargetState('s', term, role, types.History(((1, 0),), offset))
+
+
+@pytest.mark.parametrize(
+    ('replica', 'age_ms'),
+    [
+        (state(1, 30), 100),
+        (state(1, 20), 600),
+        (state(1, 5), None),
+        # A replica that was fenced says nothing about the old primary.
+        (state(2, 30), None),
+    ],
+)
+def test_age_counts_from_the_question_to_the_primary(replica, age_ms):
+    """Guards against ages by another clock or across terms."""
+    known = ages.Ages()
+    known.note(state(1, 10, 'primary'), 0)
+    known.note(state(1, 20, 'primary'), 500)
+    known.note(state(1, 30, 'primary'), 1_000)
+    assert known.age_ms(replica, 1_100) == age_ms
--- a/tests/targets/test_interleavings.py
+++ b/tests/targets/test_interleavings.py
@@ -8,7 +8,8 @@
 from samphirestand import types
 from tests.targets import fakes
 
-SERVERS = strategies.sampled_from(fakes.TARGET_IDS)
+# The primary is the server whose faults matter most.
+SERVERS = strategies.sampled_from(('primary', *fakes.TARGET_IDS))
 HOSTS = strategies.sampled_from(('h0', 'h1', 'h2'))
 FAULTS = strategies.one_of(
     strategies.tuples(strategies.just('crash'), SERVERS),
@@ -25,16 +26,19 @@
     ),
 )
 STEPS = strategies.lists(
-    strategies.tuples(FAULTS, strategies.integers(1, 5_000)),
+    strategies.tuples(
+        FAULTS, strategies.sampled_from((10, 300, 5_000, 8_000))
+    ),
     min_size=2,
-    max_size=10,
+    max_size=8,
 )
 
 
 def apply(fleet, fault):
     """Apply one fault."""
     network = fleet.network
-    match fault:
+    primary_id = (fleet.primaries() or ['t0'])[-1]
+    match [primary_id if part == 'primary' else part for part in fault]:
         case 'crash', target_id:
             fleet.servers_by_id[target_id].is_down = True
         case 'return', target_id:
--- /dev/null
+++ b/tests/targets/test_scheduler.py
@@ -0,0 +1,167 @@
+"""Tests of the weighted fair queue."""
+
+import asyncio
+import collections
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from samphirestand.targets import refusals
+from samphirestand.targets import scheduler
+from tests.targets import fakes
+
+
+async def use(queue, clock, account, done, duration_ms=10, **fields):
+    """Hold a slot for a time and count it."""
+    deadline = clock.now() + fields.get('limit_ms', 600_000)
+    async with queue.slot(account, fields.get('weight', 1), deadline):
+        await clock.sleep(duration_ms)
+        done[account] += duration_ms
+
+
+async def crowd(queue, clock, done, account, count, **fields):
+    """Start many requests of one account at once."""
+    for _ in range(count):
+        asyncio.ensure_future(use(queue, clock, account, done, **fields))
+    await clock.settle()
+
+
+def play(case, slots=2):
+    """Run ``case`` with a queue and a clock."""
+
+    async def main():
+        clock = fakes.Clock()
+        queue = scheduler.Scheduler(clock, slots, 't0')
+        await case(queue, clock, collections.Counter())
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('weights', 'durations'),
+    [
+        ({'a': 1, 'b': 1}, {'a': 10, 'b': 10}),
+        ({'a': 3, 'b': 1}, {'a': 10, 'b': 10}),
+        ({'a': 1, 'b': 1}, {'a': 40, 'b': 5}),
+        ({'a': 1, 'b': 2}, {'a': 20, 'b': 10}),
+    ],
+)
+def test_slot_time_is_shared_by_weight(weights, durations):
+    """Guards against long statements or crowds that take the slots."""
+
+    async def case(queue, clock, done):
+        for account, weight in weights.items():
+            await crowd(
+                queue,
+                clock,
+                done,
+                account,
+                2_000,
+                weight=weight,
+                duration_ms=durations[account],
+            )
+        await clock.advance(5_000)
+        share = done['a'] / (done['a'] + done['b'])
+        expected = weights['a'] / sum(weights.values())
+        assert abs(share - expected) < 0.03
+
+    play(case)
+
+
+def test_a_late_account_is_served_at_once():
+    """Guards against a quiet account that waits behind a crowd."""
+
+    async def case(queue, clock, done):
+        await crowd(queue, clock, done, 'a', 500)
+        await clock.advance(1_000)
+        await crowd(queue, clock, done, 'b', 1)
+        await clock.advance(25)
+        assert done['b'] == 10
+
+    play(case)
+
+
+def test_an_account_saves_up_nothing_while_it_is_idle():
+    """Guards against an idle account that later takes all slots."""
+
+    async def case(queue, clock, done):
+        await crowd(queue, clock, done, 'b', 1)
+        await crowd(queue, clock, done, 'a', 2_000)
+        await clock.advance(5_000)
+        done.clear()
+        await crowd(queue, clock, done, 'b', 2_000)
+        await clock.advance(1_000)
+        assert abs(done['a'] - done['b']) <= 40
+
+    play(case)
+
+
+def test_unattainable_deadlines_are_refused_early():
+    """Guards against work that waits in vain and is refused late."""
+
+    async def case(queue, clock, done):
+        await crowd(queue, clock, done, 'a', 200)
+        await clock.advance(200)
+        with pytest.raises(refusals.Refused) as caught:
+            await use(queue, clock, 'a', done, limit_ms=300)
+        assert caught.value.outcome.code == 'deadline_unattainable'
+        # The other account has its share, so that its deadline can be met.
+        task = asyncio.ensure_future(
+            use(queue, clock, 'b', done, limit_ms=300)
+        )
+        await clock.advance(300)
+        assert task.done()
+        task.result()
+
+    play(case)
+
+
+def test_a_deadline_that_passes_in_the_queue_is_refused():
+    """Guards against an entry that stays in the queue for ever."""
+
+    async def case(queue, clock, done):
+        await crowd(queue, clock, done, 'a', 2, duration_ms=10_000)
+        task = asyncio.ensure_future(
+            use(queue, clock, 'a', done, limit_ms=100)
+        )
+        await clock.advance(100)
+        assert isinstance(task.exception(), refusals.Refused)
+        assert queue.waiting == 0
+
+    play(case)
+
+
+@hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from('abc'),
+            strategies.integers(1, 30),
+            strategies.integers(0, 20),
+            strategies.booleans(),
+        ),
+        max_size=40,
+    )
+)
+def test_slots_are_neither_lost_nor_exceeded(steps):
+    """Guards against slots that leak when callers go at any moment."""
+
+    async def case(queue, clock, done):
+        tasks = []
+        for account, duration_ms, pause_ms, is_cancelled in steps:
+            tasks.append(
+                asyncio.ensure_future(
+                    use(queue, clock, account, done, duration_ms)
+                )
+            )
+            await clock.advance(pause_ms)
+            assert queue.running <= 2
+            assert not queue.waiting or queue.running == 2
+            if is_cancelled:
+                tasks[len(tasks) // 2].cancel()
+        await clock.advance(2_000)
+        assert (queue.running, queue.waiting) == (0, 0)
+        assert all(task.done() for task in tasks)
+
+    play(case)
