--- a/samphirestand/targets/transaction_requests.py
+++ b/samphirestand/targets/transaction_requests.py
@@ -103,6 +103,17 @@
 
         A repeated commit gets the outcome of the first one.
         """
+        try:
+            return await self._commit(request, deadline)
+        except refusals.Refused:
+            done = committed(self.ends, request)
+            if done is None:
+                raise
+            return done
+
+    async def _commit(
+        self, request: types.Request, deadline: int
+    ) -> types.Done:
         transaction = self._find(request)
         key = f'{request.account}/{request.request_id}'
         call = messages.Commit(key, transaction.term)
@@ -139,10 +150,10 @@
             except exceptions.TargetError as error:
                 # A transaction without a commit has no effect, and it ends
                 # with its connection.
-                self._drop(connection)
+                self.pool.discard(connection)
                 raise self._unreachable(error) from error
             except BaseException:
-                self._drop(connection)
+                self.pool.discard(connection)
                 raise
         return self._keep(request, connection, state.term)
 
@@ -178,10 +189,6 @@
         except exceptions.TargetError as error:
             raise self._unreachable(error) from error
 
-    def _drop(self, connection: interfaces.TargetConnection) -> None:
-        connection.close()
-        self.pool.release(connection)
-
     def _find(self, request: types.Request) -> transactions_module.Transaction:
         transaction = self.transactions.by_id.get(request.transaction_id)
         if transaction is None:
@@ -242,7 +249,6 @@
         self, transaction: transactions_module.Transaction, reason: str
     ) -> refusals.Refused:
         self.transactions.abort(transaction, reason)
-        self.pool.release(transaction.connection)
         end = self.ends.get(transaction.transaction_id)
         assert end is not None
         return _refused(end.outcome, self.target.target_id)
@@ -273,10 +279,11 @@
         outcome: types.Outcome,
         is_clean: bool,
     ) -> None:
-        if not is_clean:
-            transaction.connection.close()
         self.transactions.end(transaction, outcome)
-        self.pool.release(transaction.connection)
+        if is_clean:
+            self.pool.release(transaction.connection)
+        else:
+            self.pool.discard(transaction.connection)
 
     def _unreachable(self, error: exceptions.TargetError) -> refusals.Refused:
         return refusals.not_run(
@@ -344,7 +351,28 @@
             step='transaction',
             peer=request.target_id,
         )
-    return _refused(end.outcome, request.target_id)
+    if request.operation == 'commit' and not isinstance(
+        end.outcome, types.Done
+    ):
+        return _refused(end.outcome, request.target_id)
+    return refusals.not_run(
+        'transaction_lost',
+        'the transaction has ended',
+        step='transaction',
+        peer=request.target_id,
+    )
+
+
+def committed(
+    ends: transactions_module.Ends, request: types.Request
+) -> types.Done | None:
+    """Return the outcome of an earlier commit that a request repeats."""
+    end = ends.get(request.transaction_id)
+    if end is None or end.account != request.account:
+        return None
+    if request.operation == 'commit' and isinstance(end.outcome, types.Done):
+        return end.outcome
+    return None
 
 
 def _refused(outcome: types.Outcome, target_id: str) -> refusals.Refused:
