Count bytes in the links by group and direction

The control cost of a host in bytes a second can't be read from the hosts themselves. GET /counters sums connections, reads and bytes by link group.

--- /dev/null
+++ b/bench/capacity_state.py
@@ -0,0 +1,245 @@
+"""Costs of a large configuration and of the placement, in this process."""
+
+import dataclasses
+import gc
+import random
+import time
+from typing import Any
+
+from bench import processes
+from samphirestand import clock as clocks
+from samphirestand.hosts import membership as memberships
+from samphirestand import metrics
+from samphirestand.platform import changes
+from samphirestand.platform import rows
+from samphirestand.targets import gateways as gateways_module
+from samphirestand import types
+
+TARGETS_PER_SERVICE = 3
+# Assumptions, as the plan names neither: an account for each five services
+# and four keys an account, of which one has been withdrawn.
+SERVICES_PER_ACCOUNT = 5
+KEYS_PER_ACCOUNT = 4
+ZONES = 9
+REPEATS = 5
+
+
+def configuration_of(services: int, version: int = 99) -> types.Configuration:
+    """Return a configuration of ``services`` services."""
+    accounts = max(1, services // SERVICES_PER_ACCOUNT)
+    targets = [
+        _target(service, index)
+        for service in range(services)
+        for index in range(TARGETS_PER_SERVICE)
+    ]
+    keys = [
+        types.Key(
+            f'kid-account-{account:05d}-{index}',
+            f'account-{account:05d}',
+            f'{account:032x}{index:032x}',
+            withdrawn=index == 0,
+        )
+        for account in range(accounts)
+        for index in range(KEYS_PER_ACCOUNT)
+    ]
+    return types.Configuration(
+        version=version,
+        accounts_by_name={
+            name: types.Account(name, 380, 760)
+            for name in (f'account-{each:05d}' for each in range(accounts))
+        },
+        keys_by_id={key.key_id: key for key in keys},
+        services_by_name={
+            name: types.Service(
+                name, tuple(_target_id(each, n) for n in range(3)), 2_000
+            )
+            for each, name in (
+                (each, f'service-{each:05d}') for each in range(services)
+            )
+        },
+        targets_by_id={target.target_id: target for target in targets},
+        rate_slots=3_000,
+    )
+
+
+def measure_configuration(services: int) -> dict[str, Any]:
+    """Return sizes and times; to be run in a process of its own."""
+    data = rows.encode_snapshot(
+        rows.snapshot_row(configuration_of(services), 'change')
+    )
+    gc.collect()
+    before = processes.rss_bytes()
+    configuration = rows.advance(
+        types.Configuration(), rows.decode_snapshot(data)
+    )
+    assert isinstance(configuration, types.Configuration)
+    peak = processes.rss_bytes()
+    gc.collect()
+    resident = processes.rss_bytes()
+    row = types.ChangeRow(
+        version=configuration.version + 1,
+        change_id='0123456789abcdef0123456789abcdef',
+        author='operator',
+        reason='',
+        wall_ms=1_800_000_000_000,
+        command='ALTER ACCOUNT account-00000 RATE 400',
+        document=changes.to_document(
+            changes.AlterAccount(name='account-00000', rate=400)
+        ),
+    )
+    target_row = dataclasses.replace(
+        row,
+        document=changes.to_document(
+            changes.RetireTarget(target_id=_target_id(services - 1, 2))
+        ),
+    )
+    return {
+        'services': services,
+        'targets': len(configuration.targets_by_id),
+        'accounts': len(configuration.accounts_by_name),
+        'keys': len(configuration.keys_by_id),
+        'snapshot_bytes': len(data),
+        'change_row_bytes': len(str(rows.encode_row(row))),
+        'resident_mb': round((resident - before) / 1e6, 2),
+        'resident_while_loading_mb': round((peak - before) / 1e6, 2),
+        'load_snapshot_ms': _best_ms(
+            lambda: rows.advance(
+                types.Configuration(), rows.decode_snapshot(data)
+            )
+        ),
+        'write_snapshot_ms': _best_ms(
+            lambda: rows.encode_snapshot(
+                rows.snapshot_row(configuration, 'change')
+            )
+        ),
+        'apply_account_change_ms': _best_ms(
+            lambda: rows.advance(configuration, row)
+        ),
+        'apply_target_change_ms': _best_ms(
+            lambda: rows.advance(configuration, target_row)
+        ),
+    }
+
+
+class Source:
+    """A configuration that never changes."""
+
+    def __init__(self, configuration: types.Configuration) -> None:
+        self.current = configuration
+
+    def is_confirmed(self) -> bool:
+        return True
+
+    def subscribe(self, callback: Any) -> None:
+        """Nothing will be announced."""
+
+
+class Placed(gateways_module.Gateways):
+    """The gateways of a host, which only note what they would start."""
+
+    def _start_gateway(self, target: types.Target) -> None:
+        self.started.add(target.target_id)
+
+    started: set[str]
+
+
+def measure_placement(services: int, hosts: int, seed: int) -> dict[str, Any]:
+    """Return the time of the reconcile step of a host.
+
+    Steady: nothing has changed. After a change: one host has left or joined
+    one zone since the last step; the own zone is a zone like the others.
+    """
+    clock = clocks.ManualClock()
+    before = processes.rss_bytes()
+    membership = _membership(hosts, clock)
+    membership_bytes = processes.rss_bytes() - before
+    placed = Placed(
+        clock,
+        random.Random(seed),
+        None,  # type: ignore[arg-type]
+        Source(configuration_of(services)),
+        membership,
+        None,  # type: ignore[arg-type]
+        None,  # type: ignore[arg-type]
+        metrics.Metrics(),
+        None,  # type: ignore[arg-type]
+    )
+    placed.started = set()
+    first_ms = _best_ms(placed.reconcile, repeats=1)
+    steady_ms = _best_ms(placed.reconcile, repeats=20)
+    started = len(placed.started)
+    rng = random.Random(seed)
+    after_change = []
+    for number in range(REPEATS):
+        host = _host(rng.randrange(1, hosts), incarnation=2 + number)
+        membership.learn(
+            memberships.News(host, 1, 1, memberships.Condition.ALIVE)
+        )
+        after_change.append(_best_ms(placed.reconcile, repeats=1))
+    return {
+        'targets': services * TARGETS_PER_SERVICE,
+        'hosts': hosts,
+        'zones': ZONES,
+        'membership_mb': round(membership_bytes / 1e6, 2),
+        'gateways_placed_here': started,
+        'first_ms': first_ms,
+        'steady_ms': steady_ms,
+        'after_a_host_changed_ms': round(
+            sum(after_change) / len(after_change), 2
+        ),
+    }
+
+
+def _membership(
+    hosts: int, clock: clocks.Clock
+) -> memberships.Membership:
+    membership = memberships.Membership(_host(0), clock)
+    for number in range(1, hosts):
+        membership.learn(
+            memberships.News(
+                _host(number), 1, 1, memberships.Condition.ALIVE
+            )
+        )
+    for zone in range(1, ZONES):
+        membership.heard_zone(f'zone-{zone}', clock.now(), 99)
+    return membership
+
+
+def _host(number: int, incarnation: int = 1) -> types.Host:
+    return types.Host(
+        host_id=f'host-{number:04d}',
+        zone=f'zone-{number % ZONES}',
+        incarnation=incarnation,
+        caller_url=f'http://10.0.{number >> 8}.{number & 255}:8080',
+        peer_address=f'10.0.{number >> 8}.{number & 255}',
+        peer_port=8_000,
+        configuration_version=99,
+    )
+
+
+def _target_id(service: int, index: int) -> str:
+    return f'service-{service:05d}-{index}'
+
+
+def _target(service: int, index: int) -> types.Target:
+    target_id = _target_id(service, index)
+    return types.Target(
+        target_id,
+        f'service-{service:05d}',
+        f'zone-{(service + index) % ZONES}',
+        f'ws://10.{index}.{service >> 8}.{service & 255}:7000/session',
+        5,
+        60,
+    )
+
+
+def _best_ms(work: Any, repeats: int = REPEATS) -> float:
+    """Return the least processor time; other processes can only add."""
+    best = None
+    for _ in range(repeats):
+        started = time.process_time_ns()
+        work()
+        elapsed = time.process_time_ns() - started
+        best = elapsed if best is None else min(best, elapsed)
+    return round((best or 0) / 1e6, 3)
+
--- a/standins/link.py
+++ b/standins/link.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import collections
+import dataclasses
 import enum
 import json
 import pathlib
@@ -66,6 +67,27 @@
     delay_ms: int | None = pydantic.Field(None, ge=0)
 
 
+@dataclasses.dataclass
+class Counters:
+    """What came through a link, lost bytes included.
+
+    ``bytes_to_server`` came from the side that opened the connection.
+    ``reads`` are the pieces in which the bytes came; small messages that are
+    seconds apart come in one piece each.
+    """
+
+    connections: int = 0
+    reads: int = 0
+    bytes_to_server: int = 0
+    bytes_to_client: int = 0
+
+    def add(self, other: 'Counters') -> None:
+        """Add the counts of another link."""
+        for field in dataclasses.fields(self):
+            total = getattr(self, field.name) + getattr(other, field.name)
+            setattr(self, field.name, total)
+
+
 class Side(asyncio.Protocol):
     """One of the two TCP connections of a forwarded connection."""
 
@@ -97,6 +119,7 @@
         self.deliver()
 
     def data_received(self, data: bytes) -> None:
+        self.pipe.count(self, data)
         if not self.pipe.is_swallowed:
             self.other.send(data)
 
@@ -179,11 +202,21 @@
         """Tell whether bytes have to wait."""
         return self.link.state == State.HOLD
 
+    def count(self, side: Side, data: bytes) -> None:
+        """Count bytes that came from ``side``."""
+        counters = self.link.counters
+        counters.reads += 1
+        if side is self.client:
+            counters.bytes_to_server += len(data)
+        else:
+            counters.bytes_to_client += len(data)
+
     def side_made(self, side: Side) -> None:
         """Open the way to the server when a client has connected."""
         if side is not self.client:
             return
         self.link.pipes.add(self)
+        self.link.counters.connections += 1
         match self.link.state:
             case State.CUT:
                 self.abort()
@@ -235,6 +268,7 @@
         self.delay_s = model.delay_ms / 1000
         self.state = State.UP
         self.pipes: set[Pipe] = set()
+        self.counters = Counters()
 
     async def start(self) -> asyncio.Server:
         """Listen; returns the listener."""
@@ -298,6 +332,25 @@
         self.write({'links': rows})
 
 
+class CountersHandler(web.RequestHandler):
+    """Returns the counters of each group since the start."""
+
+    def initialize(self, links: list[Link]) -> None:
+        self.links = links
+
+    def get(self) -> None:
+        counters_by_group: dict[str, Counters] = {}
+        for link in self.links:
+            found = counters_by_group.setdefault(link.group, Counters())
+            found.add(link.counters)
+        self.write(
+            {
+                group: dataclasses.asdict(counters)
+                for group, counters in counters_by_group.items()
+            }
+        )
+
+
 def _endpoint(text: str) -> tuple[str, int]:
     address, _, port = text.rpartition(':')
     return address, int(port)
@@ -322,6 +375,7 @@
         [
             ('/faults', FaultsHandler, options),
             ('/state', StateHandler, options),
+            ('/counters', CountersHandler, options),
         ]
     ).listen(port, address)
     return servers
--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -40,6 +40,11 @@
             body=json.dumps({'groups': ['a'], **body}),
         )
 
+    async def counters(self):
+        client = httpclient.AsyncHTTPClient()
+        answer = await client.fetch(self.control + '/counters')
+        return json.loads(answer.body)
+
     async def connect(self, group='a'):
         return await asyncio.open_connection('127.0.0.1', self.ports[group])
 
@@ -124,6 +129,26 @@
     asyncio.run(main())
 
 
+def test_counts_bytes_by_group_and_direction():
+    """Guards against control costs that are counted for other groups."""
+
+    async def main():
+        links = await Links().start()
+        reader, writer = await links.connect()
+        writer.write(b'hello')
+        await reader.readexactly(5)
+        counted = await links.counters()
+        assert counted['a'] == {
+            'connections': 1,
+            'reads': 2,
+            'bytes_to_server': 5,
+            'bytes_to_client': 5,
+        }
+        assert not any(counted['b'].values())
+
+    asyncio.run(main())
+
+
 def test_unreachable_server_resets_the_client():
     """Guards against clients that wait for a server that is gone."""
 
