--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -190,15 +190,11 @@
     }
 
 
-def _membership(
-    hosts: int, clock: clocks.Clock
-) -> memberships.Membership:
+def _membership(hosts: int, clock: clocks.Clock) -> memberships.Membership:
     membership = memberships.Membership(_host(0), clock)
     for number in range(1, hosts):
         membership.learn(
-            memberships.News(
-                _host(number), 1, 1, memberships.Condition.ALIVE
-            )
+            memberships.News(_host(number), 1, 1, memberships.Condition.ALIVE)
         )
     for zone in range(1, ZONES):
         membership.heard_zone(f'zone-{zone}', clock.now(), 99)
@@ -242,4 +238,3 @@
         elapsed = time.process_time_ns() - started
         best = elapsed if best is None else min(best, elapsed)
     return round((best or 0) / 1e6, 3)
-
