--- a/bench/checker.py
+++ b/bench/checker.py
@@ -510,6 +510,7 @@
             and other.wall_ms > event.wall_ms
         ]
         until = min(restored, default=None)
+        findings.judge(True, f'{event.subject} was retired')
         for record in evidence.records_by_server.get(event.subject, []):
             is_after = record['wall_ms'] > event.wall_ms + TARGET_BOUND_MS
             if not is_after or (until and record['wall_ms'] > until):
@@ -572,6 +573,14 @@
 ) -> None:
     events = sorted(evidence.events, key=lambda event: event.wall_ms)
     accepted = [event for event in events if event.kind == 'accepted']
+    changes_by_version: dict[int, str] = {}
+    for event in accepted:
+        # Two operators who both won would each think theirs is in force.
+        first = changes_by_version.setdefault(event.value, event.subject)
+        findings.judge(
+            first == event.subject,
+            f'version {event.value} is {first!r} and {event.subject!r}',
+        )
     highest_by_host: dict[str, int] = {}
     for event in events:
         if event.kind == 'started':
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import dataclasses
+import signal
 from typing import Any
 
 from bench import fleet as fleet_module
 from bench import http
+from bench import records
 
 # Offered load of an account as a share of its rate.
 USUAL_LOAD = 0.5
+COMMAND_ATTEMPTS = 5
+COMMAND_PAUSE_MS = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,9 +50,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class SetPlatform:
-    """Sets the outage of the platform: ``hang``, ``error`` or none."""
+    """Sets the outage of the platform: ``hang``, ``error`` or none.
 
-    outage: str
+    ``lost`` is the share of answers to writes that are lost.
+    """
+
+    outage: str = ''
+    lost: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class RaceOperators:
+    """Lets operators change the same account at several hosts at once."""
+
+    account: int
+    operators: int = 5
+    rounds: int = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +76,22 @@
     down_ms: int = 5_000
 
 
+@dataclasses.dataclass(frozen=True)
+class PauseHost:
+    """Pauses the process of a host, by number."""
+
+    host: int
+    pause_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PausePrimary:
+    """Pauses the primary of a service, which then returns."""
+
+    service: int
+    pause_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class WithdrawKey:
     """Withdraws the key of an account, by number."""
@@ -93,7 +126,10 @@
     | HealZones
     | SetLag
     | SetPlatform
+    | RaceOperators
     | KillHost
+    | PauseHost
+    | PausePrimary
     | WithdrawKey
     | StopHosts
     | SilenceTargets
@@ -146,21 +182,55 @@
         35_000,
         ((5_000, KillHost(0)), (10_000, KillHost(4)), (15_000, KillHost(8))),
     ),
+    Scenario(
+        'paused',
+        40_000,
+        (
+            (5_000, PauseHost(1, 15_000)),
+            (8_000, PausePrimary(0, 12_000)),
+        ),
+    ),
     Scenario('key-withdrawn', 25_000, ((8_000, WithdrawKey(2)),)),
+    Scenario(
+        'operators-race',
+        25_000,
+        (
+            (4_000, RaceOperators(0)),
+            (8_000, SetPlatform(lost=0.3)),
+            (8_000, RaceOperators(1)),
+            (14_000, SetPlatform()),
+        ),
+    ),
     Scenario('planned-stops', 60_000, ((5_000, StopHosts()),)),
     Scenario('silent-connections', 25_000, ((8_000, SilenceTargets(0)),)),
-    Scenario('target-retired', 30_000, ((8_000, RetireTarget(1)),)),
+    Scenario(
+        'targets-retired',
+        30_000,
+        # The second target of the first service, a replica at first, and
+        # the first primary of the second service.
+        ((6_000, RetireTarget(1)), (14_000, RetireTarget(3))),
+    ),
     Scenario(
         'two-at-once',
-        45_000,
+        40_000,
         (
             (5_000, SetPlatform('hang')),
             (10_000, KillPrimary(0)),
-            (10_000, CutZone(zone=1)),
-            (30_000, HealZones()),
+            (10_000, KillHost(3)),
             (30_000, SetPlatform('')),
         ),
     ),
+    # No two of the first service's three servers can reach each other, so
+    # it takes no writes until the zone is back; what counts is safety.
+    Scenario(
+        'majority-lost',
+        40_000,
+        (
+            (8_000, KillPrimary(0)),
+            (8_000, CutZone(zone=1)),
+            (25_000, HealZones()),
+        ),
+    ),
 )
 
 
@@ -174,7 +244,6 @@
         self._host_ids_off = host_ids_off
         self._cut_groups: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
-        self.withdrawn_accounts: set[str] = set()
 
     async def run(self, scenario: Scenario) -> None:
         """Carry out the steps; ends when the last one is done."""
@@ -215,13 +284,29 @@
                 port = fleet.platform_port
                 await fleet_module.post(
                     f'http://{fleet_module.ADDRESS}:{port}/faults',
-                    {'outage': step.outage},
+                    {
+                        'outage': step.outage,
+                        'lost_probability': step.lost,
+                        'seed': 1,
+                    },
                 )
-                fleet.note('fault', f'platform {step.outage or "up"}')
+                state = step.outage or 'up'
+                fleet.note('fault', f'platform {state}, lost {step.lost}')
+            case RaceOperators():
+                await self._race(step)
             case KillHost():
                 host = fleet.hosts[step.host]
                 await fleet.kill(host.host_id)
                 self._start(self._restart(host, step.down_ms))
+            case PauseHost():
+                self._start(self._pause(fleet.hosts[step.host], step.pause_ms))
+            case PausePrimary():
+                target = await fleet.primary(self._service(step.service))
+                if target is not None:
+                    fleet.note('fault', target.target_id, text='paused')
+                    await self._target_fault(
+                        target, {'freeze_ms': step.pause_ms}
+                    )
             case WithdrawKey():
                 await self._withdraw(step)
             case StopHosts():
@@ -234,45 +319,84 @@
                 fleet.note('fault', f'silent connections of {name}')
             case RetireTarget():
                 target = fleet.targets[step.target]
-                answer = await self.command(
-                    f'RETIRE TARGET {target.target_id}'
+                await self._change(
+                    f'RETIRE TARGET {target.target_id}',
+                    'retired',
+                    target.target_id,
                 )
-                fleet.note('retired', target.target_id)
-                self._accepted(f'retire {target.target_id}', answer)
+
+    async def _change(self, text: str, kind: str, subject: str) -> None:
+        """Send a change and note it, if accepted, from its sending on.
+
+        The answer waits for the change to spread, so the bounds would be
+        laxer if they counted from there.
+        """
+        for _ in range(COMMAND_ATTEMPTS):
+            sent_ms = self._fleet.clock.wall()
+            answer = await self.command(text)
+            if answer.get('outcome') == 'accepted':
+                version = int(answer['version'])
+                self._fleet.events += [
+                    records.Event(kind, subject, sent_ms),
+                    records.Event('accepted', text, sent_ms, version),
+                ]
+                return
+            await self._fleet.clock.sleep(COMMAND_PAUSE_MS)
+        raise RuntimeError(f'{text} was never accepted: {answer}')
 
     async def command(self, text: str) -> dict[str, Any]:
         """Send an operator's command to a host that takes it."""
+        for host in self._fleet.hosts:
+            if answer := await self._command_at(host, text):
+                return answer
+        return {}
+
+    async def _command_at(
+        self, host: fleet_module.Host, text: str
+    ) -> dict[str, Any]:
         fleet = self._fleet
-        for host in fleet.hosts:
-            channel = http.Channel(fleet_module.ADDRESS, host.link_port)
-            key = fleet.keys_by_account[fleet_module.OPERATOR]
-            try:
-                response = await channel.request(
-                    'POST', '/v1/operator', {'command': text}, key
-                )
-            except (http.Unsent, http.Lost):
-                continue
-            finally:
-                channel.close()
-            if response.status == 200:
-                return response.document
-            fleet.note('refused', text, text=str(response.document))
+        channel = http.Channel(fleet_module.ADDRESS, host.caller_port)
+        key = fleet.keys_by_account[fleet_module.OPERATOR]
+        try:
+            response = await channel.request(
+                'POST', '/v1/operator', {'command': text}, key
+            )
+        except (http.Unsent, http.Lost):
+            return {}
+        finally:
+            channel.close()
+        if response.status == 200:
+            return response.document
+        fleet.note('refused', text, text=str(response.document))
         return {}
 
-    def _accepted(self, change: str, answer: dict[str, Any]) -> None:
-        version = answer.get('version')
-        if isinstance(version, int):
-            self._fleet.note('accepted', change, version)
+    async def _race(self, step: RaceOperators) -> None:
+        account = list(self._fleet.accounts)[step.account]
+        for number in range(step.rounds):
+            await asyncio.gather(
+                *(
+                    self._try_change(
+                        f'ALTER ACCOUNT {account} WEIGHT'
+                        f' {1 + number * step.operators + operator}',
+                        self._fleet.hosts[operator],
+                    )
+                    for operator in range(step.operators)
+                )
+            )
+
+    async def _try_change(self, text: str, host: fleet_module.Host) -> None:
+        sent_ms = self._fleet.clock.wall()
+        answer = await self._command_at(host, text)
+        if answer.get('outcome') == 'accepted':
+            version = int(answer['version'])
+            self._fleet.events.append(
+                records.Event('accepted', text, sent_ms, version)
+            )
 
     async def _withdraw(self, step: WithdrawKey) -> None:
-        fleet = self._fleet
-        account = list(fleet.accounts)[step.account]
-        key_id = fleet.keys_by_account[account].partition('.')[0]
-        answer = await self.command(f'WITHDRAW KEY {key_id}')
-        if answer:
-            fleet.note('withdrawn', key_id)
-            self._accepted(f'withdraw {key_id}', answer)
-        self.withdrawn_accounts.add(account)
+        account = list(self._fleet.accounts)[step.account]
+        key_id = self._fleet.keys_by_account[account].partition('.')[0]
+        await self._change(f'WITHDRAW KEY {key_id}', 'withdrawn', key_id)
 
     async def _cut(self, step: CutZone) -> None:
         fleet = self._fleet
@@ -299,6 +423,15 @@
             self._host_ids_off.discard(host.host_id)
             await self._fleet.clock.sleep(step.pause_ms)
 
+    async def _pause(self, host: fleet_module.Host, pause_ms: int) -> None:
+        process = self._fleet.processes_by_name[host.host_id]
+        self._fleet.note('fault', host.host_id, text='paused')
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await self._fleet.clock.sleep(pause_ms)
+        finally:
+            process.send_signal(signal.SIGCONT)
+
     async def _restart(self, host: fleet_module.Host, down_ms: int) -> None:
         self._host_ids_off.add(host.host_id)
         await self._fleet.clock.sleep(down_ms)
