Hold reads that a former primary refuses as a replica

Cause: a read whose route was out of date reached the old primary, which had become a replica, and its refusal replica_behind or replica_too_old ended the request although a newer route was on its way. Nothing ran, so the entry now holds it like not_primary. Ruled out: holding duplicate_in_progress, because the gateway reports it as unknown.

--- a/samphirestand/callers/entry.py
+++ b/samphirestand/callers/entry.py
@@ -28,6 +28,10 @@
         'target_unreachable',
         'target_leaving',
         'draining',
+        # From the target that the route names as primary: the route is out
+        # of date, and a newer one is on its way.
+        'replica_behind',
+        'replica_too_old',
     }
 )
 
--- a/samphirestand/types.py
+++ b/samphirestand/types.py
@@ -229,7 +229,8 @@
 class TokenGrant:
     """Rate tokens moved from one host to another.
 
-    ``valid_ms`` counts from the moment the receiver sent its request.
+    ``tokens`` counts thousandths of a token. ``valid_ms`` counts from the
+    moment the receiver sent its request.
     """
 
     tokens: int
--- a/tests/callers/test_entry.py
+++ b/tests/callers/test_entry.py
@@ -268,6 +268,8 @@
     'target_unreachable',
     'target_leaving',
     'draining',
+    'replica_behind',
+    'replica_too_old',
 ]
 
 
