targets: Let candidates start apart, leave halved deadlines to entry hosts

The second candidate now starts 200 ms later. A fixed order by target id breaks the tie, as neither replica is better.

The gateway halved the deadline of a repeatable request and the entry host does so, too; together a statement had a quarter of its deadline. Only the entry host does it now.

An unexpected error in a request now gives an unknown outcome instead of an exception.

--- a/samphirestand/targets/failover.py
+++ b/samphirestand/targets/failover.py
@@ -25,7 +25,9 @@
 SILENCE_MS = 3_000
 # At most one promotion in this time, unless the new primary has failed too.
 PROMOTION_INTERVAL_MS = 30_000
-LONGEST_DELAY_MS = 300
+LONGEST_JITTER_MS = 100
+# An election's fences are accepted within about 100 ms.
+SECOND_CANDIDATE_MS = 200
 SHORTEST_BACK_OFF_MS = 500
 LONGEST_BACK_OFF_MS = 1_500
 
@@ -37,7 +39,7 @@
     unreachable: int = 0
     agreeing: int = 0
     opposing: int = 0
-    best_position: types.Position = types.Position(0, 0)
+    best: tuple[types.Position, str] = (types.Position(0, 0), '')
 
 
 class Failover:
@@ -173,11 +175,12 @@
         alive_id: str,
         opinion: _Opinion,
     ) -> None:
-        # The most advanced replica's gateway goes first.
+        # The most advanced replica's gateway goes first. Candidates that
+        # start together would split the servers' votes.
         rng, clock = self._context.rng, self._context.clock
-        delay_ms = rng.randint(0, LONGEST_DELAY_MS // 2)
-        if state.position < opinion.best_position:
-            delay_ms += LONGEST_DELAY_MS // 2
+        delay_ms = rng.randint(0, LONGEST_JITTER_MS)
+        if (state.position, self._target.target_id) < opinion.best:
+            delay_ms += SECOND_CANDIDATE_MS
         await clock.sleep(delay_ms)
         reason = (
             f'no status of the primary for {self._silence_ms()} ms; other '
@@ -210,7 +213,7 @@
     ) -> _Opinion | None:
         """Ask the other replicas' gateways; None if one is a primary."""
         unreachable = agreeing = opposing = 0
-        best = types.Position(0, 0)
+        best = (types.Position(0, 0), '')
         asked = self._context.clock.now()
         for peer in self._peers():
             if len(primaries) == 1 and peer in primaries:
@@ -221,7 +224,7 @@
                 continue
             if self._note_primary(status.state, peer, asked):
                 return None
-            best = max(best, status.state.position)
+            best = max(best, (status.state.position, peer.target_id))
             if status.suspects_primary:
                 agreeing += 1
             else:
--- a/samphirestand/targets/gateway.py
+++ b/samphirestand/targets/gateway.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from samphirestand import exceptions
 from samphirestand.targets import admission as admission_module
 from samphirestand.targets import ages as ages_module
 from samphirestand.targets import breaker as breaker_module
@@ -162,6 +163,10 @@
         except refusals.Refused as refused:
             self._context.metrics.count(f'refused_{refused.outcome.code}')
             return refused.outcome
+        except exceptions.SamphirestandError as error:
+            # Nothing is known about how far the request came.
+            LOG.exception('request failed', step=error.step, peer=error.peer)
+            return types.Unknown('internal_error', str(error))
         finally:
             self._running -= 1
 
--- a/samphirestand/targets/runner.py
+++ b/samphirestand/targets/runner.py
@@ -92,11 +92,12 @@
             call = make_call()
             connection = await self._pool.acquire(deadline - clock.now())
             try:
-                remaining = deadline - clock.now()
-                # Half of the time is kept for a second attempt, in case that
-                # only this connection went silent.
-                timeout = remaining // 2 if request.repeatable else remaining
-                answer = await connection.call(call, max(1, timeout))
+                # The entry host shortens the deadline of a first attempt
+                # that may be repeated, so that a connection that went silent
+                # leaves time. Doing it here, too, would end slow statements.
+                answer = await connection.call(
+                    call, max(1, deadline - clock.now())
+                )
             except BaseException:
                 # A connection with an unanswered call is never used again.
                 self._pool.discard(connection)
