--- a/tests/hosts/test_gossip.py
+++ b/tests/hosts/test_gossip.py
@@ -287,6 +287,20 @@
     run(main())
 
 
+def test_heartbeats_go_both_ways():
+    """Guards against live hosts suspected in a large zone."""
+
+    async def main():
+        fleet = await settled({'a': 3})
+        node, peer = fleet['a0'], fleet['a1']
+        node.membership.heard_from('a2', 1, 60)
+        assert beats(peer)['a2'] < 60
+        await node.gossip.exchange(peer.membership.local)
+        assert beats(peer)['a2'] == 60
+
+    run(main())
+
+
 def beats(node):
     return {
         member.host.host_id: member.heartbeat
