Refuse texts that can't be sent instead of failing

JSON may hold a lone surrogate, which Cap'n Proto's text can't. Encoding such a statement for another host raised from the router, which must not raise; it is refused as bad_request now, on this host as well. A reason that quotes such a text is sent with a replacement character.

--- a/samphirestand/hosts/codec.py
+++ b/samphirestand/hosts/codec.py
@@ -81,7 +81,7 @@
         case types.Unknown():
             unknown = message.init('unknown')
             unknown.code = outcome.code
-            unknown.reason = outcome.reason
+            unknown.reason = _readable(outcome.reason)
     return message
 
 
@@ -98,7 +98,7 @@
 
 def _encode_not_run(outcome: types.NotRun, message: Any) -> None:
     message.code = outcome.code
-    message.reason = outcome.reason
+    message.reason = _readable(outcome.reason)
     if outcome.retry_after_ms is not None:
         message.retryAfterMs = outcome.retry_after_ms
     message.hint = outcome.hint
@@ -184,5 +184,10 @@
     return f'{type(error).__name__}: {text}'.partition('\n')[0]
 
 
+def _readable(reason: str) -> str:
+    """Replace what UTF-8 can't hold; a reason may quote a statement."""
+    return reason.encode(errors='replace').decode()
+
+
 def _duration(duration_ms: int) -> int:
     return min(max(duration_ms, 0), UINT32_MAX)
--- a/samphirestand/hosts/routing.py
+++ b/samphirestand/hosts/routing.py
@@ -101,6 +101,8 @@
 
     async def run(self, request: types.Request) -> types.Outcome:
         """Run on the gateway host of the target; never raises."""
+        if not _is_sendable(request):
+            return types.NotRun('bad_request', 'text that UTF-8 cannot hold')
         if request.transaction_id:
             return await self._run_in_transaction(request)
         target = self._configuration.current.targets_by_id.get(
@@ -204,3 +206,13 @@
     return dataclasses.replace(
         request, deadline_ms=request.deadline_ms - reserve_ms
     )
+
+
+def _is_sendable(request: types.Request) -> bool:
+    """Tell whether the texts can be sent; JSON may hold lone surrogates."""
+    texts = (request.statement, request.request_id, request.service)
+    try:
+        '\n'.join(texts).encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/tests/hosts/test_routing.py
+++ b/tests/hosts/test_routing.py
@@ -128,6 +128,14 @@
         assert result == expected
 
 
+@pytest.mark.parametrize('gateway_id', ['h1', 'h2'])
+def test_text_that_cannot_be_sent(gateway_id):
+    """Guards against an exception for JSON with a lone surrogate."""
+    made = router(Clients({'h2': DONE}), ['h2'], gateway_id)
+    result = asyncio.run(made.run(fakes.request(statement='SET a \ud800')))
+    assert result.code == 'bad_request'
+
+
 @pytest.mark.parametrize('error', [UNSENT, LOST])
 def test_target_status_of_an_unreachable_host(error):
     """Guards against a probe that raises and ends its task."""
--- a/tests/hosts/test_rpc.py
+++ b/tests/hosts/test_rpc.py
@@ -119,6 +119,13 @@
     assert codec.decode_outcome(message) == outcome
 
 
+def test_reason_that_quotes_a_broken_text():
+    """Guards against a refusal that gets lost because of its reason."""
+    outcome = types.NotRun('bad_statement', 'SET \ud800')
+    message = codec.encode_outcome(outcome).as_reader()
+    assert codec.decode_outcome(message).reason == 'SET ?'
+
+
 def test_wrong_secret_is_turned_away():
     """Guards against strangers that may call methods."""
 
