--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -12,9 +12,11 @@
 
 SERVICES = (0, 3, 6)
 HOSTS = (2, 4, 8)
-CHANGES = 5
+CHANGES = 20
+CHANGE_PAUSE_S = 0.4
 SETTLE_S = 6
 MEASURED_S = 6
+CHANGED_S = 10
 
 # Rate tokens: the first host has the targets and no callers.
 TOKEN_HOSTS = 8
@@ -99,8 +101,8 @@
         plan = capacity_fleet.Plan(host_zones=zones)
         async with capacity_fleet.Fleet(plan) as fleet:
             await asyncio.sleep(SETTLE_S)
-            idle = await _platform_rates(fleet, MEASURED_S, 0)
-            changing = await _platform_rates(fleet, MEASURED_S, CHANGES)
+            idle = await _platform_rates(fleet, CHANGED_S, 0)
+            changing = await _platform_rates(fleet, CHANGED_S, CHANGES)
         points.append(
             {
                 'hosts': hosts,
@@ -125,7 +127,7 @@
     for number in range(changes):
         name = capacity_fleet.ACCOUNT
         await fleet.command(f'ALTER ACCOUNT {name} RATE {1_000 + number}')
-        await asyncio.sleep(seconds / changes - 0.2)
+        await asyncio.sleep(CHANGE_PAUSE_S)
     await asyncio.sleep(max(0, started + seconds - time.monotonic()))
     elapsed = time.monotonic() - started
     after = await fleet.platform_counters()
--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -176,6 +176,9 @@
             memberships.News(host, 1, 1, memberships.Condition.ALIVE)
         )
         after_change.append(_best_ms(placed.reconcile, repeats=1))
+    # The daemon passes on the retired hosts with each configuration.
+    membership.set_retired(frozenset())
+    after_configuration_ms = _best_ms(placed.reconcile, repeats=1)
     return {
         'targets': services * TARGETS_PER_SERVICE,
         'hosts': hosts,
@@ -187,6 +190,7 @@
         'after_a_host_changed_ms': round(
             sum(after_change) / len(after_change), 2
         ),
+        'after_a_configuration_change_ms': after_configuration_ms,
     }
 
 
