--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -18,8 +18,10 @@
 MEASURED_S = 6
 CHANGED_S = 10
 
-# Rate tokens: the first host has the targets and no callers.
-TOKEN_HOSTS = 8
+# Rate tokens: the first three hosts have the targets and no callers, the
+# fourth is the rate owner.
+TOKEN_ZONES = ('zone-0', 'zone-1', 'zone-2') + ('zone-3',) * 7
+OWNER = 3
 ASKING_HOSTS = (0, 1, 3, 6)
 TOKEN_RATE = 160
 OFFERED_EACH = 60
@@ -139,11 +141,10 @@
 
 async def measure_tokens(seed: int) -> list[dict[str, Any]]:
     """Return the cost of the rate owner by the hosts that run short."""
-    owner = 1
-    account = _account_owned_by(owner)
+    account = _account_owned_by(OWNER)
     plan = capacity_fleet.Plan(
-        host_zones=('zone-0',) + ('zone-1',) * (TOKEN_HOSTS - 1),
-        service_zones=(('zone-0', 'zone-0', 'zone-0'),),
+        host_zones=TOKEN_ZONES,
+        service_zones=(('zone-0', 'zone-1', 'zone-2'),),
         accounts=(account,),
         rate=TOKEN_RATE,
         has_links=True,
@@ -152,40 +153,42 @@
     async with capacity_fleet.Fleet(plan) as fleet:
         await asyncio.sleep(2 * SETTLE_S)
         for asking in ASKING_HOSTS:
-            points.append(await _tokens_point(fleet, owner, asking, seed))
+            points.append(await _tokens_point(fleet, asking, seed))
     return points
 
 
 def _account_owned_by(index: int) -> str:
-    """Return an account whose rate owner is a host of zone 1.
+    """Return an account whose rate owner is the host ``index``.
 
     The choice follows ``placement.anywhere``.
     """
+    zone = TOKEN_ZONES[index]
     hosts = [
-        types.Host(f'h{each}', 'zone-1', 1, '', '', 1)
-        for each in range(1, TOKEN_HOSTS)
+        types.Host(f'h{number}', each, 1, '', '', 1)
+        for number, each in enumerate(TOKEN_ZONES)
+        if each == zone
     ]
     for number in range(1_000):
         name = f'account-{number}'
-        zone = max(
-            ('zone-0', 'zone-1'),
+        chosen = max(
+            sorted(set(TOKEN_ZONES)),
             key=lambda each: rendezvous.score(each, name),
         )
         owner = rendezvous.choose(hosts, name)
-        if zone == 'zone-1' and owner and owner.host_id == f'h{index}':
+        if chosen == zone and owner and owner.host_id == f'h{index}':
             return name
     raise RuntimeError('no account fits')
 
 
 async def _tokens_point(
-    fleet: capacity_fleet.Fleet, owner: int, asking: int, seed: int
+    fleet: capacity_fleet.Fleet, asking: int, seed: int
 ) -> dict[str, Any]:
     callers = [
-        capacity_load.Callers(fleet, owner + 1 + number, seed)
+        capacity_load.Callers(fleet, OWNER + 1 + number, seed)
         for number in range(asking)
     ]
     counters = await fleet.link_counters()
-    before = fleet.processor_ms(owner)
+    before = fleet.processor_ms(OWNER)
     started = time.monotonic()
     loads = await asyncio.gather(
         asyncio.sleep(TOKEN_LOAD_S),
@@ -199,9 +202,9 @@
         ),
     )
     elapsed = time.monotonic() - started
-    used = fleet.processor_ms(owner) - before
+    used = fleet.processor_ms(OWNER) - before
     after = await fleet.link_counters()
-    owner_id = fleet.host_ids[owner]
+    owner_id = fleet.host_ids[OWNER]
     changes = {'reads': 0, 'bytes_to_server': 0, 'bytes_to_client': 0}
     for group, counted in after.items():
         if owner_id in group.split(' '):
--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -72,6 +72,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.host_ids = [f'h{each}' for each in range(len(plan.host_zones))]
         self._links: list[dict[str, Any]] = []
+        self._last_answer: dict[str, Any] = {}
 
     async def __aenter__(self) -> 'Fleet':
         try:
@@ -224,7 +225,7 @@
             'fleet_secret_file': 'fleet-secret',
             'token_secrets_file': 'token-secrets',
             'bootstrap_file': 'bootstrap.yaml',
-            'log_level': 'error',
+            'log_level': 'warning',
             'address_translation': self._translation(index),
         }
 
@@ -313,7 +314,10 @@
                     self._check_running()
                 await asyncio.sleep(0.1)
                 if loop.time() > end:
-                    raise RuntimeError(f'{self.host_ids[index]} is not ready')
+                    raise RuntimeError(
+                        f'{self.host_ids[index]} is not ready: '
+                        f'{self._last_answer}'
+                    )
         channel.close()
 
     def _health(self, channel: http.Channel) -> Any:
@@ -335,6 +339,7 @@
                 },
                 key(self.plan.accounts[0]),
             )
+            self._last_answer = answer.document
             return answer.status == 200
 
         return is_written
--- a/bench/capacity_hosts.py
+++ b/bench/capacity_hosts.py
@@ -37,7 +37,7 @@
     """Return memory and processor time by open connections of a host."""
     plan = capacity_fleet.Plan(
         host_zones=('zone-0',),
-        service_zones=(('zone-0', 'zone-0', 'zone-0'),),
+        service_zones=(('zone-0', 'zone-1', 'zone-2'),),
     )
     points = []
     async with capacity_fleet.Fleet(plan) as fleet:
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -10,7 +10,7 @@
 
 
 def host(number):
-    zone = 'zone-1' if number else 'zone-0'
+    zone = capacity_control.TOKEN_ZONES[number]
     return types.Host(f'h{number}', zone, 1, 'http://127.0.0.1:1', '', 2)
 
 
@@ -22,13 +22,15 @@
 
 def test_the_measured_host_owns_the_rate():
     """Guards against figures of a host that isn't the rate owner."""
-    account = capacity_control._account_owned_by(1)
-    for number in range(capacity_control.TOKEN_HOSTS):
-        hosts = membership.Membership(host(number), clocks.ManualClock())
-        for other in range(capacity_control.TOKEN_HOSTS):
-            hosts.learn(
-                membership.News(host(other), 1, 1, membership.Condition.ALIVE)
+    owner = capacity_control.OWNER
+    account = capacity_control._account_owned_by(owner)
+    clock = clocks.ManualClock()
+    hosts = [host(each) for each in range(len(capacity_control.TOKEN_ZONES))]
+    for local in hosts:
+        members = membership.Membership(local, clock)
+        for each in hosts:
+            members.learn(
+                membership.News(each, 1, 1, membership.Condition.ALIVE)
             )
-        other_zone = 'zone-0' if number else 'zone-1'
-        hosts.heard_zone(other_zone, clocks.ManualClock().now(), 1)
-        assert hosts.rate_owner(account).host_id == 'h1'
+            members.heard_zone(each.zone, clock.now(), 1)
+        assert members.rate_owner(account) == hosts[owner]
