--- a/bench/capacity_hosts.py
+++ b/bench/capacity_hosts.py
@@ -37,7 +37,7 @@
     """Return memory and processor time by open connections of a host."""
     plan = capacity_fleet.Plan(
         host_zones=('zone-0',),
-        service_zones=(('zone-0', 'zone-0', 'zone-0'),),
+        service_zones=(('zone-0', 'zone-1', 'zone-2'),),
     )
     points = []
     async with capacity_fleet.Fleet(plan) as fleet:
@@ -254,4 +254,6 @@
     for package in ('tornado', 'pydantic', 'asyncio', 'capnp', 'hdrh'):
         if package in parts or package in name:
             return package
-    return 'built in' if file == '~' else 'standard library and others'
+    if file != '~':
+        return 'standard library and others'
+    return 'sockets' if '_socket' in name else 'other built-in functions'
