Give balancers notice before a stopping host closes its connections

A stopping host now serves for drain_notice_ms (3 s) at least.

Ruled out: closing idle connections one by one, because HTTP/1.1 can't tell a caller before it sends that the connection is about to close. The new test fails without the notice.

--- a/samphirestand/callers/server.py
+++ b/samphirestand/callers/server.py
@@ -30,7 +30,7 @@
 
 # Between the last answer and the close of the listener, callers whose next
 # request is under way on an idle connection can still be answered.
-QUIET_MS = 200
+QUIET_MS = 500
 DRAIN_CHECK_MS = 20
 
 NOT_RUN_STATUSES = {
@@ -110,18 +110,21 @@
         """Listen on sockets that are bound already."""
         self._http.add_sockets(sockets)
 
-    async def drain(self, limit_ms: int) -> int:
+    async def drain(self, limit_ms: int, notice_ms: int = 0) -> int:
         """Wait until no request runs; returns how many still do.
 
         Answers tell callers to use a new connection, which another host
-        should take. New requests are served until the listener closes.
+        should take. New requests are served until the listener closes, and
+        for at least ``notice_ms``, so that balancers see the host leave: one
+        that doesn't know yet sends requests to a connection being closed.
         """
         self._state.is_draining = True
-        end_ms = self._state.clock.now() + limit_ms
-        quiet_since_ms = self._state.clock.now()
+        now_ms = self._state.clock.now()
+        end_ms = now_ms + limit_ms
+        quiet_since_ms = max(now_ms, now_ms + notice_ms - QUIET_MS)
         while self._state.clock.now() < end_ms:
             if self._state.running:
-                quiet_since_ms = self._state.clock.now()
+                quiet_since_ms = max(quiet_since_ms, self._state.clock.now())
             elif self._state.clock.now() - quiet_since_ms >= QUIET_MS:
                 break
             await self._state.clock.sleep(DRAIN_CHECK_MS)
--- a/samphirestand/config.py
+++ b/samphirestand/config.py
@@ -47,6 +47,7 @@
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     max_body_bytes: int = pydantic.Field(1_048_576, ge=1_024, le=16_777_216)
     stop_limit_ms: int = pydantic.Field(65_000, ge=1_000, le=600_000)
+    drain_notice_ms: int = pydantic.Field(3_000, ge=0, le=60_000)
     address_translation: dict[str, str] = pydantic.Field(default_factory=dict)
     caller_tls: TlsModel | None = None
     peer_tls: TlsModel | None = None
@@ -89,6 +90,7 @@
     log_level: str
     max_body_bytes: int
     stop_limit_ms: int
+    drain_notice_ms: int
     address_translation: dict[str, str]
     caller_tls: Tls | None
     peer_tls: Tls | None
@@ -152,6 +154,7 @@
         log_level=model.log_level,
         max_body_bytes=model.max_body_bytes,
         stop_limit_ms=model.stop_limit_ms,
+        drain_notice_ms=model.drain_notice_ms,
         address_translation=model.address_translation,
         caller_tls=_tls(model.caller_tls, folder),
         peer_tls=_tls(model.peer_tls, folder),
--- a/samphirestand/daemon.py
+++ b/samphirestand/daemon.py
@@ -283,7 +283,9 @@
             await self.discovery.refresh()
         limit_ms = self._settings.stop_limit_ms
         handover = asyncio.create_task(self.gateways.stop())
-        left = await self.callers.drain(limit_ms)
+        left = await self.callers.drain(
+            limit_ms, self._settings.drain_notice_ms
+        )
         await asyncio.wait({handover}, timeout=limit_ms / 1000)
         with contextlib.suppress(exceptions.PlatformError):
             await self.rate_slots.give_up_all()
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -350,6 +350,17 @@
 
         assert self.io_loop.run_sync(main) == 1
 
+    def test_drain_gives_notice(self):
+        """Guards against a stop before balancers see the host leave."""
+
+        async def main():
+            clock = self.state.clock
+            started_ms = clock.now()
+            await self.server.drain(10_000, 1_000)
+            return clock.now() - started_ms
+
+        assert self.io_loop.run_sync(main) >= 1_000
+
     def test_draining_host_still_answers_until_it_is_quiet(self):
         """Guards against callers that are cut off before they moved on."""
 
