--- a/samphirestand/hosts/routing.py
+++ b/samphirestand/hosts/routing.py
@@ -210,7 +210,14 @@
 
 def _is_sendable(request: types.Request) -> bool:
     """Tell whether the texts can be sent; JSON may hold lone surrogates."""
-    texts = (request.statement, request.request_id, request.service)
+    texts = (
+        request.statement,
+        request.request_id,
+        request.transaction_id,
+        request.service,
+        request.account,
+        request.key_id,
+    )
     try:
         '\n'.join(texts).encode()
     except UnicodeEncodeError:
