--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -165,7 +165,9 @@
         None,  # type: ignore[arg-type]
     )
     placed.started = set()
+    before = processes.rss_bytes()
     first_ms = _best_ms(placed.reconcile, repeats=1)
+    choices_bytes = processes.rss_bytes() - before
     steady_ms = _best_ms(placed.reconcile, repeats=20)
     started = len(placed.started)
     rng = random.Random(seed)
@@ -184,6 +186,7 @@
         'hosts': hosts,
         'zones': ZONES,
         'membership_mb': round(membership_bytes / 1e6, 2),
+        'choices_mb': round(choices_bytes / 1e6, 2),
         'gateways_placed_here': started,
         'first_ms': first_ms,
         'steady_ms': steady_ms,
