Claim no rate slots before the first configuration

Cause: a starting host claimed a slot by the default number of slots, gave it up when the configuration named another number, and took a second one that was never held before; both buckets started full, so an account could get more than its burst.

--- a/samphirestand/hosts/rate_slots.py
+++ b/samphirestand/hosts/rate_slots.py
@@ -434,6 +434,11 @@
             await self._give_up(slot)
 
     def _wanted_keys(self) -> list[str]:
+        # Before the first version the number of slots isn't known. Slots that
+        # were claimed by the default number and given up again would make
+        # room for others whose buckets start full as well.
+        if not self._configuration.current.version:
+            return []
         return slot_rows.slot_keys(
             self._zone, self._zones, self._configuration.current.rate_slots
         )
--- a/tests/hosts/test_rate_slots.py
+++ b/tests/hosts/test_rate_slots.py
@@ -107,7 +107,8 @@
         self.membership = Membership(ids)
         self.views = {each: View(self.table) for each in ids}
         configuration = fakes.Configuration()
-        configuration.current = types.Configuration(rate_slots=slots)
+        configuration.current = types.Configuration(1, rate_slots=slots)
+        self.configuration = configuration
         self.hosts = {}
         for each in ids:
             self.hosts[each] = rate_slots.RateSlots(
@@ -170,6 +171,22 @@
     run(main())
 
 
+def test_no_slot_is_claimed_before_the_first_configuration():
+    """Guards against full buckets beyond the configured number of slots."""
+
+    async def main():
+        zone = Zone('x', slots=3)
+        first = zone.configuration.current
+        zone.configuration.current = types.Configuration()
+        await zone.advance(10_000)
+        assert zone.claims == []
+        zone.configuration.current = first
+        await zone.advance(20_000)
+        assert len(zone.claims) == 3
+
+    run(main())
+
+
 @pytest.mark.parametrize('fault', ['lost', 'late', 'down'])
 def test_lost_answers_to_a_claim(fault):
     """Guards against a slot that nobody uses, or that two hosts use."""
