Detect a failed primary after two seconds of silence

The failover gap weighs most for one of the users, and most of it was the wait for silence: probes come every 250 ms, and before an election a direct probe and the other replica's gateway must agree, so that a gateway that fails alone starts none.

Ruled out: shorter probes, which cost every gateway.

--- a/samphirestand/targets/failover.py
+++ b/samphirestand/targets/failover.py
@@ -22,7 +22,7 @@
 INTERVAL_MS = 250
 QUESTION_TIMEOUT_MS = 500
 # Silence of the primary after which it is probed directly.
-SILENCE_MS = 3_000
+SILENCE_MS = 2_000
 # At most one promotion in this time, unless the new primary has failed too.
 PROMOTION_INTERVAL_MS = 30_000
 LONGEST_JITTER_MS = 100
