Claim a rate slot before a starting host listens for callers

Cause: slots are claimed only once the configuration is known, and the next look at the table came up to 9 s later, so a new host refused its first callers with rate_exceeded; tests/test_fleet.py failed on it. The host now claims at once and waits up to 3 s; in a platform outage it starts without a slot and lives on transfers. The new test fails without the immediate claim.

--- a/samphirestand/daemon.py
+++ b/samphirestand/daemon.py
@@ -45,6 +45,9 @@
 # How often a starting host looks for a configuration.
 CONFIGURATION_RETRY_MS = 500
 
+# How long a starting host waits for its first rate slot.
+FIRST_SLOT_LIMIT_MS = 3_000
+
 EXIT_SETTINGS = 2
 
 _log = log.get_logger(__name__)
@@ -267,6 +270,7 @@
         # Without a configuration every request would be refused, so callers
         # wait until the platform or a peer has given one.
         await self._await_configuration()
+        await self.rate_slots.await_first(FIRST_SLOT_LIMIT_MS)
         self.callers.listen(settings.caller_port, settings.caller_address)
         _log.info(
             'ready',
--- a/samphirestand/hosts/rate_slots.py
+++ b/samphirestand/hosts/rate_slots.py
@@ -17,6 +17,7 @@
 
 RENEW_MS = 5_000
 CHECK_MS = 500
+FIRST_CHECK_MS = 20
 
 # A row that wasn't renewed for FREE_MS may be claimed. Its holder stops
 # after LIMIT_MS, which leaves 3 s for its last use and for evidence of the
@@ -178,6 +179,18 @@
             self._renew_at_ms, self._clock.now() + retry_ms
         )
 
+    async def await_first(self, limit_ms: int) -> None:
+        """Claim slots at once and wait until one may be used.
+
+        A host without a slot would refuse its first callers. Returns after
+        ``limit_ms`` in any case: in a platform outage nothing can be claimed.
+        """
+        end_ms = self._clock.now() + limit_ms
+        self._scan_at_ms = self._clock.now()
+        # The task of ``run`` makes the claim.
+        while not self.held() and self._clock.now() < end_ms:
+            await self._clock.sleep(FIRST_CHECK_MS)
+
     async def give_up_all(self) -> None:
         """Stop using all slots and free their rows, for a planned stop."""
         self._stopping = True
--- a/tests/hosts/test_rate_slots.py
+++ b/tests/hosts/test_rate_slots.py
@@ -187,6 +187,27 @@
     run(main())
 
 
+@pytest.mark.parametrize('is_up, held', [(True, 1), (False, 0)])
+def test_a_starting_host_waits_for_its_first_slot(is_up, held):
+    """Guards against a new host that refuses callers inside their rate."""
+
+    async def main():
+        zone = Zone('x')
+        zone.views['x'].fault = 'ok' if is_up else 'down'
+        first = zone.configuration.current
+        zone.configuration.current = types.Configuration()
+        task = asyncio.create_task(zone.hosts['x'].run())
+        await zone.clock.advance(1_000)
+        zone.configuration.current = first
+        waiting = asyncio.create_task(zone.hosts['x'].await_first(1_000))
+        await zone.clock.advance(1_000)
+        assert waiting.done()
+        assert zone.held('x') == held
+        task.cancel()
+
+    run(main())
+
+
 @pytest.mark.parametrize('fault', ['lost', 'late', 'down'])
 def test_lost_answers_to_a_claim(fault):
     """Guards against a slot that nobody uses, or that two hosts use."""
