Start hosts while the platform is down

Settings may now name contacts, and a host is starting until it has a configuration and has tried to get a rate slot; no gateway is placed on a starting host.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -363,6 +363,17 @@
                 'callers': {'address': ADDRESS, 'port': host.caller_port},
                 'peers': {'address': ADDRESS, 'port': host.peer_port},
                 'platform_url': f'http://{ADDRESS}:{self.platform_port}',
+                'contacts': [
+                    {
+                        'host_id': each.host_id,
+                        'zone': each.zone,
+                        'peers': {
+                            'address': ADDRESS,
+                            'port': each.peer_port,
+                        },
+                    }
+                    for each in self.hosts
+                ],
                 'address_translation': self._translations_by_zone[host.zone],
             }
             path = self.folder / f'{host.host_id}.yaml'
--- a/examples/prepare.py
+++ b/examples/prepare.py
@@ -67,23 +67,33 @@
     _write_bootstrap(fleet, output)
 
     # Hosts are numbered over all zones; each has two ports.
+    places = [
+        (f'{zone.lower()}-{index + 1}', zone)
+        for zone in fleet.zones
+        for index in range(hosts_per_zone)
+    ]
+    contacts = [
+        {
+            'host_id': host_id,
+            'zone': zone,
+            'peers': _next(fleet.host['peers'], number),
+        }
+        for number, (host_id, zone) in enumerate(places)
+    ]
     platform_port = _port(fleet.host['platform_url'])
     commands = [f'standins.platform --port {platform_port}']
     commands += _target_commands(fleet)
-    number = 0
-    for zone in fleet.zones:
-        for index in range(hosts_per_zone):
-            host_id = f'{zone.lower()}-{index + 1}'
-            settings = fleet.host | {
-                'host_id': host_id,
-                'zone': zone,
-                'callers': _next(fleet.host['callers'], number),
-                'peers': _next(fleet.host['peers'], number),
-            }
-            path = output / f'{host_id}.yaml'
-            path.write_text(yaml.safe_dump(settings, sort_keys=False))
-            commands.append(f'samphirestand.daemon {path}')
-            number += 1
+    for number, (host_id, zone) in enumerate(places):
+        settings = fleet.host | {
+            'host_id': host_id,
+            'zone': zone,
+            'callers': _next(fleet.host['callers'], number),
+            'peers': _next(fleet.host['peers'], number),
+            'contacts': contacts,
+        }
+        path = output / f'{host_id}.yaml'
+        path.write_text(yaml.safe_dump(settings, sort_keys=False))
+        commands.append(f'samphirestand.daemon {path}')
     (output / 'processes').write_text('\n'.join(commands) + '\n')
 
 
--- a/samphirestand/config.py
+++ b/samphirestand/config.py
@@ -30,6 +30,16 @@
     authority_file: pathlib.Path | None = None
 
 
+class Contact(pydantic.BaseModel):
+    """Another host that a starting host may ask."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    host_id: str = pydantic.Field(pattern=r'^[A-Za-z0-9_-]{1,40}$')
+    zone: str = pydantic.Field(pattern=r'^[A-Za-z0-9_-]{1,40}$')
+    peers: Endpoint
+
+
 class SettingsModel(pydantic.BaseModel):
     """The settings file of one host."""
 
@@ -48,6 +58,7 @@
     max_body_bytes: int = pydantic.Field(1_048_576, ge=1_024, le=16_777_216)
     stop_limit_ms: int = pydantic.Field(65_000, ge=1_000, le=600_000)
     drain_notice_ms: int = pydantic.Field(3_000, ge=0, le=60_000)
+    contacts: list[Contact] = pydantic.Field(default_factory=list)
     address_translation: dict[str, str] = pydantic.Field(default_factory=dict)
     caller_tls: TlsModel | None = None
     peer_tls: TlsModel | None = None
@@ -72,6 +83,16 @@
     authority_file: pathlib.Path | None
 
 
+@dataclasses.dataclass(frozen=True)
+class KnownHost:
+    """Another host named by the settings."""
+
+    host_id: str
+    zone: str
+    peer_address: str
+    peer_port: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """Checked settings of one host; paths are absolute."""
@@ -91,6 +112,7 @@
     max_body_bytes: int
     stop_limit_ms: int
     drain_notice_ms: int
+    contacts: tuple[KnownHost, ...]
     address_translation: dict[str, str]
     caller_tls: Tls | None
     peer_tls: Tls | None
@@ -155,6 +177,15 @@
         max_body_bytes=model.max_body_bytes,
         stop_limit_ms=model.stop_limit_ms,
         drain_notice_ms=model.drain_notice_ms,
+        contacts=tuple(
+            KnownHost(
+                each.host_id,
+                each.zone,
+                str(each.peers.address),
+                each.peers.port,
+            )
+            for each in model.contacts
+        ),
         address_translation=model.address_translation,
         caller_tls=_tls(model.caller_tls, folder),
         peer_tls=_tls(model.peer_tls, folder),
--- a/samphirestand/daemon.py
+++ b/samphirestand/daemon.py
@@ -83,8 +83,12 @@
             ),
             peer_address=settings.peer_address,
             peer_port=settings.peer_port,
+            status=types.HostStatus.STARTING,
         )
         self.membership = membership_module.Membership(local, clock)
+        for contact in settings.contacts:
+            if contact.host_id != settings.host_id:
+                self.membership.learn_contact(_contact(contact))
         self.routes = routing.RouteTable(clock)
         self.platform = platform_client.PlatformClient(
             settings.platform_url,
@@ -271,6 +275,7 @@
         # wait until the platform or a peer has given one.
         await self._await_configuration()
         await self.rate_slots.await_first(FIRST_SLOT_LIMIT_MS)
+        self.membership.set_status(types.HostStatus.READY)
         self.callers.listen(settings.caller_port, settings.caller_address)
         _log.info(
             'ready',
@@ -351,6 +356,17 @@
         return context
 
 
+def _contact(contact: config.KnownHost) -> types.Host:
+    return types.Host(
+        host_id=contact.host_id,
+        zone=contact.zone,
+        incarnation=0,
+        caller_url='',
+        peer_address=contact.peer_address,
+        peer_port=contact.peer_port,
+    )
+
+
 async def serve(settings: config.Settings) -> None:
     """Run a host until SIGTERM or SIGINT asks for a planned stop."""
     stop = asyncio.Event()
--- a/samphirestand/hosts/membership.py
+++ b/samphirestand/hosts/membership.py
@@ -38,6 +38,12 @@
 SPREAD_TIMES = 12
 
 
+# A starting host has no configuration yet, and a draining one hands over.
+WITHOUT_WORK = frozenset(
+    {types.HostStatus.STARTING, types.HostStatus.DRAINING}
+)
+
+
 class Condition(enum.StrEnum):
     """What the zone of a host says about it; later ones win a tie."""
 
@@ -499,7 +505,7 @@
 
     def _may_have_work(self, host: types.Host) -> bool:
         return (
-            host.status != types.HostStatus.DRAINING
+            host.status not in WITHOUT_WORK
             and host.host_id not in self._retired_ids
         )
 
--- a/samphirestand/types.py
+++ b/samphirestand/types.py
@@ -206,6 +206,7 @@
 class HostStatus(enum.StrEnum):
     """What a host says about itself."""
 
+    STARTING = 'starting'
     READY = 'ready'
     DRAINING = 'draining'
     CUT_OFF = 'cut_off'
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -29,6 +29,23 @@
         self.offset = offset
         self.processes = []
 
+    def start(self, line, number):
+        with (self.folder / f'{number}.log').open('a') as file:
+            return subprocess.Popen(
+                [sys.executable, '-m', *line.split()],
+                cwd=pathlib.Path(__file__).parent.parent,
+                stderr=file,
+                stdout=file,
+            )
+
+    def fail_platform(self, outage):
+        """Set or end an outage of the platform."""
+        request = urllib.request.Request(
+            f'http://127.0.0.1:{FIRST_PORT + self.offset}/faults',
+            json.dumps({'outage': outage}).encode(),
+        )
+        urllib.request.urlopen(request, timeout=30).close()
+
     def key(self, name):
         return (self.folder / f'{name}.key').read_text().strip()
 
@@ -101,16 +118,7 @@
     found = Fleet(folder, free_offset())
     prepare.write(prepare.load('bagmati', found.offset), 1, folder)
     for line in (folder / 'processes').read_text().splitlines():
-        log = folder / f'{len(found.processes)}.log'
-        with log.open('w') as file:
-            found.processes.append(
-                subprocess.Popen(
-                    [sys.executable, '-m', *line.split()],
-                    cwd=pathlib.Path(__file__).parent.parent,
-                    stderr=file,
-                    stdout=file,
-                )
-            )
+        found.processes.append(found.start(line, len(found.processes)))
     try:
         for host in range(3):
             found.until(lambda number=host: found.call(number, 'health'))
@@ -184,6 +192,19 @@
     fleet.until(is_refused)
 
 
+def test_a_host_starts_while_the_platform_is_down(fleet):
+    """Guards against hosts that can't be replaced during an outage."""
+    fleet.processes[-1].kill()
+    fleet.processes[-1].wait(STOP_LIMIT_S)
+    fleet.fail_platform('error')
+    lines = (fleet.folder / 'processes').read_text().splitlines()
+    fleet.processes[-1] = fleet.start(lines[-1], len(lines) - 1)
+    fleet.until(lambda: fleet.call(2, 'health')['status'] == 'ready')
+    done = fleet.statement(2, 'SET outage yes', 'write')
+    assert done['outcome'] == 'done', done
+    fleet.fail_platform('')
+
+
 def test_a_planned_stop_hands_over(fleet):
     """Guards against a stop that fails requests or ends with an error."""
     process = fleet.processes[-1]
