Let the last answers leave before a stopping host hangs up

Cause: PeerServer.close awaited the running calls and closed their connections in the same turn of the event loop, before the library had written the answers. The caller of a call that was under way got HostAnswerLost, so a planned stop turned a finished request into an unknown outcome. Until now no test covered the wait.

Ruled out: waiting until the other host hangs up, because its idle connections stay.

Trials on a scratch copy: without the wait for running work and without the pause, test_close_finishes_running_calls fails.

--- a/samphirestand/hosts/server.py
+++ b/samphirestand/hosts/server.py
@@ -29,6 +29,10 @@
 # Time for a refusal to leave before its connection is closed.
 REFUSAL_MS = 10
 
+# Time for the last answers to leave before `close` ends the connections. The
+# library writes an answer two turns of the event loop after its task ended.
+ANSWERS_LEAVE_MS = 20
+
 # Changes in one answer; a peer that needs more asks again.
 CHANGES_MAX = 100
 
@@ -120,6 +124,7 @@
         self._socket.close()
         if self._work:
             await asyncio.wait(self._work)
+            await asyncio.sleep(ANSWERS_LEAVE_MS / 1000)
         for stream in list(self._streams):
             stream.close()
         if self._serving:
--- a/tests/hosts/test_rpc.py
+++ b/tests/hosts/test_rpc.py
@@ -382,6 +382,24 @@
     run(main())
 
 
+def test_close_finishes_running_calls():
+    """Guards against a planned stop that cuts off another host's request."""
+
+    async def main():
+        gateway = fakes.Gateway()
+        gateway.gate = asyncio.Event()
+        async with clients() as peers:
+            async with host(gateway) as h1:
+                call = asyncio.create_task(
+                    peers.run(h1, fakes.request(), 60_000)
+                )
+                await gateway.started.wait()
+                asyncio.get_running_loop().call_later(0.05, gateway.gate.set)
+            assert isinstance(await call, types.Done)
+
+    run(main())
+
+
 def test_host_that_dies_during_a_call():
     """Guards against reporting a request as not sent that may have run."""
 
