--- a/tests/targets/test_sessions.py
+++ b/tests/targets/test_sessions.py
@@ -3,7 +3,7 @@
 import pytest
 
 from samphirestand import types
-from tests.targets import test_gateway
+from tests.targets import fakes
 
 
 @pytest.mark.parametrize(
@@ -29,4 +29,4 @@
         )
         assert isinstance(followed, types.Done), followed
 
-    test_gateway.run(case)
+    fakes.play(case)
