--- a/tests/targets/test_gateway.py
+++ b/tests/targets/test_gateway.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from samphirestand.targets import messages
 from samphirestand import types
 from tests.targets import fakes
 
@@ -89,6 +90,47 @@
     fakes.play(case)
 
 
+@pytest.mark.parametrize(
+    ('code', 'ran', 'expected'),
+    [
+        ('failed', False, types.NotRun),
+        ('failed', None, types.Unknown),
+        ('failed', True, types.Unknown),
+        # The other attempt of the same request may still succeed.
+        ('duplicate_in_progress', False, types.Unknown),
+    ],
+)
+def test_failure_of_a_target(code, ran, expected):
+    """Guards against "not run" for what a target can't rule out."""
+
+    async def case(fleet):
+        async def handle(connection_id, call):
+            state = fleet.servers_by_id['t0'].database.state
+            failure = messages.Failure(code, 'failed', ran)
+            return messages.Answer(state, failure=failure)
+
+        task = start(fleet)
+        fleet.servers_by_id['t0'].handle = handle
+        await fleet.until(task)
+        assert isinstance(task.result(), expected), task.result()
+        assert task.result().code == code
+
+    fakes.play(case)
+
+
+def test_a_commit_is_recorded_under_its_request_id():
+    """Guards against a repeated commit that a new gateway runs again."""
+
+    async def case(fleet):
+        fields = {'transaction_id': await begin(fleet)}
+        await fleet.run('t0', 'statement', **fields)
+        await fleet.run('t0', 'commit', **fields, request_id='c')
+        entries = fleet.servers_by_id['t0'].database.entries
+        assert [entry.request_key for entry in entries] == ['a/c']
+
+    fakes.play(case)
+
+
 def test_a_refused_repetition_of_a_lost_write_is_unknown():
     """Guards against "not run" when only the second attempt was refused."""
 
@@ -120,6 +162,28 @@
     fakes.play(case)
 
 
+def test_targets_see_only_the_account():
+    """Guards against key ids in what a target receives, invariant 5."""
+
+    async def case(fleet):
+        await fleet.run('t0')
+        await fleet.run('t1', **READ, max_age_ms=5_000)
+        fields = {'transaction_id': await begin(fleet)}
+        await fleet.run('t0', 'statement', statement='SET k 1', **fields)
+        await fleet.run('t0', 'commit', **fields, request_id='c')
+        calls = [
+            call
+            for server in fleet.servers_by_id.values()
+            for call in server.calls
+        ]
+        names = {type(call).__name__ for call in calls}
+        assert names >= {'Execute', 'Begin', 'Statement', 'Commit'}
+        for call in calls:
+            assert 'ka' not in dataclasses.asdict(call).values(), call
+
+    fakes.play(case)
+
+
 def test_transactions_do_not_mix():
     """Guards against two transactions on one connection, invariant 3."""
 
@@ -402,6 +466,57 @@
     fakes.play(case, confirmation=confirmation)
 
 
+@pytest.mark.parametrize(
+    ('confirmation', 'expected'),
+    [
+        (types.Confirmation.TERM, types.Done),
+        (types.Confirmation.REPLICATED, types.Unknown),
+    ],
+)
+def test_a_commit_waits_for_the_confirmation(confirmation, expected):
+    """Guards against a commit that only a replaced primary may have."""
+
+    async def case(fleet):
+        fields = {'transaction_id': await begin(fleet)}
+        await fleet.run('t0', 'statement', **fields)
+        for target_id in ('t1', 't2'):
+            fleet.servers_by_id[target_id].database.lag_ms = 10_000
+        fields |= {'request_id': 'c', 'deadline_ms': 2_000}
+        result = await fleet.run('t0', 'commit', **fields)
+        assert isinstance(result, expected)
+
+    fakes.play(case, confirmation=confirmation)
+
+
+async def cut_off(fleet):
+    fleet.network.partition({'h0', 't0'}, {'h1', 'h2', 't1', 't2'})
+
+
+async def replace(fleet):
+    for target_id in fakes.TARGET_IDS:
+        await fleet.control(target_id, messages.Fence(2, 'c'))
+    await fleet.control('t1', messages.Promote(2, 'c'))
+
+
+@pytest.mark.parametrize(
+    ('happen', 'code'),
+    [(cut_off, 'primary_unconfirmed'), (replace, 'not_primary')],
+)
+def test_a_primary_read_is_confirmed_after_it_ran(happen, code):
+    """Guards against a read from a primary that was replaced meanwhile."""
+
+    async def case(fleet):
+        fleet.servers_by_id['t0'].statement_ms = 100
+        task = start(fleet, **READ)
+        await fleet.clock.advance(50)
+        await happen(fleet)
+        await fleet.until(task)
+        assert isinstance(task.result(), types.Unknown)
+        assert task.result().code == code
+
+    fakes.play(case)
+
+
 def test_a_handover_waits_for_running_statements():
     """Guards against a lock that is given up under a statement."""
 
