Test the drain with a request that outlasts the time of quiet

Cause: the request of test_drain_waits_for_running_requests took 300 ms, and drain waits 500 ms without a request anyway, so the test passed without any wait for running requests. It now takes 300 ms longer than that time, and its answer is read only after the server was closed.

--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -321,17 +321,16 @@
 class DrainTest(ServerTest):
     def test_drain_waits_for_running_requests(self):
         """Guards against a stop that interrupts a request."""
-        self.world.router.takes_ms = 300
+        # A shorter request would end within the time of quiet.
+        self.world.router.takes_ms = server.QUIET_MS + 300
 
         async def main():
             stream = await self.connect()
             await self.send(stream, STATEMENT)
             await self.until(lambda: self.world.router.requests)
-            draining = asyncio.ensure_future(self.server.drain(10_000))
-            head = await stream.read_until(b'\r\n\r\n')
-            left = await draining
+            left = await self.server.drain(10_000)
             await self.server.close()
-            return head, left
+            return await stream.read_until(b'\r\n\r\n'), left
 
         head, left = self.io_loop.run_sync(main)
         assert head.startswith(b'HTTP/1.1 200')
