--- a/tests/targets/test_gateway.py
+++ b/tests/targets/test_gateway.py
@@ -318,6 +318,43 @@
     fakes.play(case)
 
 
+def test_a_statement_that_waited_for_the_commit_is_not_sent():
+    """Guards against a statement on a connection that was given back."""
+
+    async def case(fleet):
+        fields = {'transaction_id': await begin(fleet)}
+        await fleet.run('t0', 'statement', **fields)
+        fleet.network.delay_ms[frozenset(('h0', 't0'))] = 20
+        commit = start(fleet, operation='commit', request_id='c', **fields)
+        late = start(
+            fleet, operation='statement', statement='SET late 1', **fields
+        )
+        await fleet.until(asyncio.gather(commit, late))
+        assert isinstance(commit.result(), types.Done)
+        assert late.result().code == 'transaction_lost'
+        sent = [
+            call.statement
+            for call in fleet.servers_by_id['t0'].calls
+            if isinstance(call, messages.Statement)
+        ]
+        assert sent == ['SET x 1']
+
+    fakes.play(case)
+
+
+def test_an_ended_transaction_of_another_account():
+    """Guards against an account that learns another one's outcome."""
+
+    async def case(fleet):
+        fields = {'transaction_id': await begin(fleet)}
+        await fleet.run('t0', 'rollback', **fields)
+        fields |= {'account': 'b', 'request_id': 'c'}
+        result = await fleet.run('t0', 'commit', **fields)
+        assert result.code == 'transaction_account_mismatch'
+
+    fakes.play(case)
+
+
 def test_one_account_gets_half_of_the_connections():
     """Guards against an account that takes every connection."""
 
