Keep one wrapper for promises of the RPC library

The client and the server between hosts each had the same function; it is in the codec module now. Behaviour is unchanged; tests/hosts/test_rpc.py passes (28).

--- a/samphirestand/hosts/client.py
+++ b/samphirestand/hosts/client.py
@@ -301,7 +301,7 @@
 
         Raises ``TimeoutError`` after the time-out.
         """
-        answer = asyncio.ensure_future(_awaited(call(peer)))
+        answer = asyncio.ensure_future(codec.awaited(call(peer)))
         try:
             await self._first(answer, lost, min(timeout_ms, SILENT_MS))
             if not answer.done() and not lost.done():
@@ -405,7 +405,7 @@
 
     async def _supervise(self, client: Any) -> str:
         """Return why the connection must be replaced."""
-        gone = asyncio.ensure_future(_awaited(client.on_disconnect()))
+        gone = asyncio.ensure_future(codec.awaited(client.on_disconnect()))
         try:
             while not gone.done():
                 await self._await_silence(gone)
@@ -444,7 +444,7 @@
     async def _answers_ping(self) -> bool:
         try:
             async with asyncio.timeout(PING_TIMEOUT_MS / 1000):
-                await _awaited(self._peer.ping())
+                await codec.awaited(self._peer.ping())
         except (TimeoutError, capnp.KjException):
             return False
         self._answered_ms = self._clock.now()
@@ -471,11 +471,6 @@
             self._lost.set_result(None)
 
 
-async def _awaited(promise: Any) -> Any:
-    """Wrap a promise of the library, which isn't a coroutine."""
-    return await promise
-
-
 def _address(host: types.Host) -> str:
     return f'{host.peer_address}:{host.peer_port}'
 
--- a/samphirestand/hosts/codec.py
+++ b/samphirestand/hosts/codec.py
@@ -191,3 +191,8 @@
 
 def _duration(duration_ms: int) -> int:
     return min(max(duration_ms, 0), UINT32_MAX)
+
+
+async def awaited(promise: Any) -> Any:
+    """Wrap a promise of the library, which isn't a coroutine."""
+    return await promise
--- a/samphirestand/hosts/server.py
+++ b/samphirestand/hosts/server.py
@@ -144,7 +144,9 @@
         self._strangers += 1
         try:
             two_party = capnp.TwoPartyServer(stream, bootstrap=login)
-            ended = asyncio.ensure_future(_awaited(two_party.on_disconnect()))
+            ended = asyncio.ensure_future(
+                codec.awaited(two_party.on_disconnect())
+            )
             try:
                 known = await self._await_login(login, ended)
             finally:
@@ -312,8 +314,3 @@
 
     async def ping(self, **_: Any) -> None:
         """Show that the connection and this process still answer."""
-
-
-async def _awaited(promise: Any) -> Any:
-    """Wrap a promise of the library, which isn't a coroutine."""
-    return await promise
