--- /dev/null
+++ b/samphirestand/catalog.py
@@ -0,0 +1,89 @@
+"""The operators' configuration: routes, accounts, keys and services."""
+
+import dataclasses
+import enum
+
+__all__ = [
+    'Account',
+    'Catalog',
+    'Consistency',
+    'Route',
+    'Service',
+    'Target',
+]
+
+
+class Consistency(enum.StrEnum):
+    """How recent the data of a route's reads must be."""
+
+    PRIMARY = 'primary'
+    BOUNDED_STALENESS = 'bounded_staleness'
+    READ_YOUR_WRITES = 'read_your_writes'
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """How statements for one database are served."""
+
+    database: str
+    service: str
+    consistency: Consistency
+    timeout_ms: int  # of a single statement
+    objective_ms: int  # of a whole operation
+    priority: int  # 0 is the highest
+    max_age_ms: int
+    needs_key: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Account:
+    """A client account; rate in operations a second, burst in operations."""
+
+    name: str
+    rate: int
+    burst: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A database service: one primary and its replicas."""
+
+    name: str
+    max_connections: int  # to one target, from all callers together
+    is_synchronous: bool  # a replica confirms each acknowledged commit
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalog:
+    """One version of the operators' configuration."""
+
+    version: int = 0
+    routes_by_database: dict[str, Route] = dataclasses.field(
+        default_factory=dict
+    )
+    accounts_by_name: dict[str, Account] = dataclasses.field(
+        default_factory=dict
+    )
+    account_names_by_key: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
+    services_by_name: dict[str, Service] = dataclasses.field(
+        default_factory=dict
+    )
+    idle_transaction_ms: int = 3_000
+    startup_timeout_ms: int = 3_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """A database server as it describes itself in the registry."""
+
+    target_id: str
+    service: str
+    address: str
+    port: int
+    zone: str
+    slots: int
+    is_draining: bool
+    claims_primary: bool
+    started_ms: int  # wall time of the server; tells incarnations apart
--- a/samphirestand/clock.py
+++ b/samphirestand/clock.py
@@ -28,10 +28,14 @@
 
 
 class SystemClock(Clock):
-    """The clock of the operating system."""
+    """The clock of the operating system.
+
+    Counts the time in which the machine was suspended, as leases, ages and
+    time-outs must; ``CLOCK_MONOTONIC`` would leave it out.
+    """
 
     def now(self) -> int:
-        return time.monotonic_ns() // 1_000_000
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall(self) -> int:
         return time.time_ns() // 1_000_000
--- a/samphirestand/exceptions.py
+++ b/samphirestand/exceptions.py
@@ -47,6 +47,16 @@
     """A connection to a target couldn't be opened; nothing was sent."""
 
 
+class TargetRefused(TargetError):
+    """A target refused a session; ``code`` says why."""
+
+    def __init__(
+        self, message: str, *, step: str, peer: str = '', code: str = ''
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.code = code
+
+
 class AnswerLost(TargetError):
     """A request was sent to a target and no usable answer came."""
 
--- /dev/null
+++ b/samphirestand/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet: links between hosts, membership, rates and watches."""
--- /dev/null
+++ b/samphirestand/fleet/allowance.py
@@ -0,0 +1,200 @@
+"""Rates of client accounts over the whole fleet.
+
+Each host gains an equal share of every account's rate. Tokens that a host
+doesn't need move to the account's collecting host, which hands them out to
+hosts that run short. Tokens are only moved, never created twice, so the
+fleet stays below the rate also when hosts can't reach each other.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from samphirestand import catalog as catalog_module
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand.fleet import frames
+from samphirestand.fleet import members as members_module
+
+__all__ = ['Allowance', 'Bucket', 'Pot']
+
+MILLI = 1_000
+
+# The parts of the burst that may lie at the collecting host and, together,
+# at all hosts; they add up to the burst.
+POT_SHARE = 0.5
+HOME_SHARE = 0.5
+
+# A request for tokens crosses zones twice; later answers are of no use to a
+# statement with an objective of about 100 ms.
+ASK_TIMEOUT_MS = 60
+
+# Tokens asked for ahead cover the demand of this time.
+PREFETCH_MS = 250
+
+# How long an operation waits for a token, and how often it tries again.
+LONGEST_WAIT_MS = 60
+RETRY_MS = 20
+
+
+@dataclasses.dataclass
+class Bucket:
+    """Tokens of one account on one host, in thousandths."""
+
+    millitokens: float = 0.0
+    refilled_ms: int = 0
+    demand: float = 0.0  # operations a second, smoothed
+
+    def refill(self, now: int, rate: float, capacity: float) -> None:
+        """Add ``rate`` tokens a second since the last call."""
+        elapsed_ms = max(0, now - self.refilled_ms)
+        self.refilled_ms = now
+        self.millitokens = min(
+            max(capacity, self.millitokens),
+            self.millitokens + rate * elapsed_ms,
+        )
+        # Decays within about two seconds.
+        self.demand *= max(0.0, 1 - elapsed_ms / 2_000)
+
+    def surplus(self) -> int:
+        """Return the thousandths that the expected demand doesn't need."""
+        needed = self.demand * PREFETCH_MS
+        return max(0, int(self.millitokens - needed))
+
+
+@dataclasses.dataclass
+class Pot:
+    """Tokens that other hosts handed to the collecting host."""
+
+    millitokens: float = 0.0
+
+    def add(self, millitokens: int, burst: int) -> None:
+        capacity = max(POT_SHARE * burst * MILLI, MILLI)
+        self.millitokens = min(capacity, self.millitokens + millitokens)
+
+    def give(self, wanted: int) -> int:
+        """Remove and return up to ``wanted`` thousandths."""
+        given = int(min(wanted, self.millitokens))
+        self.millitokens -= given
+        return given
+
+
+class Allowance:
+    """Decides whether an account may start another operation."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        members: members_module.Members,
+        catalog: collections.abc.Callable[[], catalog_module.Catalog],
+    ) -> None:
+        self._clock = clock
+        self._members = members
+        self._catalog = catalog
+        self._buckets_by_account: dict[str, Bucket] = {}
+        self._pots_by_account: dict[str, Pot] = {}
+        self._asking_by_account: dict[str, asyncio.Task[None]] = {}
+
+    async def take(self, account: str) -> bool:
+        """Take a token for one operation; False if there is none."""
+        found = self._catalog().accounts_by_name.get(account)
+        if found is None:
+            return False
+        bucket = self._refilled(found)
+        bucket.demand += 0.5
+        deadline = self._clock.now() + LONGEST_WAIT_MS
+        while True:
+            if bucket.millitokens >= MILLI:
+                bucket.millitokens -= MILLI
+                return True
+            await self._ask(found, bucket)
+            if bucket.millitokens < MILLI:
+                if self._clock.now() + RETRY_MS > deadline:
+                    return False
+                await self._clock.sleep(RETRY_MS)
+            self._refilled(found)
+
+    def retry_after_ms(self, account: str) -> int:
+        """Return when an account that ran short should come back."""
+        found = self._catalog().accounts_by_name.get(account)
+        if found is None or found.rate <= 0:
+            return MILLI
+        return max(RETRY_MS, 2 * MILLI // found.rate)
+
+    def _refilled(self, account: catalog_module.Account) -> Bucket:
+        now = self._clock.now()
+        bucket = self._buckets_by_account.get(account.name)
+        if bucket is None:
+            # Starts empty: an earlier incarnation may have spent its share.
+            bucket = Bucket(refilled_ms=now)
+            self._buckets_by_account[account.name] = bucket
+        count = self._members.known_count
+        bucket.refill(
+            now,
+            account.rate / count,
+            HOME_SHARE * account.burst * MILLI / count,
+        )
+        return bucket
+
+    async def _ask(
+        self, account: catalog_module.Account, bucket: Bucket
+    ) -> None:
+        """Get tokens from the collecting host, one request at a time."""
+        asking = self._asking_by_account.get(account.name)
+        if asking is None or asking.done():
+            asking = asyncio.create_task(self._collect(account, bucket))
+            self._asking_by_account[account.name] = asking
+        await asyncio.shield(asking)
+
+    async def _collect(
+        self, account: catalog_module.Account, bucket: Bucket
+    ) -> None:
+        wanted = int(MILLI + bucket.demand * PREFETCH_MS)
+        host_id = self._members.host_for(f'rate/{account.name}')
+        if host_id == self._members.local.host_id:
+            bucket.millitokens += self.give(account.name, wanted)
+            return
+        link = self._members.link(host_id)
+        if link is None:
+            return
+        answer = await link.ask(
+            lambda call: frames.TokenRequest(call, account.name, wanted),
+            ASK_TIMEOUT_MS,
+        )
+        match answer:
+            case frames.TokenAnswer():
+                bucket.millitokens += min(answer.millitokens, wanted)
+            case exceptions.Sentinel():
+                # The caller is told and logged by the session.
+                return
+
+    def give(self, account: str, wanted: int) -> int:
+        """Hand out tokens of the pot, as the collecting host."""
+        pot = self._pots_by_account.get(account)
+        return pot.give(wanted) if pot is not None else 0
+
+    def accept(self, deposits: tuple[frames.Deposit, ...]) -> None:
+        """Put tokens that another host doesn't need into the pots."""
+        for deposit in deposits:
+            account = self._catalog().accounts_by_name.get(deposit.account)
+            if account is None:
+                continue
+            pot = self._pots_by_account.setdefault(account.name, Pot())
+            pot.add(deposit.millitokens, account.burst)
+
+    def deposits_by_host(self) -> dict[str, tuple[frames.Deposit, ...]]:
+        """Remove the surplus of all accounts, by collecting host."""
+        deposits: dict[str, list[frames.Deposit]] = {}
+        for account in self._catalog().accounts_by_name.values():
+            bucket = self._refilled(account)
+            surplus = bucket.surplus()
+            if surplus <= 0:
+                continue
+            bucket.millitokens -= surplus
+            host_id = self._members.host_for(f'rate/{account.name}')
+            deposits.setdefault(host_id, []).append(
+                frames.Deposit(account.name, surplus)
+            )
+        own = deposits.pop(self._members.local.host_id, [])
+        self.accept(tuple(own))
+        return {key: tuple(value) for key, value in deposits.items()}
--- /dev/null
+++ b/samphirestand/fleet/frames.capnp
@@ -0,0 +1,128 @@
+# Frames between hosts. Durations are relative: clocks of two hosts are never
+# compared.
+@0xd3a1f04be2c97716;
+
+struct Position {
+  term @0 :UInt64;
+  offset @1 :UInt64;
+  isKnown @2 :Bool;
+}
+
+struct Pair {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Hello {
+  hostId @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;
+  port @3 :UInt16;
+  incarnation @4 :UInt64;
+}
+
+struct Work {
+  call @0 :UInt64;
+  requestId @1 :Text;
+  text @2 :Text;
+  stage @3 :Text;
+  service @4 :Text;
+  account @5 :Text;
+  consistency @6 :Text;
+  maxAgeMs @7 :UInt32;
+  writes @8 :Bool;
+  budgetMs @9 :UInt32;
+  objectiveMs @10 :UInt32;
+  priority @11 :UInt32;
+  transaction @12 :UInt64;
+  beginId @13 :Text;
+  beginText @14 :Text;
+  readOnly @15 :Bool;
+  commits @16 :Bool;
+  wroteBefore @17 :Bool;
+  values @18 :List(Pair);
+  mode @19 :Text;
+  shape @20 :Text;
+  arguments @21 :Text;
+  sessionPosition @22 :Position;
+}
+
+struct Outcome {
+  call @0 :UInt64;
+  position @1 :Position;
+  targetId @2 :Text;
+  union {
+    answered :group {
+      rows @3 :List(Text);
+      signature @4 :Text;
+      isCommitted @10 :Bool;
+    }
+    failed :group {
+      code @5 :Text;
+      text @6 :Text;
+    }
+    refused :group {
+      code @7 :Text;
+      reason @8 :Text;
+      retryAfterMs @9 :UInt32;
+    }
+    lost :group {
+      reason @11 :Text;
+      timedOut @12 :Bool;
+    }
+  }
+}
+
+struct Ping {
+  sequence @0 :UInt64;
+  isDraining @1 :Bool;
+  catalogVersion @2 :UInt64;
+  deposits @3 :List(Tokens);
+}
+
+struct Pong {
+  sequence @0 :UInt64;
+  isDraining @1 :Bool;
+  catalogVersion @2 :UInt64;
+}
+
+struct Tokens {
+  account @0 :Text;
+  amount @1 :UInt32;  # thousandths of a token
+}
+
+struct TokenAnswer {
+  call @0 :UInt64;
+  amount @1 :UInt32;  # thousandths of a token
+}
+
+struct TokenRequest {
+  call @0 :UInt64;
+  account @1 :Text;
+  amount @2 :UInt32;  # thousandths of a token
+}
+
+struct Snapshot {
+  call @0 :UInt64;
+  catalogVersion @1 :UInt64;
+  catalog @2 :Data;  # the operators' row as it stands in the store
+}
+
+struct Call {
+  call @0 :UInt64;
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    ping @1 :Ping;
+    pong @2 :Pong;
+    work @3 :Work;
+    outcome @4 :Outcome;
+    tokenRequest @5 :TokenRequest;
+    tokenAnswer @6 :TokenAnswer;
+    snapshotRequest @7 :Call;
+    snapshot @8 :Snapshot;
+    abandon @9 :Call;  # roll back the transaction of this number
+  }
+}
--- /dev/null
+++ b/samphirestand/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateways: the connections, queues and transactions at targets."""
--- /dev/null
+++ b/samphirestand/gateway/connection.py
@@ -0,0 +1,203 @@
+"""One connection to a target and what the target keeps for it."""
+
+import asyncio
+import dataclasses
+import itertools
+
+from samphirestand import catalog
+from samphirestand import exceptions
+from samphirestand.platform import wire
+from samphirestand import types
+from samphirestand import work as work_module
+
+__all__ = ['Reply', 'Step', 'TargetConnection', 'open_connection']
+
+# Prepared names kept on one connection; more are rare, and DISCARD drops
+# them all.
+MAX_PREPARED = 64
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """A statement as it is sent to a target."""
+
+    request_id: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """A target's whole answer to one statement."""
+
+    rows: tuple[str, ...]
+    signature: str
+    error: wire.Error | None
+    state: str
+    position: types.Position | None
+
+
+class TargetConnection:
+    """A session with a target that runs for one account."""
+
+    def __init__(
+        self,
+        connection: wire.Connection,
+        target: catalog.Target,
+        account: str,
+        opened_ms: int,
+    ) -> None:
+        self._connection = connection
+        self.target = target
+        self.account = account
+        self.used_ms = opened_ms
+        self.values: dict[str, str] = {}
+        self._names_by_shape: dict[tuple[types.Mode, str], str] = {}
+        self._numbers = itertools.count(1)
+        self.is_busy = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether another statement may be sent.
+
+        A line that arrives while nothing is asked means that the target is
+        about to close.
+        """
+        return not self._connection.is_closed and not self._connection.has_line
+
+    def preparation(self, work: work_module.Work) -> list[Step]:
+        """Return what the connection lacks for ``work``.
+
+        Assumes that the steps will succeed; a connection on which one fails
+        must be closed.
+        """
+        steps = []
+        wanted = dict(work.values)
+        if any(name not in wanted for name in self.values) or (
+            len(self._names_by_shape) > MAX_PREPARED
+        ):
+            steps.append(Step(wire.OWN_ID, wire.DISCARD))
+            self.values.clear()
+            self._names_by_shape.clear()
+        for name, value in wanted.items():
+            if self.values.get(name) != value:
+                steps.append(Step(wire.OWN_ID, wire.set_text(name, value)))
+                self.values[name] = value
+        if work.mode is None or (work.mode, work.shape) in (
+            self._names_by_shape
+        ):
+            return steps
+        name = f'p{next(self._numbers)}'
+        self._names_by_shape[work.mode, work.shape] = name
+        text = wire.prepare_text(name, work.mode, work.shape)
+        steps.append(Step(wire.OWN_ID, text))
+        return steps
+
+    def lacks(self, work: work_module.Work) -> int:
+        """Return a rough count of the steps that ``work`` would need."""
+        wanted = dict(work.values)
+        missing = sum(self.values.get(each) != wanted[each] for each in wanted)
+        if any(name not in wanted for name in self.values):
+            missing = 1 + len(wanted)
+        if work.mode is not None and (
+            (work.mode, work.shape) not in self._names_by_shape
+        ):
+            missing += 1
+        return missing
+
+    def text(self, work: work_module.Work) -> str:
+        """Return the text of ``work`` under this connection's names."""
+        if work.mode is None:
+            return work.text
+        name = self._names_by_shape[work.mode, work.shape]
+        return wire.execute_text(name, work.arguments)
+
+    async def run(self, steps: list[Step], timeout_ms: int) -> list[Reply]:
+        """Send all steps at once and await all answers.
+
+        Raises ``AnswerLost``; the connection is then closed.
+        """
+        self._connection.write(
+            b''.join(
+                wire.encode_query(each.request_id, each.text) for each in steps
+            )
+        )
+        try:
+            async with asyncio.timeout(max(0, timeout_ms) / 1000):
+                return [await self._reply() for _ in steps]
+        except TimeoutError as error:
+            self.close()
+            raise exceptions.AnswerLost(
+                'no answer in time',
+                step='statement',
+                peer=self.target.target_id,
+            ) from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    async def _reply(self) -> Reply:
+        rows = []
+        signature = ''
+        error = None
+        while True:
+            line = await self._connection.read_line()
+            match wire.decode_answer(line) if line is not None else None:
+                case wire.Row() as row:
+                    rows.append(row.data)
+                case wire.Complete() as complete:
+                    signature = complete.signature
+                case wire.Error() as found:
+                    error = found
+                case wire.Ready() as ready:
+                    return Reply(
+                        tuple(rows),
+                        signature,
+                        error,
+                        ready.state,
+                        ready.position,
+                    )
+                case None:
+                    self.close()
+                    raise exceptions.AnswerLost(
+                        'connection closed'
+                        if line is None
+                        else 'malformed answer',
+                        step='statement',
+                        peer=self.target.target_id,
+                    )
+
+    def close(self) -> None:
+        """Close; the target rolls back an open transaction."""
+        self._connection.abort()
+
+
+async def open_connection(
+    target: catalog.Target, account: str, timeout_ms: int, now: int
+) -> TargetConnection:
+    """Open a session; raises ``TargetRefused`` or ``TargetConnectError``."""
+    connection = await wire.connect(target.address, target.port, timeout_ms)
+    connection.write(
+        wire.encode_startup(target.service, account, target.target_id)
+    )
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            line = await connection.read_line()
+    except TimeoutError:
+        line = None
+    except asyncio.CancelledError:
+        connection.abort()
+        raise
+    answer = wire.decode_answer(line) if line is not None else None
+    if isinstance(answer, wire.Ready):
+        return TargetConnection(connection, target, account, now)
+    connection.abort()
+    if isinstance(answer, wire.Error):
+        raise exceptions.TargetRefused(
+            f'{answer.code} {answer.text}',
+            step='open session',
+            peer=target.target_id,
+            code=answer.code,
+        )
+    raise exceptions.TargetConnectError(
+        'no answer', step='open session', peer=target.target_id
+    )
--- /dev/null
+++ b/samphirestand/gateway/gateway.py
@@ -0,0 +1,733 @@
+"""The gateway of one service: its queue, its targets and transactions."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+
+from samphirestand import catalog as catalog_module
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand.fleet import watch
+from samphirestand.gateway import connection as connection_module
+from samphirestand.gateway import freshness as freshness_module
+from samphirestand.gateway import policy
+from samphirestand.gateway import pool as pool_module
+from samphirestand import log
+from samphirestand import metrics as metrics_module
+from samphirestand.platform import wire
+from samphirestand import types
+from samphirestand import work as work_module
+
+__all__ = ['Gateway']
+
+# How often work that nothing of was kept is tried on a target.
+MAX_ATTEMPTS = 6
+
+# After a target said that it is full.
+FULL_PAUSE_MS = 30
+
+# A target that could not be reached is left out for this long, unless a
+# probe succeeds earlier.
+FAILED_PAUSE_MS = 200
+
+# Evidence about the primary must be newer than the oldest moment that a
+# read needs by this much, against timers that fire late.
+FRESHNESS_MARGIN_MS = 100
+
+# Connections that must stay available for operations of one statement.
+UNPINNED_CONNECTIONS = 2
+
+# The first guess of how long a target takes for one statement.
+FIRST_SERVICE_MS = 15.0
+SMOOTHING = 0.05
+
+# Errors after which nothing of the statement is kept, so that it may be
+# tried again.
+NOTHING_KEPT = frozenset(
+    ('BUSY', 'LAGGING', 'READONLY', 'WRONGNODE', 'TOOMANY', 'NOSTMT')
+)
+
+_log = log.get_logger(__name__)
+
+
+@dataclasses.dataclass(eq=False)
+class _Ticket:
+    """Work that waits for a slot."""
+
+    work: work_module.Work
+    received_ms: int
+    needs_primary: bool
+    future: asyncio.Future[pool_module.TargetPool]
+    pinned: pool_module.TargetPool | None = None
+    attempts: int = 0
+    avoided: set[str] = dataclasses.field(default_factory=set)
+    last_reason: str = ''
+    leads: bool = False  # whether the chosen target is the primary
+    floor: types.Position | None = None  # what a chosen replica must have
+
+    @property
+    def deadline_ms(self) -> int:
+        return self.received_ms + self.work.budget_ms
+
+    @property
+    def order(self) -> tuple[bool, int]:
+        key = policy.order(
+            self.received_ms, self.work.objective_ms, self.work.priority
+        )
+        return self.pinned is None, key
+
+
+@dataclasses.dataclass(eq=False)
+class _Transaction:
+    """An open transaction and the connection that it holds."""
+
+    pool: pool_module.TargetPool
+    connection: connection_module.TargetConnection
+    is_running: bool = True
+
+
+Key = tuple[str, int]
+Retry = exceptions.Sentinel
+
+
+class Gateway:
+    """Runs the statements of one service on its targets."""
+
+    def __init__(
+        self,
+        service: str,
+        clock: clock_module.Clock,
+        generator: random.Random,
+        targets: watch.TargetWatch,
+        catalog: collections.abc.Callable[[], catalog_module.Catalog],
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self.service = service
+        self._clock = clock
+        self._random = generator
+        self._targets = targets
+        self._catalog = catalog
+        self._metrics = metrics
+        self.freshness = freshness_module.Freshness()
+        self.pools_by_id: dict[str, pool_module.TargetPool] = {}
+        self._waiting: list[_Ticket] = []
+        self._transactions: dict[Key, _Transaction] = {}
+        self._service_ms = FIRST_SERVICE_MS
+        self.primary_id = ''
+        # Targets that said they are no primary, and the registration that
+        # this refers to.
+        self._denied: dict[str, bool] = {}
+        self.used_ms = clock.now()
+        self.bounded_ms = 0  # when a bounded read was last asked for
+        self.refresh()
+
+    @property
+    def is_idle(self) -> bool:
+        return not self._waiting and not self._transactions
+
+    @property
+    def waiting_count(self) -> int:
+        return len(self._waiting)
+
+    @property
+    def primary(self) -> pool_module.TargetPool | None:
+        return self.pools_by_id.get(self.primary_id)
+
+    def refresh(self) -> None:
+        """Follow the registry and the configuration."""
+        service = self._catalog().services_by_name.get(self.service)
+        limit = service.max_connections if service is not None else 1
+        present = {
+            each.target_id: each
+            for each in self._targets.of_service(self.service)
+        }
+        for target_id in [
+            each
+            for each, pool in self.pools_by_id.items()
+            if each not in present
+            or present[each].started_ms != pool.target.started_ms
+        ]:
+            self.pools_by_id.pop(target_id).close()
+        for target_id, target in present.items():
+            pool = self.pools_by_id.get(target_id)
+            if pool is None:
+                pool = pool_module.TargetPool(target, self._clock, limit)
+                self.pools_by_id[target_id] = pool
+            pool.target = target
+            pool.max_connections = limit
+            if not target.claims_primary:
+                self._denied.pop(target_id, None)
+        self._choose_primary()
+        self._dispatch()
+
+    def _choose_primary(self) -> None:
+        if self.primary_id in self.pools_by_id and not self._denied.get(
+            self.primary_id
+        ):
+            pool = self.pools_by_id[self.primary_id]
+            if pool.target.claims_primary:
+                claimed = self._targets.claimed_primary(self.service)
+                if claimed is None or claimed.target_id == self.primary_id:
+                    return
+        claimed = self._targets.claimed_primary(self.service)
+        if claimed is None or self._denied.get(claimed.target_id):
+            return
+        self.set_primary(claimed.target_id, 'registry')
+
+    def set_primary(self, target_id: str, source: str) -> None:
+        """Send what only a primary can do to ``target_id`` from now on."""
+        if target_id == self.primary_id:
+            return
+        _log.info(
+            'primary_changed',
+            service=self.service,
+            target=target_id,
+            earlier=self.primary_id,
+            source=source,
+        )
+        self.primary_id = target_id
+        self._denied.pop(target_id, None)
+
+    def _deny(self, pool: pool_module.TargetPool) -> None:
+        """Note that a target has answered that it is not the primary."""
+        target_id = pool.target.target_id
+        if self._denied.get(target_id):
+            return
+        self._denied[target_id] = True
+        _log.info('primary_denied', service=self.service, target=target_id)
+        if self.primary_id == target_id:
+            self.primary_id = ''
+        self._choose_primary()
+
+    async def run(
+        self, owner: str, work: work_module.Work
+    ) -> work_module.Outcome:
+        """Run one statement of the entry host ``owner``."""
+        self.used_ms = self._clock.now()
+        match work.stage:
+            case work_module.Stage.SINGLE | work_module.Stage.OPEN:
+                return await self._start(owner, work)
+            case _:
+                return await self._continue(owner, work)
+
+    async def _start(
+        self, owner: str, work: work_module.Work
+    ) -> work_module.Outcome:
+        now = self._clock.now()
+        is_transaction = work.stage is work_module.Stage.OPEN
+        needs_primary = (
+            work.writes
+            or work.consistency is catalog_module.Consistency.PRIMARY
+            or (is_transaction and not work.read_only)
+        )
+        if not needs_primary:
+            self.bounded_ms = now
+        ticket = _Ticket(
+            work,
+            now,
+            needs_primary,
+            asyncio.get_running_loop().create_future(),
+        )
+        refusal = self._admit(ticket)
+        if refusal is not None:
+            return refusal
+        while True:
+            outcome = await self._attempt(owner, ticket)
+            if not isinstance(outcome, Retry):
+                return outcome
+            ticket.attempts += 1
+            ticket.last_reason = outcome.reason
+            if ticket.attempts >= MAX_ATTEMPTS:
+                return self._refuse(ticket, outcome.reason)
+            ticket.future = asyncio.get_running_loop().create_future()
+
+    def _admit(self, ticket: _Ticket) -> work_module.Refused | None:
+        usable = [
+            each for each in self.pools_by_id.values() if not each.is_down
+        ]
+        if not usable:
+            return self._refuse(ticket, 'no target of the service is up')
+        if ticket.needs_primary:
+            primary = self.primary
+            ahead = sum(each.needs_primary for each in self._waiting)
+            slots = primary.target.slots if primary is not None else 1
+        else:
+            ahead = len(self._waiting)
+            slots = sum(each.target.slots for each in usable)
+        wait_ms = policy.expected_wait_ms(ahead, slots, self._service_ms)
+        if wait_ms + self._service_ms > ticket.work.budget_ms:
+            return self._refuse(ticket, f'a wait of {wait_ms:.0f} ms')
+        return None
+
+    def _refuse(self, ticket: _Ticket, reason: str) -> work_module.Refused:
+        wait_ms = policy.expected_wait_ms(
+            len(self._waiting),
+            sum(each.target.slots for each in self.pools_by_id.values()),
+            self._service_ms,
+        )
+        self._metrics.count('gateway_refused')
+        _log.warning(
+            'work_refused',
+            request=ticket.work.request_id,
+            service=self.service,
+            account=ticket.work.account,
+            reason=reason,
+            last=ticket.last_reason,
+            waited_ms=self._clock.now() - ticket.received_ms,
+            waiting=len(self._waiting),
+            attempts=ticket.attempts,
+            primary=self.primary_id,
+        )
+        return work_module.Refused(
+            'BUSY',
+            reason,
+            policy.retry_after_ms(wait_ms, self._random.random()),
+        )
+
+    async def _slot(
+        self, ticket: _Ticket
+    ) -> pool_module.TargetPool | exceptions.Sentinel:
+        """Wait for a slot of a target that may run the ticket."""
+        self._waiting.append(ticket)
+        self._dispatch()
+        left_ms = ticket.deadline_ms - self._clock.now() - self._service_ms
+        timer = asyncio.get_running_loop().call_later(
+            max(0.0, left_ms / 1000), ticket.future.cancel
+        )
+        try:
+            return await ticket.future
+        except asyncio.CancelledError:
+            if ticket.future.cancelled():
+                return exceptions.Sentinel('no slot in time')
+            raise
+        finally:
+            timer.cancel()
+            if ticket in self._waiting:
+                self._waiting.remove(ticket)
+
+    def _release(self, pool: pool_module.TargetPool) -> None:
+        pool.running -= 1
+        self._dispatch()
+
+    def _dispatch(self) -> None:
+        """Give free slots to waiting work, the most urgent first."""
+        if not self._waiting:
+            return
+        for ticket in sorted(self._waiting, key=lambda each: each.order):
+            if ticket.future.done():
+                continue
+            pool = self._place(ticket)
+            if pool is None:
+                continue
+            pool.running += 1
+            self._waiting.remove(ticket)
+            ticket.future.set_result(pool)
+
+    def _place(self, ticket: _Ticket) -> pool_module.TargetPool | None:
+        """Return the target with a free slot that suits the ticket best."""
+        if ticket.pinned is not None:
+            return ticket.pinned if self._has_slot(ticket.pinned) else None
+        choices = [
+            pool
+            for pool in self._eligible(ticket)
+            if self._has_slot(pool) and pool.can_serve(ticket.work.account)
+        ]
+        if not choices:
+            return None
+        return min(choices, key=self._cost)
+
+    def _cost(self, pool: pool_module.TargetPool) -> float:
+        """Return the expected time of one more statement on a target."""
+        load = (pool.running + 1) / pool.target.slots
+        penalty = 1.0 if pool.target.target_id == self.primary_id else 0.0
+        return (load + penalty) * self._service_ms + pool.round_trip_ms
+
+    def _has_slot(self, pool: pool_module.TargetPool) -> bool:
+        return pool.running < policy.depth(
+            pool.target.slots, pool.round_trip_ms, self._service_ms
+        )
+
+    def _eligible(
+        self, ticket: _Ticket
+    ) -> collections.abc.Iterator[pool_module.TargetPool]:
+        now = self._clock.now()
+        is_transaction = ticket.work.stage is work_module.Stage.OPEN
+        for target_id, pool in self.pools_by_id.items():
+            if pool.is_down or now < pool.avoid_until_ms:
+                continue
+            is_primary = target_id == self.primary_id
+            # A leaving primary is used until another one leads: nothing
+            # else can take writes.
+            if pool.target.is_draining and not is_primary:
+                continue
+            if is_transaction and (
+                pool.pinned >= max(1, pool.limit - UNPINNED_CONNECTIONS)
+            ):
+                continue
+            if is_primary:
+                yield pool
+            elif ticket.needs_primary or target_id in ticket.avoided:
+                continue
+            elif self._floor(ticket) is not None:
+                yield pool
+
+    def _floor(self, ticket: _Ticket) -> types.Position | None:
+        """Return the position that a replica must have for the ticket."""
+        needed_ms = (
+            ticket.received_ms - ticket.work.max_age_ms + FRESHNESS_MARGIN_MS
+        )
+        floor = self.freshness.floor(needed_ms)
+        own = ticket.work.session_position
+        if floor is None or own is None:
+            return floor
+        if ticket.work.consistency is (
+            catalog_module.Consistency.READ_YOUR_WRITES
+        ):
+            return max(floor, own)
+        return floor
+
+    async def _attempt(
+        self, owner: str, ticket: _Ticket
+    ) -> work_module.Outcome | Retry:
+        pool = await self._slot(ticket)
+        if isinstance(pool, exceptions.Sentinel):
+            return self._refuse(ticket, pool.reason)
+        started_ms = self._clock.now()
+        try:
+            outcome = await self._run_on(owner, pool, ticket)
+        finally:
+            self._release(pool)
+        if isinstance(outcome, work_module.Answered):
+            took_ms = self._clock.now() - started_ms
+            self._service_ms += SMOOTHING * (took_ms - self._service_ms)
+        return outcome
+
+    async def _run_on(
+        self, owner: str, pool: pool_module.TargetPool, ticket: _Ticket
+    ) -> work_module.Outcome | Retry:
+        """Run a ticket's statement on a connection of ``pool``."""
+        work = ticket.work
+        ticket.leads = pool.target.target_id == self.primary_id
+        ticket.floor = None if ticket.leads else self._floor(ticket)
+        if not ticket.leads and (ticket.floor is None or ticket.needs_primary):
+            return Retry('the target no longer suits')
+        try:
+            used = await pool.checkout(work, self._left_ms(ticket))
+        except exceptions.TargetRefused as error:
+            pool.avoid_until_ms = self._clock.now() + (
+                FULL_PAUSE_MS if error.code == 'TOOMANY' else FAILED_PAUSE_MS
+            )
+            _log.info(
+                'target_refused_session',
+                target=pool.target.target_id,
+                request=work.request_id,
+                reason=str(error),
+                open=pool.open_count,
+            )
+            return Retry(str(error))
+        except exceptions.TargetError as error:
+            pool.avoid_until_ms = self._clock.now() + FAILED_PAUSE_MS
+            return Retry(str(error))
+
+        # Everything that the connection lacks must be there before the
+        # statement runs.
+        is_open = False
+        try:
+            steps = used.preparation(work)
+            lead = _opening_step(ticket)
+            if steps:
+                for reply in await pool.run(
+                    used, steps, self._left_ms(ticket)
+                ):
+                    if reply.error is not None:
+                        pool.discard(used)
+                        return Retry(f'prepare: {reply.error.code}')
+            if lead is not None:
+                refusal = await self._begin(pool, used, ticket, lead)
+                if refusal is not None:
+                    return refusal
+                is_open = True
+            return await self._statement(owner, pool, used, ticket, is_open)
+        except exceptions.AnswerLost as error:
+            pool.discard(used)
+            return self._lost(pool, ticket, error, is_sent=False)
+
+    async def _begin(
+        self,
+        pool: pool_module.TargetPool,
+        used: connection_module.TargetConnection,
+        ticket: _Ticket,
+        step: connection_module.Step,
+    ) -> Retry | work_module.Outcome | None:
+        sent_ms = self._clock.now()
+        [reply] = await pool.run(used, [step], self._left_ms(ticket))
+        if reply.error is None:
+            if step.text == wire.BEGIN and reply.position is not None:
+                self.freshness.record(sent_ms, reply.position)
+            return None
+        pool.checkin(used)
+        return self._error(pool, ticket, reply)
+
+    async def _statement(
+        self,
+        owner: str,
+        pool: pool_module.TargetPool,
+        used: connection_module.TargetConnection,
+        ticket: _Ticket,
+        is_open: bool,
+    ) -> work_module.Outcome | Retry:
+        work = ticket.work
+        is_transaction = work.stage is work_module.Stage.OPEN
+        text = used.text(work)
+        if not is_open and not work.writes:
+            text = wire.wait_for(ticket.floor, text)
+        steps = [connection_module.Step(work.request_id, text)]
+        if is_open and not is_transaction:
+            steps.append(connection_module.Step(wire.OWN_ID, wire.ROLLBACK))
+        sent_ms = self._clock.now()
+        if is_transaction:
+            # Registered before the statement is sent, so that a caller that
+            # leaves meanwhile gets its transaction rolled back.
+            transaction = _Transaction(pool, used)
+            pool.pinned += 1
+            self._transactions[owner, work.transaction] = transaction
+        try:
+            replies = await pool.run(used, steps, self._left_ms(ticket))
+        except exceptions.AnswerLost as error:
+            if is_transaction:
+                self._end(owner, work.transaction)
+            pool.discard(used)
+            return self._lost(pool, ticket, error, is_sent=True)
+        reply = replies[0]
+        if is_transaction:
+            transaction.is_running = False
+            if work.commits or reply.state == wire.STATE_IDLE:
+                self._end(owner, work.transaction)
+                if reply.state == wire.STATE_IDLE:
+                    pool.checkin(used)
+                else:
+                    pool.discard(used)
+        else:
+            pool.checkin(used)
+        if reply.error is not None:
+            if is_transaction:
+                return _failed(pool, reply)
+            return self._error(pool, ticket, reply)
+        if work.writes and not is_transaction and reply.position is not None:
+            self.freshness.record(sent_ms, reply.position)
+        return _answered(pool, reply, is_committed=work.commits)
+
+    def _end(self, owner: str, number: int) -> _Transaction | None:
+        transaction = self._transactions.pop((owner, number), None)
+        if transaction is not None:
+            transaction.pool.pinned -= 1
+        return transaction
+
+    def _error(
+        self,
+        pool: pool_module.TargetPool,
+        ticket: _Ticket,
+        reply: connection_module.Reply,
+    ) -> work_module.Outcome | Retry:
+        """Decide whether work that got an error is tried again."""
+        assert reply.error is not None
+        code = reply.error.code
+        target_id = pool.target.target_id
+        if code not in NOTHING_KEPT and (
+            code != 'FAILED' or ticket.work.writes or ticket.attempts
+        ):
+            return _failed(pool, reply)
+        match code:
+            case 'READONLY':
+                self._deny(pool)
+            case 'LAGGING' | 'FAILED':
+                ticket.avoided.add(target_id)
+            case 'BUSY':
+                pool.avoid_until_ms = self._clock.now() + FULL_PAUSE_MS
+        _log.info(
+            'work_retried',
+            request=ticket.work.request_id,
+            target=target_id,
+            reason=code,
+            attempt=ticket.attempts,
+        )
+        return Retry(f'{target_id}: {code} {reply.error.text}')
+
+    def _lost(
+        self,
+        pool: pool_module.TargetPool,
+        ticket: _Ticket,
+        error: exceptions.AnswerLost,
+        is_sent: bool,
+    ) -> work_module.Outcome | Retry:
+        """Decide what becomes of work whose connection failed."""
+        work = ticket.work
+        _log.warning(
+            'answer_lost',
+            request=work.request_id,
+            target=pool.target.target_id,
+            reason=str(error),
+            sent=is_sent,
+            writes=work.writes,
+        )
+        ticket.avoided.add(pool.target.target_id)
+        is_transaction = work.stage is work_module.Stage.OPEN
+        can_repeat = not is_sent or not (work.writes or is_transaction)
+        if can_repeat and self._left_ms(ticket) > self._service_ms:
+            return Retry(str(error))
+        if not is_sent:
+            return self._refuse(ticket, str(error))
+        return work_module.Lost(
+            str(error), timed_out=self._left_ms(ticket) <= 0
+        )
+
+    def _left_ms(self, ticket: _Ticket) -> int:
+        return ticket.deadline_ms - self._clock.now()
+
+    async def _continue(
+        self, owner: str, work: work_module.Work
+    ) -> work_module.Outcome:
+        """Run a statement inside an open transaction."""
+        transaction = self._transactions.get((owner, work.transaction))
+        if transaction is None or transaction.is_running:
+            return work_module.Refused('ABORTED', 'the transaction is gone')
+        transaction.is_running = True
+        pool, used = transaction.pool, transaction.connection
+        ends = work.stage is work_module.Stage.END
+        ticket = _Ticket(
+            work,
+            self._clock.now(),
+            False,
+            asyncio.get_running_loop().create_future(),
+            pinned=pool,
+        )
+        needs_slot = not ends or work.commits
+        if needs_slot:
+            slot = await self._slot(ticket)
+            if isinstance(slot, exceptions.Sentinel):
+                self._end(owner, work.transaction)
+                pool.discard(used)
+                return work_module.Refused('ABORTED', slot.reason)
+        sent_ms = self._clock.now()
+        is_sent = False
+        try:
+            steps = used.preparation(work)
+            for reply in (
+                await pool.run(used, steps, self._left_ms(ticket))
+                if steps
+                else ()
+            ):
+                if reply.error is not None:
+                    self._end(owner, work.transaction)
+                    pool.discard(used)
+                    return work_module.Refused(
+                        'ABORTED', f'prepare: {reply.error.code}'
+                    )
+            is_sent = True
+            step = connection_module.Step(work.request_id, used.text(work))
+            [reply] = await pool.run(used, [step], self._left_ms(ticket))
+        except exceptions.AnswerLost as error:
+            self._end(owner, work.transaction)
+            pool.discard(used)
+            _log.warning(
+                'answer_lost',
+                request=work.request_id,
+                target=pool.target.target_id,
+                reason=str(error),
+                sent=is_sent,
+                writes=work.commits,
+            )
+            if work.commits and work.wrote_before and is_sent:
+                return work_module.Lost(str(error))
+            return work_module.Refused('ABORTED', str(error))
+        finally:
+            if needs_slot:
+                self._release(pool)
+        transaction.is_running = False
+        if ends or reply.state == wire.STATE_IDLE:
+            self._end(owner, work.transaction)
+            if reply.state == wire.STATE_IDLE:
+                pool.checkin(used)
+            else:
+                pool.discard(used)
+            self._dispatch()
+        if reply.error is not None:
+            if reply.error.code == 'READONLY':
+                self._deny(pool)
+            return _failed(pool, reply)
+        if work.commits and work.wrote_before and reply.position is not None:
+            self.freshness.record(sent_ms, reply.position)
+        return _answered(pool, reply, is_committed=work.commits)
+
+    async def abandon(self, owner: str, number: int) -> None:
+        """Roll back a transaction whose caller has left."""
+        transaction = self._end(owner, number)
+        if transaction is None:
+            return
+        pool, used = transaction.pool, transaction.connection
+        if transaction.is_running:
+            pool.discard(used)
+            return
+        step = connection_module.Step(wire.OWN_ID, wire.ROLLBACK)
+        try:
+            await pool.run(used, [step], pool_module.PROBE_TIMEOUT_MS)
+        except exceptions.AnswerLost as error:
+            _log.info('rollback_lost', reason=str(error))
+            pool.discard(used)
+            return
+        pool.checkin(used)
+        self._dispatch()
+
+    async def abandon_all(self, owner: str) -> None:
+        """Roll back all transactions of an entry host that is gone."""
+        for each, number in list(self._transactions):
+            if each == owner:
+                await self.abandon(each, number)
+
+    def close(self) -> None:
+        for pool in self.pools_by_id.values():
+            pool.close()
+
+
+def _opening_step(ticket: _Ticket) -> connection_module.Step | None:
+    """Return the BEGIN that goes before the ticket's statement.
+
+    Only a plain BEGIN proves that a primary still leads, so an operation of
+    one read is wrapped into a transaction there.
+    """
+    work = ticket.work
+    if work.stage is work_module.Stage.OPEN:
+        if ticket.leads:
+            return connection_module.Step(work.begin_id, wire.BEGIN)
+        text = wire.wait_for(ticket.floor, work.begin_text)
+        return connection_module.Step(work.begin_id, text)
+    if ticket.leads and not work.writes:
+        return connection_module.Step(wire.OWN_ID, wire.BEGIN)
+    return None
+
+
+def _answered(
+    pool: pool_module.TargetPool,
+    reply: connection_module.Reply,
+    is_committed: bool,
+) -> work_module.Answered:
+    return work_module.Answered(
+        reply.rows,
+        reply.signature,
+        reply.position,
+        pool.target.target_id,
+        is_committed,
+    )
+
+
+def _failed(
+    pool: pool_module.TargetPool, reply: connection_module.Reply
+) -> work_module.Failed:
+    assert reply.error is not None
+    return work_module.Failed(
+        reply.error.code,
+        reply.error.text,
+        reply.position,
+        pool.target.target_id,
+    )
--- /dev/null
+++ b/samphirestand/gateway/gateways.py
@@ -0,0 +1,238 @@
+"""The gateways on this host: which services they are for, and their upkeep."""
+
+import asyncio
+import collections.abc
+import random
+
+from samphirestand import catalog as catalog_module
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand.fleet import members as members_module
+from samphirestand.fleet import watch
+from samphirestand.gateway import gateway as gateway_module
+from samphirestand.gateway import pool as pool_module
+from samphirestand.gateway import succession as succession_module
+from samphirestand import log
+from samphirestand import metrics as metrics_module
+from samphirestand.platform import wire
+from samphirestand import work as work_module
+
+__all__ = ['Gateways', 'gateway_host']
+
+# How often targets are checked for silence.
+UPKEEP_INTERVAL_MS = 100
+
+# A gateway that another host has taken over keeps idle connections for this
+# long: both hosts' connections count towards the targets' limit.
+HANDOVER_MS = 500
+
+# Idle connections are kept for this long; targets close them after a minute.
+IDLE_MS = 30_000
+
+# Evidence about the primary is asked for when none has come by itself for
+# this long while reads of a bounded age arrive. Must be well below the
+# smallest age that routes accept.
+EVIDENCE_MS = 600
+RECENT_USE_MS = 2_000
+
+_log = log.get_logger(__name__)
+
+
+def gateway_host(
+    members: members_module.Members,
+    targets: watch.TargetWatch,
+    service: str,
+) -> str:
+    """Return the id of the host that is the gateway of a service.
+
+    It is in the zone of the primary, so that writes and transactions cross
+    zones once only.
+    """
+    primary = targets.claimed_primary(service)
+    zone = primary.zone if primary is not None else None
+    return members.host_for(f'gateway/{service}', zone)
+
+
+class Gateways:
+    """All gateways on this host, by service."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        generator: random.Random,
+        members: members_module.Members,
+        targets: watch.TargetWatch,
+        catalog: collections.abc.Callable[[], catalog_module.Catalog],
+        succession: succession_module.Succession | None,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._clock = clock
+        self._random = generator
+        self._members = members
+        self._targets = targets
+        self._catalog = catalog
+        self._succession = succession
+        self._metrics = metrics
+        self._gateways_by_service: dict[str, gateway_module.Gateway] = {}
+        self._busy: dict[str, asyncio.Task[None]] = {}
+
+    def owner(self, service: str) -> str:
+        """Return the id of the host that is the gateway of a service."""
+        return gateway_host(self._members, self._targets, service)
+
+    @property
+    def has_transactions(self) -> bool:
+        """Tell whether a caller's work is under way here."""
+        return not all(
+            each.is_idle for each in self._gateways_by_service.values()
+        )
+
+    def _gateway(self, service: str) -> gateway_module.Gateway:
+        found = self._gateways_by_service.get(service)
+        if found is None:
+            found = gateway_module.Gateway(
+                service,
+                self._clock,
+                self._random,
+                self._targets,
+                self._catalog,
+                self._metrics,
+            )
+            self._gateways_by_service[service] = found
+            _log.info('gateway_opened', service=service)
+        return found
+
+    async def run(
+        self, owner: str, work: work_module.Work
+    ) -> work_module.Outcome:
+        """Run a statement of the entry host ``owner``."""
+        if work.service not in self._catalog().services_by_name:
+            return work_module.Refused('BUSY', 'unknown service')
+        return await self._gateway(work.service).run(owner, work)
+
+    async def abandon(self, owner: str, number: int) -> None:
+        """Roll back one transaction of an entry host."""
+        for each in list(self._gateways_by_service.values()):
+            await each.abandon(owner, number)
+
+    async def abandon_all(self, owner: str) -> None:
+        """Roll back all transactions of an entry host."""
+        for each in list(self._gateways_by_service.values()):
+            await each.abandon_all(owner)
+
+    def refresh(self) -> None:
+        """Follow a change of the registry, the configuration or the fleet."""
+        for each in self._gateways_by_service.values():
+            each.refresh()
+
+    async def upkeep_forever(self) -> None:
+        """Probe targets and replace primaries until cancelled."""
+        while True:
+            for service in self._catalog().services_by_name.values():
+                is_owner = (
+                    self.owner(service.name) == self._members.local.host_id
+                )
+                gateway = self._gateways_by_service.get(service.name)
+                if gateway is None and not is_owner:
+                    continue
+                self._upkeep(
+                    gateway or self._gateway(service.name), service, is_owner
+                )
+            await self._clock.sleep(UPKEEP_INTERVAL_MS)
+
+    def _upkeep(
+        self,
+        gateway: gateway_module.Gateway,
+        service: catalog_module.Service,
+        is_owner: bool,
+    ) -> None:
+        now = self._clock.now()
+        unused_ms = IDLE_MS
+        if not is_owner and now - gateway.used_ms > HANDOVER_MS:
+            unused_ms = 0
+        for target_id, pool in gateway.pools_by_id.items():
+            pool.close_idle(unused_ms)
+            if pool.needs_probe:
+                self._once(f'probe/{target_id}', pool.probe())
+        if not is_owner:
+            return
+        reason = self._replacement_reason(gateway)
+        if reason is not None and self._succession is not None:
+            self._once(
+                f'replace/{service.name}',
+                self._replace(gateway, service, reason),
+            )
+            return
+        latest_ms = gateway.freshness.latest_ms
+        if now - gateway.bounded_ms < RECENT_USE_MS and (
+            latest_ms is None or now - latest_ms > EVIDENCE_MS
+        ):
+            self._once(f'evidence/{service.name}', self._evidence(gateway))
+
+    def _replacement_reason(
+        self, gateway: gateway_module.Gateway
+    ) -> str | None:
+        """Return why the primary must be replaced; None if it needn't."""
+        if not gateway.pools_by_id:
+            return None
+        primary = gateway.primary
+        if primary is None:
+            return 'no target leads'
+        if primary.is_down:
+            return 'the primary does not answer'
+        if primary.target.is_draining:
+            return 'the primary is leaving'
+        return None
+
+    def _once(
+        self,
+        name: str,
+        job: collections.abc.Coroutine[object, object, None],
+    ) -> None:
+        """Start a job unless the one of the same name is still running."""
+        running = self._busy.get(name)
+        if running is not None and not running.done():
+            job.close()
+            return
+        self._busy[name] = asyncio.create_task(job)
+
+    async def _replace(
+        self,
+        gateway: gateway_module.Gateway,
+        service: catalog_module.Service,
+        reason: str,
+    ) -> None:
+        assert self._succession is not None
+        try:
+            is_done = await self._succession.replace(gateway, service, reason)
+        except exceptions.PlatformError as error:
+            _log.warning(
+                'succession_failed', service=service.name, reason=str(error)
+            )
+            is_done = False
+        if not is_done:
+            await self._clock.sleep(succession_module.RETRY_MS)
+
+    async def _evidence(self, gateway: gateway_module.Gateway) -> None:
+        """Ask the primary for its position."""
+        pool = gateway.primary
+        if pool is None:
+            return
+        sent_ms = self._clock.now()
+        status = await pool.control(wire.STATUS, pool_module.PROBE_TIMEOUT_MS)
+        if isinstance(status, exceptions.Sentinel):
+            _log.info(
+                'evidence_missing',
+                service=gateway.service,
+                reason=status.reason,
+            )
+            pool.note_failure()
+            return
+        if status.is_primary:
+            gateway.freshness.record(sent_ms, status.received)
+
+    def close(self) -> None:
+        for task in self._busy.values():
+            task.cancel()
+        for each in self._gateways_by_service.values():
+            each.close()
--- /dev/null
+++ b/samphirestand/gateway/policy.py
@@ -0,0 +1,103 @@
+"""Decisions about waiting work, without input and output.
+
+Each function names the load pattern that it answers.
+"""
+
+import collections.abc
+import dataclasses
+
+from samphirestand import exceptions
+from samphirestand import types
+
+__all__ = [
+    'Candidate',
+    'ReplicaState',
+    'choose_candidate',
+    'depth',
+    'expected_wait_ms',
+    'order',
+    'retry_after_ms',
+]
+
+# The time in which clients that were refused together come back.
+SHORTEST_RETRY_MS = 40
+LONGEST_RETRY_MS = 400
+
+# The weight of one step of a route's priority in the order of the queue.
+PRIORITY_STEP_MS = 40
+
+
+def order(received_ms: int, objective_ms: int, priority: int) -> int:
+    """Return the key by which waiting work is served, the lowest first.
+
+    Answers bursts in which kinds with short and long objectives meet: the
+    work whose objective ends first goes first, and nothing starves, since
+    the key of what waits is overtaken by time.
+    """
+    return received_ms + objective_ms + priority * PRIORITY_STEP_MS
+
+
+def expected_wait_ms(ahead: int, slots: int, service_ms: float) -> float:
+    """Return how long work waits behind ``ahead`` others.
+
+    Answers load beyond what the targets can serve: what can't be in time is
+    refused when it arrives.
+    """
+    return ahead * service_ms / max(1, slots)
+
+
+def retry_after_ms(wait_ms: float, spread: float) -> int:
+    """Return when a refused client should come back.
+
+    ``spread`` from 0 to 1 distributes clients that were refused together,
+    so that they don't return as one burst.
+    """
+    base = min(max(wait_ms, SHORTEST_RETRY_MS), LONGEST_RETRY_MS)
+    return int(base * (0.5 + spread))
+
+
+def depth(slots: int, round_trip_ms: float, service_ms: float) -> int:
+    """Return how many statements may be under way to a target.
+
+    Answers targets in other zones: while an answer and the next statement
+    travel, a slot would be idle without one more statement on its way.
+    """
+    return slots + int(slots * round_trip_ms / max(service_ms, 1.0) + 0.5)
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaState:
+    """What a replica answered when the primary is to be replaced."""
+
+    target_id: str
+    received: types.Position
+    is_paused: bool
+    is_draining: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """The replica to promote; the others must not receive meanwhile."""
+
+    target_id: str
+
+
+def choose_candidate(
+    states: collections.abc.Sequence[ReplicaState],
+    unanswered: collections.abc.Collection[str],
+    is_synchronous: bool,
+) -> Candidate | exceptions.Sentinel:
+    """Return the replica that surely has every acknowledged commit.
+
+    Answers a primary that fails while replicas are behind, unreachable or
+    leaving. An acknowledged commit is on at least one replica, so all
+    replicas must have answered, and the one that received most is chosen.
+    A replica that hasn't answered may hold the only copy.
+    """
+    if not states:
+        return exceptions.Sentinel('no replica answers')
+    if is_synchronous and unanswered:
+        names = ', '.join(sorted(unanswered))
+        return exceptions.Sentinel(f'no answer from {names}')
+    best = max(states, key=lambda each: (each.received, not each.is_draining))
+    return Candidate(best.target_id)
--- /dev/null
+++ b/samphirestand/gateway/pool.py
@@ -0,0 +1,245 @@
+"""Connections to one target, and how the target is doing."""
+
+import asyncio
+
+from samphirestand import catalog
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand.gateway import connection as connection_module
+from samphirestand.platform import wire
+from samphirestand import work as work_module
+
+__all__ = ['TargetPool']
+
+# Connections are left free for the gateway that takes over after a failure,
+# for probes, and for those that targets haven't dropped yet.
+RESERVED_CONNECTIONS = 2
+
+# Opening takes two round trips and up to 30 ms of a slot; this bound also
+# covers a target that is several times slower.
+OPEN_TIMEOUT_MS = 700
+
+PROBE_TIMEOUT_MS = 500
+
+# Unanswered probes in a row after which a target counts as down.
+MAX_FAILED_PROBES = 2
+
+# A target that has answered nothing for this long, although something was
+# asked, is probed.
+SILENT_MS = 400
+
+# The name under which the proxy itself opens sessions for probes.
+OWN_ACCOUNT = 'samphirestand'
+
+# The weight of a new sample of the smoothed times.
+SMOOTHING = 0.1
+
+
+class TargetPool:
+    """Keeps the connections to one target within their limit."""
+
+    def __init__(
+        self,
+        target: catalog.Target,
+        clock: clock_module.Clock,
+        max_connections: int,
+    ) -> None:
+        self.target = target
+        self._clock = clock
+        self.max_connections = max_connections
+        self._connections: list[connection_module.TargetConnection] = []
+        self._opening = 0
+        self.running = 0
+        self.pinned = 0
+        self.avoid_until_ms = 0
+        self.is_down = False
+        self.failed_probes = 0
+        self._failing_since_ms: int | None = None
+        self._sent_ms: dict[object, int] = {}
+        self._replied_ms = clock.now()
+        self.round_trip_ms = 1.0
+        self._control: connection_module.TargetConnection | None = None
+
+    @property
+    def limit(self) -> int:
+        """Return how many connections may be open."""
+        return max(1, self.max_connections - RESERVED_CONNECTIONS)
+
+    @property
+    def open_count(self) -> int:
+        return len(self._connections) + self._opening
+
+    def can_serve(self, account: str) -> bool:
+        """Tell whether a connection can be had without waiting for one."""
+        return self.open_count < self.limit or any(
+            not each.is_busy for each in self._connections
+        )
+
+    async def checkout(
+        self, work: work_module.Work, timeout_ms: int
+    ) -> connection_module.TargetConnection:
+        """Return a connection for the account of ``work``.
+
+        Prefers the idle connection that lacks least. Raises ``TargetError``.
+        """
+        self._drop_closed()
+        idle = [each for each in self._connections if not each.is_busy]
+        suited = [each for each in idle if each.account == work.account]
+        if suited:
+            best = min(suited, key=lambda each: each.lacks(work))
+            best.is_busy = True
+            return best
+        if self.open_count >= self.limit:
+            if not idle:
+                raise exceptions.TargetError(
+                    'all connections are in use',
+                    step='choose connection',
+                    peer=self.target.target_id,
+                )
+            oldest = min(idle, key=lambda each: each.used_ms)
+            self.discard(oldest)
+        return await self._open(work.account, timeout_ms)
+
+    async def _open(
+        self, account: str, timeout_ms: int
+    ) -> connection_module.TargetConnection:
+        self._opening += 1
+        try:
+            opened = await connection_module.open_connection(
+                self.target,
+                account,
+                min(timeout_ms, OPEN_TIMEOUT_MS),
+                self._clock.now(),
+            )
+        except exceptions.TargetRefused:
+            self.note_reply()
+            raise
+        except exceptions.TargetConnectError:
+            self.note_failure()
+            raise
+        finally:
+            self._opening -= 1
+        self.note_reply()
+        opened.is_busy = True
+        self._connections.append(opened)
+        return opened
+
+    def checkin(self, used: connection_module.TargetConnection) -> None:
+        """Take back a connection that is outside a transaction."""
+        used.is_busy = False
+        used.used_ms = self._clock.now()
+        if not used.is_usable:
+            self.discard(used)
+
+    def discard(self, used: connection_module.TargetConnection) -> None:
+        """Close a connection."""
+        used.close()
+        if used in self._connections:
+            self._connections.remove(used)
+
+    def _drop_closed(self) -> None:
+        for each in list(self._connections):
+            if not each.is_busy and not each.is_usable:
+                self.discard(each)
+
+    def close_idle(self, unused_ms: int) -> None:
+        """Close connections that were not used for ``unused_ms``."""
+        before = self._clock.now() - unused_ms
+        for each in list(self._connections):
+            if not each.is_busy and each.used_ms <= before:
+                self.discard(each)
+
+    def close(self) -> None:
+        """Close all connections, busy ones too."""
+        for each in list(self._connections):
+            self.discard(each)
+        self._close_control()
+
+    async def run(
+        self,
+        used: connection_module.TargetConnection,
+        steps: list[connection_module.Step],
+        timeout_ms: int,
+    ) -> list[connection_module.Reply]:
+        """Run steps on a connection; raises ``AnswerLost``."""
+        token = object()
+        self._sent_ms[token] = self._clock.now()
+        try:
+            replies = await used.run(steps, timeout_ms)
+        except exceptions.AnswerLost:
+            self.note_failure()
+            raise
+        finally:
+            del self._sent_ms[token]
+        self.note_reply()
+        return replies
+
+    def note_reply(self) -> None:
+        """Note that the target answered."""
+        self._replied_ms = self._clock.now()
+        self._failing_since_ms = None
+        self.failed_probes = 0
+        self.is_down = False
+
+    def note_failure(self) -> None:
+        """Note that the target could not be reached or went silent."""
+        if self._failing_since_ms is None:
+            self._failing_since_ms = self._clock.now()
+
+    @property
+    def needs_probe(self) -> bool:
+        """Tell whether it is unclear that the target lives."""
+        if self._failing_since_ms is not None or self.is_down:
+            return True
+        oldest = min(self._sent_ms.values(), default=None)
+        if oldest is None:
+            return False
+        silent_since = max(oldest, self._replied_ms)
+        return self._clock.now() - silent_since > SILENT_MS
+
+    async def probe(self) -> None:
+        """Ask a target that seems to fail for its state."""
+        status = await self.control(wire.STATUS, PROBE_TIMEOUT_MS)
+        if not isinstance(status, exceptions.Sentinel):
+            self.note_reply()
+            return
+        self.failed_probes += 1
+        if self.failed_probes >= MAX_FAILED_PROBES:
+            self.is_down = True
+
+    async def control(
+        self, text: str, timeout_ms: int
+    ) -> wire.Status | exceptions.Sentinel:
+        """Send a command of the proxy's own; a sentinel if it failed.
+
+        Uses a fresh connection after a failure, since an old one may have
+        gone silent while the target lives.
+        """
+        try:
+            if self._control is None or not self._control.is_usable:
+                self._control = await connection_module.open_connection(
+                    self.target, OWN_ACCOUNT, timeout_ms, self._clock.now()
+                )
+            step = connection_module.Step(wire.OWN_ID, text)
+            sent_ms = self._clock.now()
+            [reply] = await self._control.run([step], timeout_ms)
+            self.round_trip_ms += SMOOTHING * (
+                self._clock.now() - sent_ms - self.round_trip_ms
+            )
+        except exceptions.TargetError as error:
+            self._close_control()
+            return exceptions.Sentinel(str(error))
+        except asyncio.CancelledError:
+            self._close_control()
+            raise
+        if reply.error is not None:
+            return exceptions.Sentinel(reply.error.code)
+        status = wire.decode_status(reply.rows[0]) if reply.rows else None
+        if status is None:
+            return exceptions.Sentinel('malformed status')
+        return status
+
+    def _close_control(self) -> None:
+        if self._control is not None:
+            self._control.close()
+            self._control = None
--- /dev/null
+++ b/samphirestand/gateway/succession.py
@@ -0,0 +1,272 @@
+"""Replaces the primary of a service that has failed or is leaving."""
+
+import json
+
+import pydantic
+
+from samphirestand import catalog as catalog_module
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand.gateway import gateway as gateway_module
+from samphirestand.gateway import policy
+from samphirestand.gateway import pool as pool_module
+from samphirestand import log
+from samphirestand.platform import promotion
+from samphirestand.platform import store as store_module
+from samphirestand.platform import wire
+
+__all__ = ['DUTIES_TABLE', 'Succession']
+
+# The table of the store that holds the fencing token of each service.
+DUTIES_TABLE = 'duties'
+
+# A replica answers commands within two round trips.
+COMMAND_TIMEOUT_MS = 500
+
+# How often a promoted target is asked whether it leads, and for how long:
+# a promotion takes effect within about a second.
+EFFECT_INTERVAL_MS = 100
+EFFECT_LIMIT_MS = 2_500
+
+# After an attempt that could not be finished.
+RETRY_MS = 400
+
+# An order whose answer was lost is repeated this often, so that its effect
+# is known before anything else is tried.
+MAX_ORDERS = 4
+
+_log = log.get_logger(__name__)
+
+
+class _Duty(pydantic.BaseModel):
+    token: int = pydantic.Field(ge=0)
+    holder: str
+
+
+class Succession:
+    """Promotes replicas under a fencing token from the store.
+
+    A step that fails leaves a state from which any host can start anew: the
+    next holder takes a higher token and asks all replicas again.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        clock: clock_module.Clock,
+        store: store_module.Store,
+        promotions: promotion.Promotions,
+    ) -> None:
+        self._host_id = host_id
+        self._clock = clock
+        self._store = store
+        self._promotions = promotions
+
+    async def replace(
+        self,
+        gateway: gateway_module.Gateway,
+        service: catalog_module.Service,
+        reason: str,
+    ) -> bool:
+        """Make a replica the primary; False if it must be tried again.
+
+        Raises ``PlatformError`` while the store can't be reached.
+        """
+        old = gateway.primary_id
+        pools = {
+            target_id: pool
+            for target_id, pool in gateway.pools_by_id.items()
+            if target_id != old
+        }
+        _log.warning(
+            'succession_started',
+            service=service.name,
+            earlier=old,
+            reason=reason,
+            replicas=sorted(pools),
+        )
+
+        # The replicas are asked before the token is taken: without enough
+        # answers nothing may be changed.
+        states, unanswered = await self._ask(pools, wire.STATUS)
+        for target_id, status in states.items():
+            if status.is_primary:
+                gateway.set_primary(target_id, 'status')
+                return True
+        candidate = policy.choose_candidate(
+            _states(states, pools), unanswered, service.is_synchronous
+        )
+        if isinstance(candidate, exceptions.Sentinel):
+            _log.warning(
+                'succession_waits',
+                service=service.name,
+                reason=candidate.reason,
+            )
+            return False
+        token = await self._take_token(service.name)
+        if token is None:
+            return False
+
+        # While the others are paused, only the candidate can confirm
+        # commits, so it has every commit that is acknowledged from now on.
+        term = max(
+            max(each.term, each.held, each.received.term)
+            for each in states.values()
+        )
+        others = {
+            target_id: pool
+            for target_id, pool in pools.items()
+            if target_id != candidate.target_id
+        }
+        paused, missing = await self._ask(others, wire.pause_text(term + 1))
+        fresh, silent = await self._ask(
+            {candidate.target_id: pools[candidate.target_id]}, wire.STATUS
+        )
+        unanswered = [*missing, *silent]
+        chosen = policy.choose_candidate(
+            _states({**paused, **fresh}, pools),
+            unanswered,
+            service.is_synchronous,
+        )
+        if not fresh or isinstance(chosen, exceptions.Sentinel):
+            await self._resume(others)
+            _log.warning(
+                'succession_waits',
+                service=service.name,
+                reason=f'no answer from {sorted(unanswered)}',
+            )
+            return False
+        if chosen != candidate:
+            best = paused[chosen.target_id].received
+            if best > fresh[candidate.target_id].received:
+                # The other replica received more before it was paused; the
+                # next attempt starts with it.
+                await self._resume(others)
+                _log.info(
+                    'succession_other_candidate',
+                    service=service.name,
+                    target=chosen.target_id,
+                )
+                return False
+        is_done = await self._promote(
+            gateway, service.name, candidate.target_id, token
+        )
+        await self._resume(others)
+        return is_done
+
+    async def _ask(
+        self, pools: dict[str, pool_module.TargetPool], text: str
+    ) -> tuple[dict[str, wire.Status], list[str]]:
+        """Send a command to all; returns answers and who gave none."""
+        answers = {}
+        unanswered = []
+        for target_id, pool in pools.items():
+            status = await pool.control(text, COMMAND_TIMEOUT_MS)
+            if isinstance(status, exceptions.Sentinel):
+                status = await pool.control(text, COMMAND_TIMEOUT_MS)
+            if isinstance(status, exceptions.Sentinel):
+                unanswered.append(target_id)
+                _log.warning(
+                    'replica_silent', target=target_id, reason=status.reason
+                )
+                continue
+            answers[target_id] = status
+            _log.info(
+                'replica_answered',
+                target=target_id,
+                command=text,
+                received=str(status.received),
+                term=status.term,
+                held=status.held,
+            )
+        return answers, unanswered
+
+    async def _resume(self, pools: dict[str, pool_module.TargetPool]) -> None:
+        await self._ask(pools, wire.RESUME)
+
+    async def _take_token(self, service: str) -> int | None:
+        """Raise the service's token in the store; None if another host did."""
+        key = f'promotion/{service}'
+        feed = await self._store.read(DUTIES_TABLE)
+        row = next((each for each in feed.rows if each.key == key), None)
+        earlier = 0
+        if row is not None:
+            try:
+                earlier = _Duty.model_validate_json(row.value).token
+            except pydantic.ValidationError as error:
+                _log.error('duty_unreadable', key=key, reason=str(error))
+                return None
+        token = earlier + 1
+        value = json.dumps({'token': token, 'holder': self._host_id})
+        result = await self._store.put(
+            DUTIES_TABLE,
+            key,
+            value.encode(),
+            row.version if row is not None else 0,
+        )
+        if isinstance(result, store_module.Conflict):
+            _log.info('succession_taken_by_other', service=service)
+            return None
+        _log.info('succession_token', service=service, token=token)
+        return token
+
+    async def _promote(
+        self,
+        gateway: gateway_module.Gateway,
+        service: str,
+        target_id: str,
+        token: int,
+    ) -> bool:
+        """Order the promotion until its outcome is known."""
+        for _ in range(MAX_ORDERS):
+            answer, text = await self._promotions.order(
+                service, target_id, self._host_id, token
+            )
+            _log.warning(
+                'promotion_ordered',
+                service=service,
+                target=target_id,
+                token=token,
+                answer=answer.value,
+                text=text,
+            )
+            match answer:
+                case promotion.Promoted.ACCEPTED:
+                    return await self._await_effect(gateway, target_id)
+                case promotion.Promoted.REJECTED:
+                    return False
+            await self._clock.sleep(RETRY_MS // 4)
+        return False
+
+    async def _await_effect(
+        self, gateway: gateway_module.Gateway, target_id: str
+    ) -> bool:
+        deadline = self._clock.now() + EFFECT_LIMIT_MS
+        while self._clock.now() < deadline:
+            pool = gateway.pools_by_id.get(target_id)
+            if pool is None:
+                return False
+            status = await pool.control(wire.STATUS, COMMAND_TIMEOUT_MS)
+            if not isinstance(status, exceptions.Sentinel) and (
+                status.is_primary
+            ):
+                gateway.set_primary(target_id, 'promotion')
+                gateway.refresh()
+                return True
+            await self._clock.sleep(EFFECT_INTERVAL_MS)
+        return False
+
+
+def _states(
+    answers: dict[str, wire.Status],
+    pools: dict[str, pool_module.TargetPool],
+) -> list[policy.ReplicaState]:
+    return [
+        policy.ReplicaState(
+            target_id,
+            status.received,
+            status.held > status.term,
+            pools[target_id].target.is_draining,
+        )
+        for target_id, status in answers.items()
+    ]
--- /dev/null
+++ b/samphirestand/node.py
@@ -0,0 +1,283 @@
+"""The program of one host on the platform: builds, runs and stops it."""
+
+import argparse
+import asyncio
+import collections.abc
+import os
+import pathlib
+import random
+import signal
+import sys
+
+from tornado import httpserver
+from tornado import web
+
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand.fleet import allowance as allowance_module
+from samphirestand.fleet import frames
+from samphirestand.fleet import links
+from samphirestand.fleet import members as members_module
+from samphirestand.fleet import service as service_module
+from samphirestand.fleet import watch
+from samphirestand.gateway import gateways as gateways_module
+from samphirestand.gateway import succession as succession_module
+from samphirestand import log
+from samphirestand import metrics as metrics_module
+from samphirestand import node_settings
+from samphirestand.platform import node_file
+from samphirestand.platform import promotion
+from samphirestand.platform import store as store_module
+from samphirestand.sessions import listener as listener_module
+from samphirestand.sessions import session as session_module
+
+EXIT_SETTINGS = 2
+
+# The balancer asks once a second and takes a host out after two misses; new
+# connections come until then.
+BALANCER_NOTICE_MS = 2_300
+
+# Left of the grace period for the last answers and the end of the process.
+EXIT_MARGIN_MS = 700
+
+_log = log.get_logger(__name__)
+
+
+class Node:
+    """All parts of one host."""
+
+    def __init__(
+        self, settings: node_settings.NodeSettings, path: pathlib.Path
+    ) -> None:
+        self._settings = settings
+        self._path = path
+        self._clock = clock_module.SystemClock()
+        self._random = random.Random()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._fetching: dict[str, asyncio.Task[None]] = {}
+        self.metrics = metrics_module.Metrics()
+        self.store = store_module.Store(settings.store)
+        self.catalog = watch.CatalogWatch(
+            self.store, self._clock, lambda catalog: self._refresh()
+        )
+        self.targets = watch.TargetWatch(
+            self.store, self._clock, self._refresh
+        )
+        local = frames.Hello(
+            settings.host_id,
+            settings.zone,
+            settings.peers.address,
+            settings.peers.port,
+            self._clock.wall(),
+        )
+        self.members = members_module.Members(
+            local, self._clock, self.store, self._refresh
+        )
+        self.allowance = allowance_module.Allowance(
+            self._clock, self.members, lambda: self.catalog.current
+        )
+        succession = None
+        if settings.promotions is not None:
+            succession = succession_module.Succession(
+                settings.host_id,
+                self._clock,
+                self.store,
+                promotion.Promotions(settings.promotions),
+            )
+        self.gateways = gateways_module.Gateways(
+            self._clock,
+            self._random,
+            self.members,
+            self.targets,
+            lambda: self.catalog.current,
+            succession,
+            self.metrics,
+        )
+        self.peer_service = service_module.PeerService(
+            self.members, self.gateways, self.allowance, self.catalog
+        )
+        self.peers = links.Listener(self.peer_service)
+        context = session_module.Context(
+            self._clock,
+            lambda: self.catalog.current,
+            self.allowance,
+            service_module.PeerDispatcher(self.members, self.gateways),
+            self.metrics,
+        )
+        self.sessions = listener_module.Listener(context, self._clock)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new sessions should come to this host."""
+        return self.catalog.current.version > 0 and not (
+            self.members.is_draining
+        )
+
+    def _refresh(self) -> None:
+        if hasattr(self, 'gateways'):
+            self.gateways.refresh()
+
+    async def start(self) -> None:
+        """Listen, join the fleet and follow the store."""
+        settings = self._settings
+        await self.peers.start(settings.peers.address, settings.peers.port)
+        for job in (
+            self.catalog.run(),
+            self.targets.run(),
+            self.members.register_forever(),
+            self.members.ping_forever(self._ping()),
+            self.gateways.upkeep_forever(),
+        ):
+            self._tasks.append(asyncio.create_task(job))
+        await self.sessions.start(
+            settings.callers.address, settings.callers.port
+        )
+        probe = web.Application(
+            [('/-/ready', _ReadyHandler, {'node': self})],
+            log_function=_no_access_log,
+        )
+        httpserver.HTTPServer(probe).listen(
+            settings.readiness.port, settings.readiness.address
+        )
+        self._listen_for_metrics()
+        _log.info('started', zone=settings.zone, callers=str(settings.callers))
+
+    def _listen_for_metrics(self) -> None:
+        application = web.Application(
+            [('/metrics', _MetricsHandler, {'node': self})],
+            log_function=_no_access_log,
+        )
+        endpoint = self._settings.metrics
+        httpserver.HTTPServer(application).listen(
+            endpoint.port, endpoint.address
+        )
+
+    def _ping(
+        self,
+    ) -> collections.abc.Callable[[links.Link], frames.Ping]:
+        """Return a function that builds the ping to each host."""
+        deposits: dict[str, tuple[frames.Deposit, ...]] = {}
+
+        def build(link: links.Link) -> frames.Ping:
+            host_id = link.peer.host_id
+            if host_id not in deposits:
+                for key, value in self.allowance.deposits_by_host().items():
+                    deposits[key] = deposits.get(key, ()) + value
+            self._follow(link)
+            return frames.Ping(
+                0,
+                self.members.is_draining,
+                self.catalog.current.version,
+                deposits.pop(host_id, ()),
+            )
+
+        return build
+
+    def _follow(self, link: links.Link) -> None:
+        """Fetch the configuration of a host that has a newer one."""
+        if link.catalog_version <= self.catalog.current.version:
+            return
+        running = self._fetching.get(link.peer.host_id)
+        if running is None or running.done():
+            job = self.peer_service.follow_peers(link)
+            self._fetching[link.peer.host_id] = asyncio.create_task(job)
+
+    def reload(self) -> None:
+        """Read the settings file again; most settings need a restart."""
+        try:
+            found = node_file.load(self._path)
+        except exceptions.SettingsError as error:
+            _log.error('reload_failed', reason=str(error))
+            return
+        _log.info('reloaded', changed=found != self._settings)
+
+    async def stop(self) -> None:
+        """Hand over and finish what runs; cuts no request."""
+        grace_ms = self._settings.grace_ms
+        started_ms = self._clock.now()
+        _log.info('stopping', sessions=self.sessions.session_count)
+        self.members.is_draining = True
+        await self._clock.sleep(BALANCER_NOTICE_MS)
+        left = await self.sessions.drain(
+            grace_ms - EXIT_MARGIN_MS - BALANCER_NOTICE_MS
+        )
+        deadline = started_ms + grace_ms - EXIT_MARGIN_MS
+        while self.gateways.has_transactions and self._clock.now() < deadline:
+            await self._clock.sleep(listener_module.DRAIN_INTERVAL_MS)
+        self.sessions.stop()
+        _log.info('stopped', sessions_left=left)
+        self.gateways.close()
+        self.members.stop()
+        for task in self._tasks:
+            task.cancel()
+
+
+class _ReadyHandler(web.RequestHandler):
+    """Answers the balancer's probe."""
+
+    def initialize(self, node: Node) -> None:
+        self._node = node
+
+    def get(self) -> None:
+        self.set_status(200 if self._node.is_ready else 503)
+
+
+class _MetricsHandler(web.RequestHandler):
+    """Serves counters and latencies."""
+
+    def initialize(self, node: Node) -> None:
+        self._node = node
+
+    def get(self) -> None:
+        self.write(self._node.metrics.snapshot())
+
+
+def _no_access_log(handler: web.RequestHandler) -> None:
+    """Leave probes out of the log."""
+
+
+async def serve(
+    settings: node_settings.NodeSettings, path: pathlib.Path
+) -> None:
+    """Run a host until SIGTERM or SIGINT asks for a planned stop."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    node = Node(settings, path)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    await node.start()
+    await stop.wait()
+    await node.stop()
+
+
+def main(
+    arguments: collections.abc.Sequence[str] | None = None,
+) -> int:
+    """Run ``python -m samphirestand.node``; returns the exit code."""
+    parser = argparse.ArgumentParser(
+        prog='samphirestand-node', description=__doc__
+    )
+    parser.add_argument(
+        'settings',
+        nargs='?',
+        type=pathlib.Path,
+        help=f'the settings file; {node_file.FILE_VARIABLE} if left out',
+    )
+    parser.add_argument('--log-level', default='info')
+    chosen = parser.parse_args(arguments)
+    path = chosen.settings
+    if path is None:
+        path = pathlib.Path(os.environ.get(node_file.FILE_VARIABLE, ''))
+    try:
+        settings = node_file.load(path)
+        log.configure(settings.host_id, chosen.log_level)
+        asyncio.run(serve(settings, path))
+    except exceptions.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/samphirestand/node_settings.py
@@ -0,0 +1,33 @@
+"""Checked settings of one host."""
+
+import dataclasses
+
+__all__ = ['Endpoint', 'NodeSettings']
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """An IP address and a port."""
+
+    address: str
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.address}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeSettings:
+    """Addresses and bounds of one host; times in milliseconds."""
+
+    host_id: str
+    zone: str
+    callers: Endpoint
+    readiness: Endpoint
+    peers: Endpoint
+    metrics: Endpoint
+    store: Endpoint
+    promotions: Endpoint | None
+    heartbeat_ms: int  # how often a target renews its registration
+    drain_ms: int  # within which a leaving target gets no more work
+    grace_ms: int  # from SIGTERM to SIGKILL
--- /dev/null
+++ b/samphirestand/platform/node_file.py
@@ -0,0 +1,92 @@
+"""Settings of one host, from the file that the platform writes."""
+
+import pathlib
+import tomllib
+from typing import Any
+
+import pydantic
+
+from samphirestand import exceptions
+from samphirestand import node_settings
+
+__all__ = ['FILE_VARIABLE', 'load']
+
+# The environment variable that holds the path of the settings file.
+FILE_VARIABLE = 'SAMPHIRESTAND_NODE_FILE'
+
+
+# The platform fetches metrics from a port that deploy/system.toml names; it
+# is the same on all machines.
+METRICS_PORT = 9_464
+
+
+class _Listen(pydantic.BaseModel):
+    Front: str
+    Ready: str
+
+
+class _Bounds(pydantic.BaseModel):
+    DrainMs: int = 7_000
+    GraceS: float = 6
+    ConfigMs: int = 3_000
+
+
+class _Store(pydantic.BaseModel):
+    Addr: str
+
+
+class _Cloud(pydantic.BaseModel):
+    Addr: str = ''
+
+
+class _File(pydantic.BaseModel):
+    """The fields that are used; the platform may add others."""
+
+    Node: str
+    Ip: pydantic.IPvAnyAddress
+    Zone: str
+    PortRange: tuple[int, int]
+    HeartbeatMs: int = 1_200
+    Listen: _Listen
+    Bounds: _Bounds = pydantic.Field(default_factory=_Bounds)
+    platform: _Store
+    Cloud: _Cloud = pydantic.Field(default_factory=_Cloud)
+
+
+def load(path: pathlib.Path) -> node_settings.NodeSettings:
+    """Read and check the file; raises ``SettingsError``."""
+    try:
+        document: Any = tomllib.loads(path.read_text())
+        model = _File.model_validate(document)
+        return _settings(model)
+    except (
+        OSError,
+        UnicodeDecodeError,
+        tomllib.TOMLDecodeError,
+        ValueError,  # pydantic's ValidationError is one, too
+    ) as error:
+        raise exceptions.SettingsError(
+            f'{path}: {error}', step='settings'
+        ) from error
+
+
+def _settings(model: _File) -> node_settings.NodeSettings:
+    address = str(model.Ip)
+    return node_settings.NodeSettings(
+        host_id=model.Node,
+        zone=model.Zone,
+        callers=_endpoint(model.Listen.Front),
+        readiness=_endpoint(model.Listen.Ready),
+        peers=node_settings.Endpoint(address, model.PortRange[0]),
+        metrics=node_settings.Endpoint(address, METRICS_PORT),
+        store=_endpoint(model.platform.Addr),
+        promotions=(_endpoint(model.Cloud.Addr) if model.Cloud.Addr else None),
+        heartbeat_ms=model.HeartbeatMs,
+        drain_ms=model.Bounds.DrainMs,
+        grace_ms=int(model.Bounds.GraceS * 1_000),
+    )
+
+
+def _endpoint(text: str) -> node_settings.Endpoint:
+    address, _, port = text.rpartition(':')
+    return node_settings.Endpoint(address, int(port))
--- /dev/null
+++ b/samphirestand/platform/promotion.py
@@ -0,0 +1,67 @@
+"""Client of the platform's call that makes a replica the primary."""
+
+import enum
+import json
+
+from tornado import httpclient
+
+from samphirestand import node_settings
+
+__all__ = ['Promoted', 'Promotions']
+
+# A promotion is accepted within 30 ms; the limit leaves room for a slow
+# platform and keeps two attempts within the time of a failover.
+REQUEST_TIMEOUT_MS = 1_500
+
+
+class Promoted(enum.Enum):
+    """How the platform answered an order to promote."""
+
+    ACCEPTED = 'accepted'
+    REJECTED = 'rejected'  # a higher token was seen, or no such server runs
+    NOT_DONE = 'not done'
+    UNKNOWN = 'unknown'  # may still be carried out
+
+
+class Promotions:
+    """Orders promotions under a fencing token."""
+
+    def __init__(self, endpoint: node_settings.Endpoint) -> None:
+        self._url = f'http://{endpoint}/promotion'
+        self._client = httpclient.AsyncHTTPClient(force_instance=True)
+
+    async def order(
+        self, service: str, target_id: str, holder: str, token: int
+    ) -> tuple[Promoted, str]:
+        """Order that ``target_id`` leads; returns the answer and its text."""
+        request = httpclient.HTTPRequest(
+            self._url,
+            method='POST',
+            headers={
+                'Content-Type': 'application/json',
+                'X-Samphirestand-Duty-Holder': holder,
+                'X-Samphirestand-Fence-Token': str(token),
+            },
+            body=json.dumps({'Service': service, 'Id': target_id}),
+            connect_timeout=REQUEST_TIMEOUT_MS / 1000,
+            request_timeout=REQUEST_TIMEOUT_MS / 1000,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (httpclient.HTTPError, OSError) as error:
+            return Promoted.UNKNOWN, str(error)
+        text = (
+            f'{response.code} {response.body[:200].decode(errors="replace")}'
+        )
+        match response.code:
+            case 200:
+                return Promoted.ACCEPTED, text
+            case 409:
+                return Promoted.REJECTED, text
+            case 429 | 503:
+                return Promoted.NOT_DONE, text
+            case _:
+                return Promoted.UNKNOWN, text
+
+    def close(self) -> None:
+        self._client.close()
--- /dev/null
+++ b/samphirestand/platform/wire.py
@@ -0,0 +1,409 @@
+"""Codec of the line protocol that callers and targets speak."""
+
+import asyncio
+import collections
+import dataclasses
+
+from samphirestand import exceptions
+from samphirestand import sockets
+from samphirestand import statements
+from samphirestand import types
+
+__all__ = [
+    'Answer',
+    'Complete',
+    'Connection',
+    'Error',
+    'Malformed',
+    'Query',
+    'Ready',
+    'Row',
+    'Startup',
+    'Terminate',
+    'begin_after',
+    'decode_answer',
+    'decode_request',
+    'decode_statement',
+    'encode_complete',
+    'encode_error',
+    'encode_query',
+    'encode_ready',
+    'encode_row',
+    'encode_startup',
+    'execute_text',
+    'pause_text',
+    'prepare_text',
+    'set_text',
+    'wait_for',
+]
+
+# The protocol's limit of a message.
+MAX_LINE_BYTES = 1_048_576
+
+# A peer that leaves this many bytes unread is disconnected: a few of the
+# largest messages.
+MAX_UNSENT_BYTES = 4 * MAX_LINE_BYTES
+
+# Messages read ahead of a slow consumer before the socket is paused.
+MAX_READ_AHEAD = 64
+
+# The id of statements that the proxy issues itself.
+OWN_ID = '-'
+
+STATE_IDLE = 'I'
+STATE_TRANSACTION = 'T'
+STATE_FAILED = 'E'
+
+BEGIN = 'BEGIN'
+ROLLBACK = 'ROLLBACK'
+DISCARD = 'DISCARD'
+STATUS = 'STATUS'
+RESUME = 'RESUME'
+
+
+@dataclasses.dataclass(frozen=True)
+class Startup:
+    """A caller opens a session with a database; ``key`` says who it is."""
+
+    database: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Query:
+    """A caller's statement."""
+
+    request_id: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Terminate:
+    """A caller ends its session."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Malformed:
+    """A line that is no message of the protocol."""
+
+    reason: str
+    request_id: str = OWN_ID
+
+
+Request = Startup | Query | Terminate | Malformed
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One row of an answer."""
+
+    data: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Complete:
+    """The statement succeeded; the signature proves who ran it."""
+
+    signature: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Error:
+    """The statement failed."""
+
+    code: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Ready:
+    """The end of an answer: the session's state and the log's position."""
+
+    state: str
+    position: types.Position | None
+
+
+Answer = Row | Complete | Error | Ready
+
+
+def decode_request(line: bytes) -> Request:
+    """Decode a line of a caller; a bad one becomes ``Malformed``."""
+    try:
+        text = line.decode()
+    except UnicodeDecodeError:
+        return Malformed('not UTF-8')
+    word, _, rest = text.partition(' ')
+    match word:
+        case 'QUERY':
+            request_id, _, statement = rest.partition(' ')
+            if not request_id or not statement:
+                return Malformed('QUERY needs an id and a text')
+            return Query(request_id, statement)
+        case 'STARTUP':
+            database, _, key = rest.partition(' ')
+            return Startup(database, key)
+        case 'TERMINATE':
+            return Terminate()
+        case _:
+            return Malformed('unknown word')
+
+
+def decode_statement(text: str) -> statements.Statement | None:
+    """Decode the text of a query; None if it is no known statement."""
+    word, _, rest = text.partition(' ')
+    match word:
+        case 'BEGIN':
+            if rest not in ('', 'READ'):
+                return None
+            return statements.Begin(read_only=rest == 'READ')
+        case 'COMMIT':
+            return None if rest else statements.Commit()
+        case 'ROLLBACK':
+            return None if rest else statements.Rollback()
+        case 'READ':
+            return statements.Read(rest) if rest else None
+        case 'EXECUTE':
+            name, _, arguments = rest.partition(' ')
+            return statements.Execute(name, arguments) if name else None
+        case 'WRITE':
+            item, _, data = rest.partition(' ')
+            return statements.Write(item, data) if item else None
+        case 'SET':
+            name, _, value = rest.partition(' ')
+            return statements.SetValue(name, value) if name else None
+        case 'PARSE':
+            return _prepare(rest)
+        case 'CLOSE':
+            return statements.Deallocate(rest) if rest else None
+        case _:
+            return None
+
+
+def _prepare(rest: str) -> statements.Prepare | None:
+    name, _, definition = rest.partition(' ')
+    mode, _, shape = definition.partition(' ')
+    if not name or not shape or mode not in ('READ', 'WRITE'):
+        return None
+    return statements.Prepare(name, types.Mode(mode.lower()), shape)
+
+
+def decode_answer(line: bytes) -> Answer | None:
+    """Decode a line of a target; None if it is no answer."""
+    try:
+        text = line.decode()
+    except UnicodeDecodeError:
+        return None
+    word, _, rest = text.partition(' ')
+    match word:
+        case 'DATAROW':
+            return Row(rest)
+        case 'COMPLETE':
+            return Complete(rest)
+        case 'ERROR':
+            code, _, reason = rest.partition(' ')
+            return Error(code, reason)
+        case 'READY':
+            state, _, position = rest.partition(' ')
+            return Ready(state, decode_position(position))
+        case _:
+            return None
+
+
+def decode_position(text: str) -> types.Position | None:
+    """Decode TERM.NUMBER; None for ``-`` and for anything else."""
+    term, dot, number = text.partition('.')
+    if not dot or not term.isdecimal() or not number.isdecimal():
+        return None
+    return types.Position(int(term), int(number))
+
+
+def encode_position(position: types.Position | None) -> str:
+    if position is None:
+        return '-'
+    return f'{position.term}.{position.offset}'
+
+
+def encode_row(data: str) -> bytes:
+    return f'DATAROW {data}\r\n'.encode()
+
+
+def encode_complete(signature: str) -> bytes:
+    return f'COMPLETE {signature}\r\n'.encode()
+
+
+def encode_error(code: str, text: str) -> bytes:
+    plain = text.replace('\r', ' ').replace('\n', ' ')
+    return f'ERROR {code} {plain}\r\n'.encode()
+
+
+def encode_ready(state: str, position: types.Position | None) -> bytes:
+    return f'READY {state} {encode_position(position)}\r\n'.encode()
+
+
+def encode_startup(service: str, account: str, target_id: str) -> bytes:
+    """Open a session with a target, which refuses any other ``target_id``."""
+    return f'STARTUP {service} {account} {target_id}\r\n'.encode()
+
+
+def encode_query(request_id: str, text: str) -> bytes:
+    return f'QUERY {request_id} {text}\r\n'.encode()
+
+
+def wait_for(position: types.Position | None, text: str) -> str:
+    """Let a read or a BEGIN wait until the target's log has ``position``."""
+    if position is None:
+        return text
+    return f'WAITLSN {encode_position(position)} {text}'
+
+
+def begin_after(position: types.Position | None, text: str) -> str:
+    """Return a BEGIN that waits for ``position``."""
+    return wait_for(position, text)
+
+
+def execute_text(name: str, arguments: str) -> str:
+    return f'EXECUTE {name} {arguments}' if arguments else f'EXECUTE {name}'
+
+
+def prepare_text(name: str, mode: types.Mode, shape: str) -> str:
+    return f'PARSE {name} {mode.value.upper()} {shape}'
+
+
+def set_text(name: str, value: str) -> str:
+    return f'SET {name} {value}'
+
+
+def pause_text(term: int) -> str:
+    """Stop a replica from receiving; ``term`` must be above the newest."""
+    return f'PAUSE {term}'
+
+
+@dataclasses.dataclass(frozen=True)
+class Status:
+    """What a target says about itself; ``held`` is the term it refuses."""
+
+    is_primary: bool
+    term: int
+    received: types.Position
+    held: int
+    lag_ms: int
+    busy: int
+    connections: int
+
+
+def decode_status(data: str) -> Status | None:
+    """Decode the row that STATUS, PAUSE and RESUME answer with."""
+    fields = data.split(' ')
+    if len(fields) < 7 or fields[0] not in ('primary', 'replica'):
+        return None
+    received = decode_position(fields[2])
+    numbers = (fields[1], *fields[3:7])
+    if received is None or not all(each.isdecimal() for each in numbers):
+        return None
+    return Status(
+        is_primary=fields[0] == 'primary',
+        term=int(fields[1]),
+        received=received,
+        held=int(fields[3]),
+        lag_ms=int(fields[4]),
+        busy=int(fields[5]),
+        connections=int(fields[6]),
+    )
+
+
+class Connection(asyncio.Protocol):
+    """A connection that carries lines; used for callers and targets."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._partial = b''
+        self._waiter: asyncio.Future[None] | None = None
+        self._is_paused = False
+        self.is_closed = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sockets.set_timeouts(transport.get_extra_info('socket'))
+
+    def data_received(self, data: bytes) -> None:
+        lines = (self._partial + data).split(b'\r\n')
+        self._partial = lines.pop()
+        self._lines.extend(lines)
+        longest = max(map(len, lines), default=0)
+        if max(longest, len(self._partial)) > MAX_LINE_BYTES:
+            self._lines.append(b'')
+            self._partial = b''
+            self.abort()
+        if len(self._lines) > MAX_READ_AHEAD and not self._is_paused:
+            self._is_paused = True
+            if self._transport is not None:
+                self._transport.pause_reading()
+        self._wake()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.is_closed = True
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    @property
+    def has_line(self) -> bool:
+        """Tell whether a whole line waits to be read."""
+        return bool(self._lines)
+
+    async def read_line(self) -> bytes | None:
+        """Return the next line without its end; None once it is closed."""
+        while not self._lines:
+            if self.is_closed:
+                return None
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        line = self._lines.popleft()
+        if self._is_paused and not self._lines and self._transport:
+            self._is_paused = False
+            self._transport.resume_reading()
+        return line
+
+    def write(self, data: bytes) -> None:
+        """Send without waiting; a peer that doesn't read is cut off."""
+        if self.is_closed or self._transport is None:
+            return
+        self._transport.write(data)
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.abort()
+
+    def close(self) -> None:
+        """Close after everything written has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        self.is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+        self._wake()
+
+
+async def connect(address: str, port: int, timeout_ms: int) -> Connection:
+    """Open a connection; raises ``TargetConnectError``."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            _, connection = await loop.create_connection(
+                Connection, address, port
+            )
+    except (OSError, TimeoutError) as error:
+        raise exceptions.TargetConnectError(
+            str(error) or 'no answer in time',
+            step='connect',
+            peer=f'{address}:{port}',
+        ) from error
+    return connection
--- /dev/null
+++ b/samphirestand/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions of callers on the line protocol."""
--- /dev/null
+++ b/samphirestand/sessions/listener.py
@@ -0,0 +1,88 @@
+"""Accepts callers, and lets them go when the host stops."""
+
+import asyncio
+
+from samphirestand import clock as clock_module
+from samphirestand import log
+from samphirestand.platform import wire
+from samphirestand.sessions import session as session_module
+
+__all__ = ['Listener']
+
+# Connections that wait to be accepted; a full queue drops opening packets,
+# which come again after seconds.
+BACKLOG = 1_024
+
+# How often a stopping host looks for sessions that can be closed.
+DRAIN_INTERVAL_MS = 50
+
+_log = log.get_logger(__name__)
+
+
+class Listener:
+    """The sessions of this host."""
+
+    def __init__(
+        self, context: session_module.Context, clock: clock_module.Clock
+    ) -> None:
+        self._context = context
+        self._clock = clock
+        self._server: asyncio.Server | None = None
+        self._sessions_by_task: dict[
+            asyncio.Task[None], session_module.Session
+        ] = {}
+
+    @property
+    def session_count(self) -> int:
+        return len(self._sessions_by_task)
+
+    async def start(self, address: str, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Accepted(self), address, port, backlog=BACKLOG
+        )
+
+    def serve(self, connection: wire.Connection) -> None:
+        """Start a session on a new connection."""
+        session = session_module.Session(connection, self._context)
+        task = asyncio.create_task(session.run())
+        self._sessions_by_task[task] = session
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._sessions_by_task.pop(task, None)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error('session_failed', reason=repr(task.exception()))
+
+    def close_idle(self, most: int) -> None:
+        """Close up to ``most`` sessions on which nothing is outstanding."""
+        idle = [
+            each for each in self._sessions_by_task.values() if each.can_close
+        ]
+        for session in idle[:most]:
+            session.close()
+
+    async def drain(self, limit_ms: int) -> int:
+        """Close sessions as they become idle; returns how many are left."""
+        deadline = self._clock.now() + limit_ms
+        while self._sessions_by_task and self._clock.now() < deadline:
+            self.close_idle(self.session_count)
+            await self._clock.sleep(DRAIN_INTERVAL_MS)
+        return self.session_count
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+
+class _Accepted(wire.Connection):
+    """A connection of a caller."""
+
+    def __init__(self, listener: Listener) -> None:
+        super().__init__()
+        self._listener = listener
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._listener.serve(self)
