Name the inputs of a refusal above an account's rate

The line shows that the configuration lowers one account to 12 operations a second while it asks for about 25, so they are due.

--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -121,6 +121,20 @@
             return MILLI
         return max(RETRY_MS, 2 * MILLI // found.rate)
 
+    def describe(self, account: str) -> str:
+        """Return what the decision about an account rests on."""
+        found = self._catalog().accounts_by_name.get(account)
+        bucket = self._buckets_by_account.get(account, Bucket())
+        if found is None:
+            return 'no such account'
+        return (
+            f'rate {found.rate}, burst {found.burst}, '
+            f'{bucket.millitokens:.0f} thousandths here, '
+            f'demand {bucket.demand:.1f}/s, '
+            f'{self._members.known_count} hosts, collected by '
+            f'{self._members.host_for(_job(account))}'
+        )
+
     def _refilled(self, account: catalog_module.Account) -> Bucket:
         now = self._clock.now()
         bucket = self._buckets_by_account.get(account.name)
@@ -150,7 +164,7 @@
         self, account: catalog_module.Account, bucket: Bucket
     ) -> None:
         wanted = int(MILLI + bucket.demand * PREFETCH_MS)
-        host_id = self._members.host_for(f'rate/{account.name}')
+        host_id = self._members.host_for(_job(account.name))
         if host_id == self._members.local.host_id:
             bucket.millitokens += self.give(account.name, wanted)
             return
@@ -191,10 +205,15 @@
             if surplus <= 0:
                 continue
             bucket.millitokens -= surplus
-            host_id = self._members.host_for(f'rate/{account.name}')
+            host_id = self._members.host_for(_job(account.name))
             deposits.setdefault(host_id, []).append(
                 frames.Deposit(account.name, surplus)
             )
         own = deposits.pop(self._members.local.host_id, [])
         self.accept(tuple(own))
         return {key: tuple(value) for key, value in deposits.items()}
+
+
+def _job(account: str) -> str:
+    """Return the name of the job of collecting an account's tokens."""
+    return f'rate/{account}'
--- a/samphirestand/sessions/session.py
+++ b/samphirestand/sessions/session.py
@@ -341,7 +341,8 @@
             return admitted
         refusal = work_module.Refused(
             'BUSY',
-            f'account {admitted.account} is above its rate',
+            f'account {admitted.account} is above its rate: '
+            f'{allowance.describe(admitted.account)}',
             allowance.retry_after_ms(admitted.account),
         )
         self._context.metrics.count('refused_rate')
