--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -20,11 +20,19 @@
 
 MILLI = 1_000
 
-# The parts of the burst that may lie at the collecting host and, together,
-# at all hosts; they add up to the burst.
-POT_SHARE = 0.5
+# The part of the burst that all hosts together may keep; the rest may lie at
+# the collecting host.
 HOME_SHARE = 0.5
 
+# A host keeps tokens only if its part of the burst is at least this many
+# thousandths. Where it is less, fractions of tokens would lie on all hosts
+# and serve nobody, so all tokens go to the collecting host.
+SMALLEST_HOME = 2 * MILLI
+
+# Tokens gained since the last ping, which takes the surplus along, are kept
+# for two intervals.
+GAIN_KEPT_MS = 500
+
 # A request for tokens crosses zones twice; later answers are of no use to a
 # statement with an objective of about 100 ms.
 ASK_TIMEOUT_MS = 60
@@ -60,9 +68,9 @@
         # Decays within about two seconds.
         self.demand *= max(0.0, 1 - elapsed_ms / 2_000)
 
-    def surplus(self) -> int:
-        """Return the thousandths that the expected demand doesn't need."""
-        needed = self.demand * PREFETCH_MS
+    def surplus(self, capacity: float) -> int:
+        """Return the thousandths that need not stay on this host."""
+        needed = min(capacity, self.demand * PREFETCH_MS)
         return max(0, int(self.millitokens - needed))
 
 
@@ -72,12 +80,16 @@
 
     millitokens: float = 0.0
 
-    def add(self, millitokens: int, burst: int) -> None:
-        capacity = max(POT_SHARE * burst * MILLI, MILLI)
+    def add(self, millitokens: int, capacity: float) -> None:
         self.millitokens = min(capacity, self.millitokens + millitokens)
 
-    def give(self, wanted: int) -> int:
-        """Remove and return up to ``wanted`` thousandths."""
+    def give(self, wanted: int, least: int) -> int:
+        """Remove and return up to ``wanted`` thousandths.
+
+        Nothing if there are fewer than ``least``, which would serve nobody.
+        """
+        if self.millitokens < least:
+            return 0
         given = int(min(wanted, self.millitokens))
         self.millitokens -= given
         return given
@@ -149,14 +161,23 @@
             since_ms = now - min(START_CREDIT_MS, now - self._started_ms)
             bucket = Bucket(refilled_ms=since_ms)
             self._buckets_by_account[account.name] = bucket
-        count = self._members.known_count
-        bucket.refill(
-            now,
-            account.rate / count,
-            HOME_SHARE * account.burst * MILLI / count,
-        )
+        rate = account.rate / self._members.known_count
+        capacity = max(self._home_capacity(account), rate * GAIN_KEPT_MS)
+        bucket.refill(now, rate, capacity)
         return bucket
 
+    def _home_capacity(self, account: catalog_module.Account) -> float:
+        """Return the thousandths that this host may keep."""
+        capacity = (
+            HOME_SHARE * account.burst * MILLI / self._members.known_count
+        )
+        return capacity if capacity >= SMALLEST_HOME else 0.0
+
+    def _pot_capacity(self, account: catalog_module.Account) -> float:
+        """Return the thousandths that the collecting host may keep."""
+        at_home = self._home_capacity(account) * self._members.known_count
+        return max(MILLI, account.burst * MILLI - at_home)
+
     async def _ask(
         self, account: catalog_module.Account, bucket: Bucket
     ) -> None:
@@ -170,16 +191,20 @@
     async def _collect(
         self, account: catalog_module.Account, bucket: Bucket
     ) -> None:
-        wanted = int(MILLI + bucket.demand * PREFETCH_MS)
+        least = max(0, int(MILLI - bucket.millitokens) + 1)
+        ahead = min(bucket.demand * PREFETCH_MS, self._home_capacity(account))
+        wanted = int(least + ahead)
         host_id = self._members.host_for(_job(account.name))
         if host_id == self._members.local.host_id:
-            bucket.millitokens += self.give(account.name, wanted)
+            bucket.millitokens += self.give(account.name, wanted, least)
             return
         link = self._members.link(host_id)
         if link is None:
             return
         answer = await link.ask(
-            lambda call: frames.TokenRequest(call, account.name, wanted),
+            lambda call: frames.TokenRequest(
+                call, account.name, wanted, least
+            ),
             ASK_TIMEOUT_MS,
         )
         match answer:
@@ -189,10 +214,10 @@
                 # The caller is told and logged by the session.
                 return
 
-    def give(self, account: str, wanted: int) -> int:
+    def give(self, account: str, wanted: int, least: int) -> int:
         """Hand out tokens of the pot, as the collecting host."""
         pot = self._pots_by_account.get(account)
-        return pot.give(wanted) if pot is not None else 0
+        return pot.give(wanted, least) if pot is not None else 0
 
     def accept(self, deposits: tuple[frames.Deposit, ...]) -> None:
         """Put tokens that another host doesn't need into the pots."""
@@ -201,14 +226,14 @@
             if account is None:
                 continue
             pot = self._pots_by_account.setdefault(account.name, Pot())
-            pot.add(deposit.millitokens, account.burst)
+            pot.add(deposit.millitokens, self._pot_capacity(account))
 
     def deposits_by_host(self) -> dict[str, tuple[frames.Deposit, ...]]:
         """Remove the surplus of all accounts, by collecting host."""
         deposits: dict[str, list[frames.Deposit]] = {}
         for account in self._catalog().accounts_by_name.values():
             bucket = self._refilled(account)
-            surplus = bucket.surplus()
+            surplus = bucket.surplus(self._home_capacity(account))
             if surplus <= 0:
                 continue
             bucket.millitokens -= surplus
--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -101,6 +101,7 @@
   call @0 :UInt64;
   account @1 :Text;
   amount @2 :UInt32;  # thousandths of a token
+  least @3 :UInt32;  # nothing is given if there are fewer thousandths
 }
 
 struct Snapshot {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -99,11 +99,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class TokenRequest:
-    """Asks the collecting host for rate tokens."""
+    """Asks the collecting host for rate tokens.
+
+    Nothing is given if there are fewer than ``least`` thousandths.
+    """
 
     call: int
     account: str
     millitokens: int
+    least: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -179,6 +183,7 @@
             part.call = frame.call
             part.account = frame.account
             part.amount = frame.millitokens
+            part.least = frame.least
         case TokenAnswer():
             part = message.init('tokenAnswer')
             part.call = frame.call
@@ -259,7 +264,9 @@
             )
         case 'tokenRequest':
             part = message.tokenRequest
-            return TokenRequest(part.call, part.account, part.amount)
+            return TokenRequest(
+                part.call, part.account, part.amount, part.least
+            )
         case 'tokenAnswer':
             return TokenAnswer(
                 message.tokenAnswer.call, message.tokenAnswer.amount
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -53,7 +53,9 @@
             case frames.Ping():
                 self._ping(sender, frame)
             case frames.TokenRequest():
-                given = self._allowance.give(frame.account, frame.millitokens)
+                given = self._allowance.give(
+                    frame.account, frame.millitokens, frame.least
+                )
                 sender.send(frames.TokenAnswer(frame.call, given))
             case frames.Abandon():
                 self._spawn(
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -48,6 +48,9 @@
 READ_ATTEMPT_SHARE = 0.6
 READ_ATTEMPT_SERVICES = 8
 
+# One for each replica of a service with three targets; the primary is last.
+MAX_SHORT_ATTEMPTS = 2
+
 # The first guess of how long a target takes for one statement.
 FIRST_SERVICE_MS = 15.0
 SMOOTHING = 0.05
@@ -640,7 +643,8 @@
             self._service_ms * READ_ATTEMPT_SERVICES,
         )
         # The last attempt may use all that is left.
-        if ticket.attempts or left_ms < 2 * patience_ms:
+        is_last = ticket.attempts >= MAX_SHORT_ATTEMPTS
+        if is_last or left_ms < 2 * patience_ms:
             return left_ms
         return int(patience_ms)
 
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -138,12 +138,18 @@
             self._connections.remove(used)
 
     def _drop_closed(self) -> None:
+        """Forget connections that the target has closed.
+
+        It may have failed, so it is probed.
+        """
         for each in list(self._connections):
             if not each.is_busy and not each.is_usable:
                 self.discard(each)
+                self.note_failure()
 
     def close_idle(self, unused_ms: int) -> None:
         """Close connections that were not used for ``unused_ms``."""
+        self._drop_closed()
         before = self._clock.now() - unused_ms
         for each in list(self._connections):
             if not each.is_busy and each.used_ms <= before:
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -49,11 +49,12 @@
     def __init__(
         self, settings: node_settings.NodeSettings, path: pathlib.Path
     ) -> None:
-        self._settings = settings
+        self.settings = settings
         self._path = path
         self._clock = clock_module.SystemClock()
         self._random = random.Random()
         self._tasks: list[asyncio.Task[None]] = []
+        self._servers: list[httpserver.HTTPServer] = []
         self._fetching: dict[str, asyncio.Task[None]] = {}
         self.metrics = metrics_module.Metrics()
         self.store = store_module.Store(settings.store)
@@ -121,7 +122,7 @@
 
     async def start(self) -> None:
         """Listen, join the fleet and follow the store."""
-        settings = self._settings
+        settings = self.settings
         await self.peers.start(settings.peers.address, settings.peers.port)
         for job in (
             self.catalog.run(),
@@ -139,21 +140,20 @@
             [('/-/ready', _ReadyHandler, {'node': self})],
             log_function=_no_access_log,
         )
-        httpserver.HTTPServer(probe).listen(
-            settings.readiness.port, settings.readiness.address
-        )
-        self._listen_for_metrics()
-        _log.info('started', zone=settings.zone, callers=str(settings.callers))
-
-    def _listen_for_metrics(self) -> None:
-        application = web.Application(
+        self._listen(probe, settings.readiness)
+        metrics = web.Application(
             [('/metrics', _MetricsHandler, {'node': self})],
             log_function=_no_access_log,
         )
-        endpoint = self._settings.metrics
-        httpserver.HTTPServer(application).listen(
-            endpoint.port, endpoint.address
-        )
+        self._listen(metrics, settings.metrics)
+        _log.info('started', zone=settings.zone, callers=str(settings.callers))
+
+    def _listen(
+        self, application: web.Application, endpoint: node_settings.Endpoint
+    ) -> None:
+        server = httpserver.HTTPServer(application)
+        server.listen(endpoint.port, endpoint.address)
+        self._servers.append(server)
 
     def _ping(
         self,
@@ -213,11 +213,11 @@
         except exceptions.SettingsError as error:
             _log.error('reload_failed', reason=str(error))
             return
-        _log.info('reloaded', changed=found != self._settings)
+        _log.info('reloaded', changed=found != self.settings)
 
     async def stop(self) -> None:
         """Hand over and finish what runs; cuts no request."""
-        grace_ms = self._settings.grace_ms
+        grace_ms = self.settings.grace_ms
         started_ms = self._clock.now()
         _log.info('stopping', sessions=self.sessions.session_count)
         self.members.is_draining = True
@@ -228,10 +228,18 @@
         deadline = started_ms + grace_ms - EXIT_MARGIN_MS
         while self.gateways.has_transactions and self._clock.now() < deadline:
             await self._clock.sleep(listener_module.DRAIN_INTERVAL_MS)
-        self.sessions.stop()
         _log.info('stopped', sessions_left=left)
+        self.close()
+
+    def close(self) -> None:
+        """End all tasks and connections at once."""
+        self.sessions.stop()
+        for server in self._servers:
+            server.stop()
+        self.peers.close()
         self.gateways.close()
         self.members.stop()
+        self.store.close()
         for task in self._tasks:
             task.cancel()
 
--- /dev/null
+++ b/tests/gateway/test_succession.py
@@ -0,0 +1,136 @@
+"""Replacing primaries, through real hosts to stand-ins of targets."""
+
+import asyncio
+
+import pytest
+
+from samphirestand.gateway import policy
+from samphirestand import types
+from tests import nodes
+
+
+def run(scenario, hosts=2):
+    async def main():
+        async with nodes.running(hosts) as fleet:
+            return await scenario(fleet)
+
+    return asyncio.run(main())
+
+
+async def write_until_served(fleet, node, data, limit_s=6):
+    """Write again and again, as a caller does; returns the data."""
+    async with asyncio.timeout(limit_s):
+        while True:
+            client = await nodes.Client.connect(node)
+            _, result, _ = await client.query(f'WRITE x {data}')
+            client.close()
+            if result.startswith('COMPLETE'):
+                return
+            await asyncio.sleep(0.1)
+
+
+def test_crashed_primary_is_replaced_without_losing_a_commit():
+    """Fails if nobody replaces a dead primary, or a commit is lost."""
+
+    async def scenario(fleet):
+        await write_until_served(fleet, fleet.nodes[1], 'before')
+        old = fleet.group.primary
+        old.crash()
+        fleet.store.delete('servers', old.server_id)
+        await write_until_served(fleet, fleet.nodes[1], 'after')
+        leader = fleet.group.primary
+        assert leader is not None and leader is not old
+        assert [('x', 'before')] in leader.log
+
+    run(scenario)
+
+
+def test_silent_primary_is_replaced():
+    """Fails if a primary that answers nothing is waited for."""
+
+    async def scenario(fleet):
+        await write_until_served(fleet, fleet.nodes[0], 'before')
+        old = fleet.group.primary
+        old.is_silent = True
+        await write_until_served(fleet, fleet.nodes[0], 'after')
+        assert fleet.group.primary is not old
+
+    run(scenario)
+
+
+def test_leaving_primary_is_replaced_by_the_replica_with_all_commits():
+    """Fails if a planned change of primary loses a commit."""
+
+    async def scenario(fleet):
+        servers = list(fleet.group.servers.values())
+        servers[1].is_deaf = True
+        await write_until_served(fleet, fleet.nodes[0], 'kept')
+        old = fleet.group.primary
+        old.state = 'draining'
+        old.register()
+        await fleet.until(lambda: fleet.group.primary is not old)
+        assert fleet.group.primary is servers[2]
+        assert [('x', 'kept')] in servers[2].log
+
+    run(scenario)
+
+
+def test_tokens_rise_with_each_promotion():
+    """Fails if two promotions carry the same fencing token."""
+
+    async def scenario(fleet):
+        for _ in range(2):
+            old = fleet.group.primary
+            old.state = 'draining'
+            old.register()
+            await fleet.until(lambda old=old: fleet.group.primary is not old)
+            await asyncio.sleep(0.2)
+        tokens = [token for _, _, token in fleet.store.promotions]
+        assert tokens == sorted(set(tokens))
+
+    run(scenario)
+
+
+def test_nothing_is_promoted_while_a_replica_does_not_answer():
+    """Fails if the only copy of a commit may be left behind."""
+
+    async def scenario(fleet):
+        servers = list(fleet.group.servers.values())
+        servers[2].is_deaf = True
+        await write_until_served(fleet, fleet.nodes[0], 'kept')
+        servers[1].is_silent = True
+        servers[0].crash()
+        await asyncio.sleep(2)
+        assert fleet.store.promotions == []
+        servers[1].is_silent = False
+        await fleet.until(lambda: fleet.group.primary is servers[1])
+
+    run(scenario)
+
+
+def state(target_id, offset, is_draining=False):
+    return policy.ReplicaState(
+        target_id, types.Position(1, offset), False, is_draining
+    )
+
+
+def test_candidate_is_the_replica_that_received_most():
+    chosen = policy.choose_candidate([state('a', 3), state('b', 7)], [], True)
+    assert chosen == policy.Candidate('b')
+
+
+def test_candidate_stays_when_it_is_not_leaving():
+    chosen = policy.choose_candidate(
+        [state('a', 7, is_draining=True), state('b', 7)], [], True
+    )
+    assert chosen == policy.Candidate('b')
+
+
+@pytest.mark.parametrize('unanswered', [['c'], ['c', 'd']])
+def test_no_candidate_while_a_replica_is_silent(unanswered):
+    """A silent replica may hold the only copy of a commit."""
+    assert not policy.choose_candidate([state('a', 3)], unanswered, True)
+
+
+def test_silent_replica_does_not_matter_without_confirmation():
+    assert policy.choose_candidate([state('a', 3)], ['c'], False)
--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,198 @@
+"""A small fleet in one process: real hosts, stand-ins around them."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+
+from samphirestand import node as node_module
+from samphirestand import node_settings
+from standins import database_group
+from standins import store as store_module
+
+SERVICE = 'svc'
+KEY = 'key-of-a'
+ACCOUNT = 'acct-a'
+ZONES = ('north', 'south', 'east')
+TIMEOUT_S = 10
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+def configuration(version=1, **changes):
+    """Return the operators' configuration in the platform's form."""
+    document = {
+        'Version': version,
+        'Routes': [
+            _route('main', 'primary'),
+            _route('old', 'bounded_staleness', MaxStalenessMs=1500),
+            _route('mine', 'read_your_writes', MaxStalenessMs=2500),
+        ],
+        'Services': [{'Name': SERVICE, 'MaxConns': 16, 'SyncReplicas': 1}],
+        'Limits': {'TxIdleMs': 3000, 'HeaderTimeoutMs': 3000},
+        'Tenants': [
+            {
+                'Name': ACCOUNT,
+                'ApiKeys': [KEY],
+                'Priority': 1,
+                'RatePerS': 1000,
+                'Burst': 1000,
+            },
+            {
+                'Name': 'acct-b',
+                'ApiKeys': ['key-of-b'],
+                'Priority': 1,
+                'RatePerS': 1000,
+                'Burst': 1000,
+            },
+        ],
+    }
+    document.update(changes)
+    return document
+
+
+def _route(database, kind, **more):
+    return {
+        'Name': f'r-{database}',
+        'Host': database,
+        'Prefix': '/',
+        'RouteKind': kind,
+        'TimeoutMs': 900,
+        'TargetLatencyMs': 200,
+        'Priority': 1,
+        'Service': SERVICE,
+        'Public': False,
+        **more,
+    }
+
+
+class Client:
+    """A caller on the line protocol."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+        self._numbers = iter(range(1, 1_000_000))
+        self.last_id = ''
+
+    @classmethod
+    async def connect(cls, node, database='main', key=KEY):
+        endpoint = node.settings.callers
+        reader, writer = await asyncio.open_connection(
+            endpoint.address, endpoint.port
+        )
+        client = cls(reader, writer)
+        client.send(f'STARTUP {database} {key}')
+        client.greeting = await client.line()
+        return client
+
+    def send(self, line):
+        self._writer.write(line.encode() + b'\r\n')
+
+    async def line(self):
+        async with asyncio.timeout(TIMEOUT_S):
+            data = await self._reader.readline()
+        return data.decode().rstrip('\r\n')
+
+    async def query(self, text):
+        """Run a statement; returns rows, the result line and the state."""
+        self.last_id = f'q{id(self):x}{next(self._numbers)}'
+        self.send(f'QUERY {self.last_id} {text}')
+        return await self.answer()
+
+    async def answer(self):
+        rows = []
+        result = ''
+        while True:
+            line = await self.line()
+            word, _, rest = line.partition(' ')
+            match word:
+                case 'DATAROW':
+                    rows.append(rest)
+                case 'READY':
+                    return rows, result, rest.split(' ')[0]
+                case '':
+                    return rows, 'CLOSED', ''
+                case _:
+                    result = line
+
+    def close(self):
+        self._writer.close()
+
+
+class Fleet:
+    """Hosts, a store and one database group on loopback."""
+
+    def __init__(self):
+        self.store = store_module.StoreStandin()
+        self.group = database_group.DatabaseGroup(SERVICE, self.store)
+        self.nodes = []
+        self.store_port = free_port()
+
+    async def start(self, hosts=2):
+        self.store.listen(self.store_port)
+        self.store.put('op', 'config', configuration())
+        for number, zone in enumerate(ZONES):
+            await self.group.add(zone, 0, is_primary=number == 0)
+        for number in range(hosts):
+            await self.add_node(ZONES[number % len(ZONES)])
+        await self.until(
+            lambda: all(
+                len(node.members.up_links()) == len(self.nodes) - 1
+                and node.targets.claimed_primary(SERVICE) is not None
+                and node.catalog.current.version
+                for node in self.nodes
+            )
+        )
+        # Tokens for the first operations come within a few pings.
+        await asyncio.sleep(0.3)
+
+    async def add_node(self, zone):
+        endpoint = node_settings.Endpoint
+        settings = node_settings.NodeSettings(
+            host_id=f'host-{len(self.nodes)}',
+            zone=zone,
+            callers=endpoint('127.0.0.1', free_port()),
+            readiness=endpoint('127.0.0.1', free_port()),
+            peers=endpoint('127.0.0.1', free_port()),
+            metrics=endpoint('127.0.0.1', free_port()),
+            store=endpoint('127.0.0.1', self.store_port),
+            promotions=endpoint('127.0.0.1', self.store_port),
+            heartbeat_ms=1_200,
+            drain_ms=7_000,
+            grace_ms=4_000,
+        )
+        node = node_module.Node(settings, pathlib.Path('unused'))
+        self.nodes.append(node)
+        await node.start()
+        return node
+
+    async def until(self, condition, limit_s=TIMEOUT_S):
+        """Wait until a condition holds."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limit_s
+        while not condition():
+            assert loop.time() < deadline, 'the condition did not hold in time'
+            await asyncio.sleep(0.02)
+
+    async def close(self):
+        for node in self.nodes:
+            node.close()
+        self.store.close()
+        for server in self.group.servers.values():
+            server.crash()
+        await asyncio.sleep(0)
+
+
+@contextlib.asynccontextmanager
+async def running(hosts=2):
+    fleet = Fleet()
+    try:
+        await fleet.start(hosts)
+        yield fleet
+    finally:
+        await fleet.close()
