Keep replicas paused until a promotion is known to be in force

Two hosts replaced the same primary within a second, the second one because of a stale registration, and each resumed the replica that the other had paused.

A holder is now left alone for 5 s on the store's clock; the paused replica is resumed only when the promotion leads or was not ordered; equal replicas are chosen alike by all hosts; replicas that stay paused are resumed once no holder is at work.

Ruled out: pausing both replicas, which stops all commits for the second that a promotion takes.

--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -591,7 +591,10 @@
         match code:
             case 'READONLY':
                 self._deny(pool)
-            case 'LAGGING' | 'FAILED':
+            case 'LAGGING':
+                pool.lagging_count += 1
+                ticket.avoided.add(target_id)
+            case 'FAILED':
                 ticket.avoided.add(target_id)
             case 'BUSY':
                 pool.avoid_until_ms = self._clock.now() + FULL_PAUSE_MS
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -35,6 +35,12 @@
 EVIDENCE_MS = 600
 RECENT_USE_MS = 2_000
 
+# After this many reads that a replica could not serve it is checked whether
+# it was left paused, and not again for the pause: lagging replicas are
+# common on bad days, paused ones are rare.
+LAGGING_LIMIT = 5
+LAGGING_PAUSE_MS = 2_000
+
 _log = log.get_logger(__name__)
 
 
@@ -173,6 +179,9 @@
                 self._replace(gateway, service, reason),
             )
             return
+        for target_id, pool in gateway.pools_by_id.items():
+            if pool.lagging_count >= LAGGING_LIMIT and self._succession:
+                self._once(f'resume/{target_id}', self._resume(gateway, pool))
         latest_ms = gateway.freshness.latest_ms
         if now - gateway.bounded_ms < RECENT_USE_MS and (
             latest_ms is None or now - latest_ms > EVIDENCE_MS
@@ -224,6 +233,20 @@
         if not is_done:
             await self._clock.sleep(succession_module.RETRY_MS)
 
+    async def _resume(
+        self,
+        gateway: gateway_module.Gateway,
+        pool: pool_module.TargetPool,
+    ) -> None:
+        """Look after a replica that lacks what reads need."""
+        assert self._succession is not None
+        try:
+            await self._succession.resume(gateway.service, pool)
+        except exceptions.PlatformError as error:
+            _log.info('resume_failed', reason=str(error))
+        await self._clock.sleep(LAGGING_PAUSE_MS)
+        pool.lagging_count = 0
+
     async def _evidence(self, gateway: gateway_module.Gateway) -> None:
         """Ask the primary for its position."""
         pool = gateway.primary
--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -92,12 +92,22 @@
     Answers a primary that fails while replicas are behind, unreachable or
     leaving. An acknowledged commit is on at least one replica, so all
     replicas must have answered, and the one that received most is chosen.
-    A replica that hasn't answered may hold the only copy.
+    A replica that hasn't answered may hold the only copy. Among equals the
+    one that an earlier attempt has left unpaused is chosen, since an order
+    of that attempt may still be carried out, and any two hosts choose alike.
     """
     if not states:
         return exceptions.Sentinel('no replica answers')
     if is_synchronous and unanswered:
         names = ', '.join(sorted(unanswered))
         return exceptions.Sentinel(f'no answer from {names}')
-    best = max(states, key=lambda each: (each.received, not each.is_draining))
+    best = max(
+        states,
+        key=lambda each: (
+            each.received,
+            not each.is_draining,
+            not each.is_paused,
+            each.target_id,
+        ),
+    )
     return Candidate(best.target_id)
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -54,6 +54,7 @@
         self.avoid_until_ms = 0
         self.is_down = False
         self.failed_probes = 0
+        self.lagging_count = 0  # reads refused since it was last looked at
         self._failing_since_ms: int | None = None
         self._sent_ms: dict[object, int] = {}
         self._replied_ms = clock.now()
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -1,7 +1,5 @@
 """Replaces the primary of a service that has failed or is leaving."""
 
-import json
-
 import pydantic
 
 from samphirestand import catalog as catalog_module
@@ -29,6 +27,14 @@
 EFFECT_INTERVAL_MS = 100
 EFFECT_LIMIT_MS = 2_500
 
+# For how long a holder is left alone: asking the replicas, the orders and
+# their effect.
+HOLD_MS = 5_000
+
+# An order that would leave later than this after the token was taken is not
+# sent: another holder may have begun before it arrives.
+ORDER_LIMIT_MS = 3_000
+
 # After an attempt that could not be finished.
 RETRY_MS = 400
 
@@ -42,6 +48,7 @@
 class _Duty(pydantic.BaseModel):
     token: int = pydantic.Field(ge=0)
     holder: str
+    until_ms: int = 0  # on the store's clock
 
 
 class Succession:
@@ -62,6 +69,7 @@
         self._clock = clock
         self._store = store
         self._promotions = promotions
+        self._versions_by_service: dict[str, int] = {}
 
     async def replace(
         self,
@@ -107,6 +115,7 @@
         token = await self._take_token(service.name)
         if token is None:
             return False
+        taken_ms = self._clock.now()
 
         # While the others are paused, only the candidate can confirm
         # commits, so it has every commit that is acknowledged from now on.
@@ -123,37 +132,31 @@
         fresh, silent = await self._ask(
             {candidate.target_id: pools[candidate.target_id]}, wire.STATUS
         )
-        unanswered = [*missing, *silent]
-        chosen = policy.choose_candidate(
-            _states({**paused, **fresh}, pools),
-            unanswered,
-            service.is_synchronous,
+        refusal = _objection(
+            candidate, paused, fresh, [*missing, *silent], service
         )
-        if not fresh or isinstance(chosen, exceptions.Sentinel):
-            await self._resume(others)
+        if refusal is None and self._clock.now() - taken_ms > ORDER_LIMIT_MS:
+            # This process was paused; another holder may be at work.
+            _log.warning('succession_too_late', service=service.name)
+            return False
+        if refusal is not None:
             _log.warning(
-                'succession_waits',
-                service=service.name,
-                reason=f'no answer from {sorted(unanswered)}',
+                'succession_waits', service=service.name, reason=refusal
             )
+            await self._ask(others, wire.RESUME)
+            await self._release_token(service.name, token)
             return False
-        if chosen != candidate:
-            best = paused[chosen.target_id].received
-            if best > fresh[candidate.target_id].received:
-                # The other replica received more before it was paused; the
-                # next attempt starts with it.
-                await self._resume(others)
-                _log.info(
-                    'succession_other_candidate',
-                    service=service.name,
-                    target=chosen.target_id,
-                )
-                return False
-        is_done = await self._promote(
+
+        # From here on the others stay paused until the promotion is known
+        # to be in force: an order without an answer may still be carried
+        # out, and nothing may then be acknowledged without the candidate.
+        if not await self._promote(
             gateway, service.name, candidate.target_id, token
-        )
-        await self._resume(others)
-        return is_done
+        ):
+            return False
+        await self._ask(others, wire.RESUME)
+        await self._release_token(service.name, token)
+        return True
 
     async def _ask(
         self, pools: dict[str, pool_module.TargetPool], text: str
@@ -182,35 +185,92 @@
             )
         return answers, unanswered
 
-    async def _resume(self, pools: dict[str, pool_module.TargetPool]) -> None:
-        await self._ask(pools, wire.RESUME)
-
-    async def _take_token(self, service: str) -> int | None:
-        """Raise the service's token in the store; None if another host did."""
-        key = f'promotion/{service}'
+    async def _duty(
+        self, service: str
+    ) -> tuple[_Duty, int, int] | exceptions.Sentinel:
+        """Return the duty's row, its version and the store's time."""
+        key = _key(service)
         feed = await self._store.read(DUTIES_TABLE)
         row = next((each for each in feed.rows if each.key == key), None)
-        earlier = 0
-        if row is not None:
-            try:
-                earlier = _Duty.model_validate_json(row.value).token
-            except pydantic.ValidationError as error:
-                _log.error('duty_unreadable', key=key, reason=str(error))
-                return None
-        token = earlier + 1
-        value = json.dumps({'token': token, 'holder': self._host_id})
+        if row is None:
+            return _Duty(token=0, holder='', until_ms=0), 0, feed.now_ms
+        try:
+            duty = _Duty.model_validate_json(row.value)
+        except pydantic.ValidationError as error:
+            _log.error('duty_unreadable', key=key, reason=str(error))
+            return exceptions.Sentinel('unreadable duty')
+        return duty, row.version, feed.now_ms
+
+    async def _take_token(self, service: str) -> int | None:
+        """Raise the service's token in the store; None if another holds it.
+
+        The holder is left alone until its time is over, on the store's
+        clock: two holders at once would choose different replicas.
+        """
+        found = await self._duty(service)
+        if isinstance(found, exceptions.Sentinel):
+            return None
+        duty, version, now_ms = found
+        if duty.holder != self._host_id and now_ms < duty.until_ms:
+            _log.info(
+                'succession_held_by_other',
+                service=service,
+                peer=duty.holder,
+                token=duty.token,
+                left_ms=duty.until_ms - now_ms,
+            )
+            return None
+        token = duty.token + 1
+        taken = _Duty(
+            token=token, holder=self._host_id, until_ms=now_ms + HOLD_MS
+        )
         result = await self._store.put(
             DUTIES_TABLE,
-            key,
-            value.encode(),
-            row.version if row is not None else 0,
+            _key(service),
+            taken.model_dump_json().encode(),
+            version,
         )
         if isinstance(result, store_module.Conflict):
             _log.info('succession_taken_by_other', service=service)
             return None
+        self._versions_by_service[service] = result
         _log.info('succession_token', service=service, token=token)
         return token
 
+    async def _release_token(self, service: str, token: int) -> None:
+        """Let another host act at once."""
+        duty = _Duty(token=token, holder=self._host_id, until_ms=0)
+        await self._store.put(
+            DUTIES_TABLE,
+            _key(service),
+            duty.model_dump_json().encode(),
+            self._versions_by_service[service],
+        )
+
+    async def resume(self, service: str, pool: pool_module.TargetPool) -> None:
+        """Let a replica receive again that a holder has left paused.
+
+        Raises ``PlatformError`` while the store can't be reached.
+        """
+        found = await self._duty(service)
+        if isinstance(found, exceptions.Sentinel):
+            return
+        duty, _, now_ms = found
+        if now_ms < duty.until_ms:
+            return
+        status = await pool.control(wire.STATUS, COMMAND_TIMEOUT_MS)
+        if isinstance(status, exceptions.Sentinel) or (
+            status.held <= status.term
+        ):
+            return
+        _log.info(
+            'replica_resumed',
+            service=service,
+            target=pool.target.target_id,
+            held=status.held,
+        )
+        await pool.control(wire.RESUME, COMMAND_TIMEOUT_MS)
+
     async def _promote(
         self,
         gateway: gateway_module.Gateway,
@@ -259,6 +319,33 @@
         return False
 
 
+def _key(service: str) -> str:
+    return f'promotion/{service}'
+
+
+def _objection(
+    candidate: policy.Candidate,
+    paused: dict[str, wire.Status],
+    fresh: dict[str, wire.Status],
+    unanswered: list[str],
+    service: catalog_module.Service,
+) -> str | None:
+    """Return why the candidate may lack a commit; None if it can't."""
+    status = fresh.get(candidate.target_id)
+    if status is None:
+        return f'no answer from {candidate.target_id}'
+    if service.is_synchronous and unanswered:
+        return f'no answer from {", ".join(sorted(unanswered))}'
+    ahead = [
+        target_id
+        for target_id, other in paused.items()
+        if other.received > status.received
+    ]
+    if ahead:
+        return f'{", ".join(ahead)} received more before the pause'
+    return None
+
+
 def _states(
     answers: dict[str, wire.Status],
     pools: dict[str, pool_module.TargetPool],
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -1,6 +1,7 @@
 """Replacing primaries, through real hosts to stand-ins of targets."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -134,3 +135,62 @@
 
 def test_silent_replica_does_not_matter_without_confirmation():
     assert policy.choose_candidate([state('a', 3)], ['c'], False)
+
+
+def test_replicas_stay_paused_while_an_order_has_no_answer():
+    """Fails if a late promotion can leave out an acknowledged commit."""
+
+    async def scenario(fleet):
+        await write_until_served(fleet, fleet.nodes[0], 'before')
+        servers = list(fleet.group.servers.values())
+        # The order is accepted and takes effect only much later.
+        fleet.group.promotion_ms = 3_500
+        servers[0].state = 'draining'
+        servers[0].register()
+        await fleet.until(lambda: fleet.store.promotions)
+        _, candidate_id, _ = fleet.store.promotions[0]
+        candidate = fleet.group.servers[candidate_id]
+        candidate.is_deaf = True
+        await asyncio.sleep(3)
+        others = [
+            each
+            for each in servers
+            if each is not candidate and not each.is_primary
+        ]
+        assert all(each.paused_term for each in others)
+        await fleet.until(lambda: candidate.is_primary)
+
+    run(scenario)
+
+
+def test_holder_is_left_alone_until_its_time_is_over():
+    """Fails if two hosts replace the same primary at once."""
+
+    async def scenario(fleet):
+        now_ms = int(time.monotonic() * 1000)
+        duty = {'token': 7, 'holder': 'another', 'until_ms': now_ms + 1_500}
+        fleet.store.put('duties', f'promotion/{nodes.SERVICE}', duty)
+        old = fleet.group.primary
+        old.state = 'draining'
+        old.register()
+        await asyncio.sleep(1)
+        assert fleet.store.promotions == []
+        await fleet.until(lambda: fleet.group.primary is not old)
+        assert fleet.store.promotions[0][2] == 8
+
+    run(scenario)
+
+
+def test_replica_that_was_left_paused_is_resumed():
+    """Fails if a replica stays without updates after a failed attempt."""
+
+    async def scenario(fleet):
+        replica = list(fleet.group.servers.values())[1]
+        replica.paused_term = 9
+        client = await nodes.Client.connect(fleet.nodes[0], 'mine')
+        async with asyncio.timeout(8):
+            while replica.paused_term:
+                await client.query('WRITE x 1')
+                await client.query('READ x')
+
+    run(scenario, hosts=1)
