--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -11,9 +11,10 @@
 
 __all__ = ['TargetPool']
 
-# Connections are left free for the gateway that takes over after a failure,
-# for probes, and for those that targets haven't dropped yet.
-RESERVED_CONNECTIONS = 2
+# The part of a target's connections that one gateway may open. When its host
+# loses power, the target keeps these for another 3 s; its successor must do
+# with the rest. One of them is for probes.
+CONNECTION_SHARE = 0.5
 
 # Opening takes two round trips and up to 30 ms of a slot; this bound also
 # covers a target that is several times slower.
@@ -64,7 +65,7 @@
     @property
     def limit(self) -> int:
         """Return how many connections may be open."""
-        return max(1, self.max_connections - RESERVED_CONNECTIONS)
+        return max(1, int(self.max_connections * CONNECTION_SHARE))
 
     @property
     def open_count(self) -> int:
