--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -29,6 +29,10 @@
 # is deleted: four renewals were missed.
 EXPIRY_MS = 45_000
 
+# Links come up within a few round trips; hosts that start together are ready
+# within half a second of each other.
+SETTLE_MS = 800
+
 # How long a host that failed to reach the store for a job leaves jobs to
 # others.
 STORE_PAUSE_MS = 3_000
@@ -67,12 +71,26 @@
         self._was_up_by_id: dict[str, bool] = {}
         self._seen_ms_by_id: dict[str, tuple[int, int]] = {}
         self._known_count = 1
+        self._read_ms: int | None = None  # when the store first answered
 
     @property
     def known_count(self) -> int:
         """Return how many hosts exist, reachable or not, this one included."""
         return max(self._known_count, 1)
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether this host has found the hosts that answer.
+
+        Until then it would choose itself for every job. Hosts that don't
+        answer are waited for only a short while.
+        """
+        if self._read_ms is None:
+            return False
+        if self._clock.now() - self._read_ms > SETTLE_MS:
+            return True
+        return all(each.is_up for each in self._links_by_id.values())
+
     @property
     def reaches_store(self) -> bool:
         """Tell whether this host could do a job that needs the store."""
@@ -148,7 +166,9 @@
             return
         known = self._links_by_id.get(hello.host_id)
         if known is not None:
-            if known.peer.incarnation >= hello.incarnation:
+            # Incarnations are told apart, not ordered: the time of day may
+            # jump back between two starts.
+            if known.peer == hello:
                 return
             known.stop()
             self._tasks_by_id[hello.host_id].cancel()
@@ -211,8 +231,9 @@
         now = self._clock.now()
         count = 0
         for row in feed.rows:
-            _, since_ms = self._seen_ms_by_id.get(row.key, (0, now))
-            if self._seen_ms_by_id.get(row.key, (0, 0))[0] != row.version:
+            seen_version, since_ms = self._seen_ms_by_id.get(row.key, (0, 0))
+            is_new = row.version != seen_version
+            if is_new:
                 since_ms = now
             self._seen_ms_by_id[row.key] = (row.version, since_ms)
             hello = _hello(row)
@@ -222,8 +243,11 @@
                 await self._forget(row)
                 continue
             count += 1
-            self.learn(hello)
+            if is_new:
+                self.learn(hello)
         self._known_count = max(count, 1)
+        if self._read_ms is None:
+            self._read_ms = now
 
     def _answers(self, host_id: str) -> bool:
         link = self._links_by_id.get(host_id)
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -135,6 +135,9 @@
         """Probe targets and replace primaries until cancelled."""
         while True:
             owns_any = False
+            if not self._members.is_settled:
+                await self._clock.sleep(UPKEEP_INTERVAL_MS)
+                continue
             for service in self._catalog().services_by_name.values():
                 is_owner = (
                     self.owner(service.name) == self._members.local.host_id
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -37,6 +37,9 @@
 # connections come until then.
 BALANCER_NOTICE_MS = 2_300
 
+# How often a starting host looks whether it may admit callers.
+SETTLE_INTERVAL_MS = 20
+
 # Left of the grace period for the last answers and the end of the process.
 EXIT_MARGIN_MS = 700
 
@@ -111,7 +114,7 @@
     def is_ready(self) -> bool:
         """Tell whether new sessions should come to this host."""
         return (
-            self.catalog.current.version > 0
+            self.sessions.is_listening
             and not self.members.is_draining
             and not self.members.is_isolated
         )
@@ -133,9 +136,7 @@
             self._release_sessions_forever(),
         ):
             self._tasks.append(asyncio.create_task(job))
-        await self.sessions.start(
-            settings.callers.address, settings.callers.port
-        )
+        self._tasks.append(asyncio.create_task(self._admit_callers()))
         probe = web.Application(
             [('/-/ready', _ReadyHandler, {'node': self})],
             log_function=_no_access_log,
@@ -148,6 +149,20 @@
         self._listen(metrics, settings.metrics)
         _log.info('started', zone=settings.zone, callers=str(settings.callers))
 
+    async def _admit_callers(self) -> None:
+        """Listen for callers once their work can be sent somewhere."""
+        while not (
+            self.members.is_settled and self.catalog.current.version > 0
+        ):
+            await self._clock.sleep(SETTLE_INTERVAL_MS)
+        callers = self.settings.callers
+        await self.sessions.start(callers.address, callers.port)
+        _log.info(
+            'ready',
+            hosts=len(self.members.up_links()) + 1,
+            version=self.catalog.current.version,
+        )
+
     def _listen(
         self, application: web.Application, endpoint: node_settings.Endpoint
     ) -> None:
--- a/samphirestand/sessions/listener.py
+++ b/samphirestand/sessions/listener.py
@@ -32,6 +32,10 @@
             asyncio.Task[None], session_module.Session
         ] = {}
 
+    @property
+    def is_listening(self) -> bool:
+        return self._server is not None
+
     @property
     def session_count(self) -> int:
         return len(self._sessions_by_task)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -144,7 +144,7 @@
             lambda: all(
                 len(node.members.up_links()) == len(self.nodes) - 1
                 and node.targets.claimed_primary(SERVICE) is not None
-                and node.catalog.current.version
+                and node.is_ready
                 for node in self.nodes
             )
         )
