--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -131,6 +131,9 @@
         self.is_draining = False
         self.reaches_store = True
         self.is_silent = False
+        # When the host was last known to answer; the start of this link if
+        # it never did.
+        self.answered_ms = clock.now()
         self.catalog_version = 0
         self.round_trip_ms = 0
         self._is_stopped = False
@@ -265,6 +268,7 @@
         self.is_draining = pong.is_draining
         self.reaches_store = pong.reaches_store
         self.is_silent = False
+        self.answered_ms = self._clock.now()
         self.catalog_version = pong.catalog_version
         sent_ms = self._sent_ms.pop(pong.sequence, None)
         if sent_ms is not None:
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -33,6 +33,9 @@
 # within half a second of each other.
 SETTLE_MS = 800
 
+# Hosts that were killed answer again within about a second.
+ISOLATION_MS = 1_300
+
 # How long a host that failed to reach the store for a job leaves jobs to
 # others.
 STORE_PAUSE_MS = 3_000
@@ -136,16 +139,25 @@
 
     @property
     def is_isolated(self) -> bool:
-        """Tell whether most hosts of the fleet have gone silent.
+        """Tell whether this host is cut off from the fleet.
 
-        Hosts whose process has ended refuse connections and don't count:
-        after many hosts were killed the rest must go on serving.
+        Either most hosts have gone silent, or none of the other zones has
+        answered for a while. Hosts whose process has ended refuse
+        connections and count only in the second case: after many hosts were
+        killed the rest must go on serving.
         """
-        silent = sum(
-            each.is_silent and not each.is_up
+        down = [each for each in self._links_by_id.values() if not each.is_up]
+        if 2 * sum(each.is_silent for each in down) > self.known_count:
+            return True
+        before = self._clock.now() - ISOLATION_MS
+        others = [
+            each
             for each in self._links_by_id.values()
+            if each.peer.zone != self.local.zone
+        ]
+        return bool(others) and all(
+            not each.is_up and each.answered_ms < before for each in others
         )
-        return 2 * silent > self.known_count
 
     def is_zone_silent(self, zone: str) -> bool:
         """Tell whether all hosts of another zone have gone silent."""
