Keep only names, formats and calls in the platform's folder

Configuration, changes, audit and the table-service client of the daemon move to samphirestand/control, with their tests; nothing else changes in them.

--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -8,10 +8,10 @@
 
 from bench import processes
 from samphirestand import clock as clocks
+from samphirestand.control import changes
+from samphirestand.control import rows
 from samphirestand.hosts import membership as memberships
 from samphirestand import metrics
-from samphirestand.platform import changes
-from samphirestand.platform import rows
 from samphirestand.targets import gateways as gateways_module
 from samphirestand import types
 
--- a/bench/capacity_table.py
+++ b/bench/capacity_table.py
@@ -13,13 +13,13 @@
 from typing import Any
 
 from samphirestand import clock as clocks
+from samphirestand.control import client
+from samphirestand.control import configuration
+from samphirestand.control import rows
 from samphirestand import exceptions
 from samphirestand.hosts import discovery
 from samphirestand.hosts import rate_slots
 from samphirestand import log
-from samphirestand.platform import client
-from samphirestand.platform import configuration
-from samphirestand.platform import rows
 from samphirestand import types
 from standins import platform as standin
 
--- a/samphirestand/cmdline.py
+++ b/samphirestand/cmdline.py
@@ -8,12 +8,12 @@
 import sys
 
 from samphirestand import config
+from samphirestand.control import bootstrap
+from samphirestand.control import changes
 from samphirestand import exceptions
 from samphirestand.operators import display
 from samphirestand.operators import language
 from samphirestand.operators import remote
-from samphirestand.platform import bootstrap
-from samphirestand.platform import changes
 from samphirestand import types
 
 EXIT_DONE = 0
--- /dev/null
+++ b/samphirestand/control/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration of the daemon: changes, history and audit."""
--- a/samphirestand/platform/audit.py
+++ b/samphirestand/control/audit.py
@@ -10,10 +10,10 @@
 import pydantic
 
 from samphirestand import clock as clocks
+from samphirestand.control import rows
 from samphirestand import exceptions
 from samphirestand import log
 from samphirestand import metrics as metrics_module
-from samphirestand.platform import rows
 
 TABLE = 'audit'
 OVERFLOW_KIND = 'audit_overflow'
--- a/samphirestand/platform/bootstrap.py
+++ b/samphirestand/control/bootstrap.py
@@ -7,9 +7,9 @@
 import pydantic
 import yaml
 
+from samphirestand.control import changes
+from samphirestand.control import configuration
 from samphirestand import exceptions
-from samphirestand.platform import changes
-from samphirestand.platform import configuration
 
 AUTHOR = 'bootstrap'
 CHANGE_ID_BYTES = 8
--- a/samphirestand/platform/client.py
+++ b/samphirestand/control/client.py
@@ -11,8 +11,8 @@
 from tornado import httpclient
 
 from samphirestand import addresses
+from samphirestand.control import rows
 from samphirestand import exceptions
-from samphirestand.platform import rows
 
 REQUEST_TIMEOUT_MS = 2_000
 # Requests of one host that wait for the platform at the same time; more
--- a/samphirestand/platform/configuration.py
+++ b/samphirestand/control/configuration.py
@@ -6,11 +6,11 @@
 import random
 
 from samphirestand import clock as clocks
+from samphirestand.control import changes
+from samphirestand.control import rows
 from samphirestand import exceptions
 from samphirestand import log
 from samphirestand import metrics as metrics_module
-from samphirestand.platform import changes
-from samphirestand.platform import rows
 from samphirestand import types
 
 # The fleet as a whole reads the head about 30 times a second.
--- a/samphirestand/platform/rows.py
+++ b/samphirestand/control/rows.py
@@ -7,8 +7,8 @@
 
 import pydantic
 
+from samphirestand.control import changes
 from samphirestand import exceptions
-from samphirestand.platform import changes
 from samphirestand import types
 
 HISTORY_TABLE = 'configuration'
--- a/samphirestand/daemon.py
+++ b/samphirestand/daemon.py
@@ -19,6 +19,10 @@
 from samphirestand.callers import tokens
 from samphirestand import clock as clock_module
 from samphirestand import config
+from samphirestand.control import audit as audit_module
+from samphirestand.control import bootstrap
+from samphirestand.control import client as platform_client
+from samphirestand.control import configuration as configuration_module
 from samphirestand import exceptions
 from samphirestand.hosts import client as peer_client
 from samphirestand.hosts import discovery
@@ -34,10 +38,6 @@
 from samphirestand import metrics as metrics_module
 from samphirestand.operators import commands
 from samphirestand.operators import explain
-from samphirestand.platform import audit as audit_module
-from samphirestand.platform import bootstrap
-from samphirestand.platform import client as platform_client
-from samphirestand.platform import configuration as configuration_module
 from samphirestand.targets import connection
 from samphirestand.targets import gateways as gateways_module
 from samphirestand import types
--- a/samphirestand/hosts/discovery.py
+++ b/samphirestand/hosts/discovery.py
@@ -3,10 +3,10 @@
 import collections.abc
 
 from samphirestand import clock as clocks
+from samphirestand.control import client as platform_client
 from samphirestand import exceptions
 from samphirestand.hosts import membership as memberships
 from samphirestand import log
-from samphirestand.platform import client as platform_client
 from samphirestand import types
 
 # The fleet as a whole reads the list about 30 times a second.
--- a/samphirestand/operators/commands.py
+++ b/samphirestand/operators/commands.py
@@ -8,14 +8,14 @@
 
 from samphirestand.callers import authentication
 from samphirestand import clock as clocks
+from samphirestand.control import audit
+from samphirestand.control import changes
+from samphirestand.control import configuration as configuration_module
 from samphirestand import exceptions
 from samphirestand import interfaces
 from samphirestand.operators import explain
 from samphirestand.operators import language
 from samphirestand.operators import listing
-from samphirestand.platform import audit
-from samphirestand.platform import changes
-from samphirestand.platform import configuration as configuration_module
 from samphirestand import types
 
 # How long an accepted change waits for the hosts before it is answered.
--- a/samphirestand/operators/explain.py
+++ b/samphirestand/operators/explain.py
@@ -6,10 +6,10 @@
 from typing import Protocol
 
 from samphirestand import clock as clocks
+from samphirestand.control import audit
 from samphirestand import exceptions
 from samphirestand import interfaces
 from samphirestand.operators import codes
-from samphirestand.platform import audit
 from samphirestand import types
 
 # Hosts are asked in groups, so that one command doesn't open connections to
--- a/samphirestand/operators/language.py
+++ b/samphirestand/operators/language.py
@@ -7,8 +7,8 @@
 
 import lark
 
+from samphirestand.control import changes
 from samphirestand import exceptions
-from samphirestand.platform import changes
 
 STEP = 'command'
 
--- a/samphirestand/platform/__init__.py
+++ b/samphirestand/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform: tables, objects and configuration."""
+"""Adapter to the users' platform: names, formats and calls."""
--- a/tests/platform/fakes.py
+++ b/tests/control/fakes.py
@@ -5,10 +5,10 @@
 import random
 
 from samphirestand import clock
+from samphirestand.control import configuration
+from samphirestand.control import rows
 from samphirestand import exceptions
 from samphirestand import metrics
-from samphirestand.platform import configuration
-from samphirestand.platform import rows
 
 
 class FakePlatform:
--- a/tests/platform/test_audit.py
+++ b/tests/control/test_audit.py
@@ -6,10 +6,10 @@
 import pytest
 
 from samphirestand import clock
+from samphirestand.control import audit
 from samphirestand import exceptions
 from samphirestand import metrics
-from samphirestand.platform import audit
-from tests.platform import fakes
+from tests.control import fakes
 
 
 def make_audit(platform, manual, **options):
--- a/tests/platform/test_bootstrap.py
+++ b/tests/control/test_bootstrap.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from samphirestand.control import bootstrap
+from samphirestand.control import configuration
 from samphirestand import exceptions
-from samphirestand.platform import bootstrap
-from samphirestand.platform import configuration
-from tests.platform import fakes
+from tests.control import fakes
 
 FIRST = """
 rate_slots: 6
--- a/tests/platform/test_changes.py
+++ b/tests/control/test_changes.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from samphirestand.control import changes
 from samphirestand import exceptions
-from samphirestand.platform import changes
 from samphirestand import types
 
 HASH = 64 * 'a'
--- a/tests/platform/test_client.py
+++ b/tests/control/test_client.py
@@ -6,9 +6,9 @@
 import pytest
 
 from samphirestand import clock
+from samphirestand.control import client
+from samphirestand.control import rows
 from samphirestand import exceptions
-from samphirestand.platform import client
-from samphirestand.platform import rows
 from standins import platform
 from tests import processes
 
--- a/tests/platform/test_configuration.py
+++ b/tests/control/test_configuration.py
@@ -10,13 +10,13 @@
 import pytest
 
 from samphirestand import clock
+from samphirestand.control import changes
+from samphirestand.control import configuration
+from samphirestand.control import rows
 from samphirestand import exceptions
 from samphirestand import metrics
-from samphirestand.platform import changes
-from samphirestand.platform import configuration
-from samphirestand.platform import rows
 from samphirestand import types
-from tests.platform import fakes
+from tests.control import fakes
 
 
 def account(name, rate=10):
--- a/tests/platform/test_configuration_client.py
+++ b/tests/control/test_configuration_client.py
@@ -6,12 +6,12 @@
 from tornado import httpserver
 
 from samphirestand import clock
-from samphirestand.platform import audit
-from samphirestand.platform import changes
-from samphirestand.platform import client
-from samphirestand.platform import configuration
+from samphirestand.control import audit
+from samphirestand.control import changes
+from samphirestand.control import client
+from samphirestand.control import configuration
 from standins import platform
-from tests.platform import fakes
+from tests.control import fakes
 from tests import processes
 
 HOSTS = 3
--- a/tests/hosts/test_rate_slots.py
+++ b/tests/hosts/test_rate_slots.py
@@ -7,10 +7,10 @@
 import pytest
 
 from samphirestand import clock as clocks
+from samphirestand.control import rows as table_rows
 from samphirestand import exceptions
 from samphirestand.hosts import rate_slots
 from samphirestand.hosts import slot_rows
-from samphirestand.platform import rows as table_rows
 from samphirestand import types
 from tests.hosts import fakes
 
--- a/tests/operators/fakes.py
+++ b/tests/operators/fakes.py
@@ -3,13 +3,13 @@
 import types as namespaces
 
 from samphirestand.callers import refusals
+from samphirestand.control import audit
+from samphirestand.control import rows
 from samphirestand import exceptions
 from samphirestand.operators import commands
 from samphirestand.operators import explain
-from samphirestand.platform import audit
-from samphirestand.platform import rows
 from samphirestand import types
-from tests.platform import fakes
+from tests.control import fakes
 
 
 def host(number, version=0, status=types.HostStatus.READY):
--- a/tests/operators/test_docs.py
+++ b/tests/operators/test_docs.py
@@ -9,13 +9,13 @@
 import yaml
 
 from samphirestand import config
+from samphirestand.control import bootstrap
 from samphirestand.operators import codes
 from samphirestand.operators import language
-from samphirestand.platform import bootstrap
 from tests.operators import fakes
 
 ROOT = pathlib.Path(__file__).parents[2]
-PAGE = (ROOT / 'docs/operators.md').read_text()
+PAGE = (ROOT / 'docs/OPERATIONS.md').read_text()
 
 SETUP = (
     'CREATE ACCOUNT dispatch RATE 200 BURST 400',
--- a/tests/operators/test_language.py
+++ b/tests/operators/test_language.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from samphirestand.control import changes
 from samphirestand import exceptions
 from samphirestand.operators import language
-from samphirestand.platform import changes
 from samphirestand import types
 
 URL = 'ws://127.0.0.1:1/session'
