--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -55,7 +55,6 @@
     answered :group {
       rows @3 :List(Text);
       signature @4 :Text;
-      isCommitted @10 :Bool;
     }
     failed :group {
       code @5 :Text;
@@ -67,8 +66,8 @@
       retryAfterMs @9 :UInt32;
     }
     lost :group {
-      reason @11 :Text;
-      timedOut @12 :Bool;
+      reason @10 :Text;
+      timedOut @11 :Bool;
     }
   }
 }
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -362,7 +362,6 @@
             group = part.init('answered')
             group.rows = list(outcome.rows)
             group.signature = outcome.signature
-            group.isCommitted = outcome.is_committed
         case work_module.Failed() as outcome:
             part.targetId = outcome.target_id
             _fill_position(part.position, outcome.position)
@@ -389,7 +388,6 @@
                 signature=part.answered.signature,
                 position=_position(part.position),
                 target_id=part.targetId,
-                is_committed=part.answered.isCommitted,
             )
         case 'failed':
             outcome = work_module.Failed(
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -117,9 +117,6 @@
         # Set by who knows whether this host decides about targets.
         self.is_relaxed = False
 
-    def target(self, target_id: str) -> catalog_module.Target | None:
-        return self._targets_by_id.get(target_id)
-
     def of_service(self, service: str) -> list[catalog_module.Target]:
         """Return the targets of a service, leaving ones included."""
         return [
--- a/samphirestand/gateway/freshness.py
+++ b/samphirestand/gateway/freshness.py
@@ -30,10 +30,6 @@
         """Return when the newest evidence was asked for."""
         return self._seen[-1][0] if self._seen else None
 
-    @property
-    def latest(self) -> types.Position | None:
-        return self._seen[-1][1] if self._seen else None
-
     def record(self, sent_ms: int, position: types.Position) -> None:
         """Note that the primary led at ``position`` after ``sent_ms``."""
         if self._seen and self._seen[-1][1].term > position.term:
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -144,10 +144,6 @@
     def is_idle(self) -> bool:
         return not self._waiting and not self._transactions
 
-    @property
-    def waiting_count(self) -> int:
-        return len(self._waiting)
-
     @property
     def primary(self) -> pool_module.TargetPool | None:
         return self.pools_by_id.get(self.primary_id)
@@ -566,7 +562,7 @@
             return self._error(pool, ticket, reply)
         if work.writes and not is_transaction and reply.position is not None:
             self.freshness.record(sent_ms, reply.position)
-        return _answered(pool, reply, is_committed=work.commits)
+        return _answered(pool, reply)
 
     def _end(self, owner: str, number: int) -> _Transaction | None:
         transaction = self._transactions.pop((owner, number), None)
@@ -727,7 +723,7 @@
             return _failed(pool, reply)
         if work.commits and work.wrote_before and reply.position is not None:
             self.freshness.record(sent_ms, reply.position)
-        return _answered(pool, reply, is_committed=work.commits)
+        return _answered(pool, reply)
 
     async def abandon(self, owner: str, number: int) -> None:
         """Roll back a transaction whose caller has left."""
@@ -779,14 +775,12 @@
 def _answered(
     pool: pool_module.TargetPool,
     reply: connection_module.Reply,
-    is_committed: bool,
 ) -> work_module.Answered:
     return work_module.Answered(
         reply.rows,
         reply.signature,
         reply.position,
         pool.target.target_id,
-        is_committed,
     )
 
 
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -120,8 +120,7 @@
         )
 
     def _refresh(self) -> None:
-        if hasattr(self, 'gateways'):
-            self.gateways.refresh()
+        self.gateways.refresh()
 
     async def start(self) -> None:
         """Listen, join the fleet and follow the store."""
--- a/samphirestand/node_settings.py
+++ b/samphirestand/node_settings.py
@@ -28,6 +28,4 @@
     metrics: Endpoint
     store: Endpoint
     promotions: Endpoint | None
-    heartbeat_ms: int  # how often a target renews its registration
-    drain_ms: int  # within which a leaving target gets no more work
     grace_ms: int  # from SIGTERM to SIGKILL
--- a/samphirestand/platform/node_file.py
+++ b/samphirestand/platform/node_file.py
@@ -26,9 +26,7 @@
 
 
 class _Bounds(pydantic.BaseModel):
-    DrainMs: int = 7_000
-    GraceS: float = 6
-    ConfigMs: int = 3_000
+    GraceS: float = 6  # from SIGTERM to SIGKILL
 
 
 class _Store(pydantic.BaseModel):
@@ -46,7 +44,6 @@
     Ip: pydantic.IPvAnyAddress
     Zone: str
     PortRange: tuple[int, int]
-    HeartbeatMs: int = 1_200
     Listen: _Listen
     Bounds: _Bounds = pydantic.Field(default_factory=_Bounds)
     platform: _Store
@@ -81,8 +78,6 @@
         metrics=node_settings.Endpoint(address, METRICS_PORT),
         store=_endpoint(model.platform.Addr),
         promotions=(_endpoint(model.Cloud.Addr) if model.Cloud.Addr else None),
-        heartbeat_ms=model.HeartbeatMs,
-        drain_ms=model.Bounds.DrainMs,
         grace_ms=int(model.Bounds.GraceS * 1_000),
     )
 
--- a/samphirestand/platform/store.py
+++ b/samphirestand/platform/store.py
@@ -74,7 +74,7 @@
 
 
 class Store:
-    """The platform's store; one call at a time per method invocation."""
+    """The platform's store: conditional writes, reads and change feeds."""
 
     def __init__(self, endpoint: node_settings.Endpoint) -> None:
         self._url = f'http://{endpoint}'
--- a/samphirestand/platform/wire.py
+++ b/samphirestand/platform/wire.py
@@ -19,11 +19,14 @@
     'Ready',
     'Row',
     'Startup',
+    'Status',
     'Terminate',
-    'begin_after',
+    'connect',
     'decode_answer',
+    'decode_position',
     'decode_request',
     'decode_statement',
+    'decode_status',
     'encode_complete',
     'encode_error',
     'encode_query',
@@ -126,6 +129,19 @@
 Answer = Row | Complete | Error | Ready
 
 
+@dataclasses.dataclass(frozen=True)
+class Status:
+    """What a target says about itself; ``held`` is the term it refuses."""
+
+    is_primary: bool
+    term: int
+    received: types.Position
+    held: int
+    lag_ms: int
+    busy: int
+    connections: int
+
+
 def decode_request(line: bytes) -> Request:
     """Decode a line of a caller; a bad one becomes ``Malformed``."""
     try:
@@ -256,11 +272,6 @@
     return f'WAITLSN {encode_position(position)} {text}'
 
 
-def begin_after(position: types.Position | None, text: str) -> str:
-    """Return a BEGIN that waits for ``position``."""
-    return wait_for(position, text)
-
-
 def execute_text(name: str, arguments: str) -> str:
     return f'EXECUTE {name} {arguments}' if arguments else f'EXECUTE {name}'
 
@@ -278,19 +289,6 @@
     return f'PAUSE {term}'
 
 
-@dataclasses.dataclass(frozen=True)
-class Status:
-    """What a target says about itself; ``held`` is the term it refuses."""
-
-    is_primary: bool
-    term: int
-    received: types.Position
-    held: int
-    lag_ms: int
-    busy: int
-    connections: int
-
-
 def decode_status(data: str) -> Status | None:
     """Decode the row that STATUS, PAUSE and RESUME answer with."""
     fields = data.split(' ')
--- a/samphirestand/work.py
+++ b/samphirestand/work.py
@@ -67,7 +67,6 @@
     signature: str
     position: types.Position | None
     target_id: str
-    is_committed: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -44,7 +44,7 @@
         frames.Pong(1, True, 7, reaches_store=False),
         frames.WorkFrame(1, WORK),
         frames.OutcomeFrame(
-            2, work.Answered(('x', ''), 's', types.Position(1, 2), 'i-1', True)
+            2, work.Answered(('x', ''), 's', types.Position(1, 2), 'i-1')
         ),
         frames.OutcomeFrame(3, work.Failed('BUSY', 'full', None, 'i-1')),
         frames.OutcomeFrame(4, work.Refused('BUSY', 'why', 40)),
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -162,8 +162,6 @@
             metrics=endpoint('127.0.0.1', free_port()),
             store=endpoint('127.0.0.1', self.store_port),
             promotions=endpoint('127.0.0.1', self.store_port),
-            heartbeat_ms=1_200,
-            drain_ms=7_000,
             grace_ms=4_000,
         )
         node = node_module.Node(settings, pathlib.Path('unused'))
