gateway: Share the preparation of a connection and its return

Both ways to run a statement had their own loop over what a connection lacks, and both ways a transaction ends had their own choice between keeping and closing its connection. Behaviour is the same.

--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -480,15 +480,11 @@
         # statement runs.
         is_open = False
         try:
-            steps = used.preparation(work)
+            code = await self._prepare(pool, used, ticket)
+            if code is not None:
+                pool.discard(used)
+                return Retry(f'prepare: {code}')
             lead = _opening_step(ticket)
-            if steps:
-                for reply in await pool.run(
-                    used, steps, self._left_ms(ticket)
-                ):
-                    if reply.error is not None:
-                        pool.discard(used)
-                        return Retry(f'prepare: {reply.error.code}')
             if lead is not None:
                 refusal = await self._begin(pool, used, ticket, lead)
                 if refusal is not None:
@@ -499,6 +495,21 @@
             pool.discard(used)
             return self._lost(pool, ticket, error, is_sent=False)
 
+    async def _prepare(
+        self,
+        pool: pool_module.TargetPool,
+        used: connection_module.TargetConnection,
+        ticket: _Ticket,
+    ) -> str | None:
+        """Send what the connection lacks; returns the code of an error."""
+        steps = used.preparation(ticket.work)
+        if not steps:
+            return None
+        for reply in await pool.run(used, steps, self._left_ms(ticket)):
+            if reply.error is not None:
+                return reply.error.code
+        return None
+
     async def _begin(
         self,
         pool: pool_module.TargetPool,
@@ -550,10 +561,7 @@
             transaction.is_running = False
             if work.commits or reply.state == wire.STATE_IDLE:
                 self._end(owner, work.transaction)
-                if reply.state == wire.STATE_IDLE:
-                    pool.checkin(used)
-                else:
-                    pool.discard(used)
+                _give_back(pool, used, reply)
         else:
             pool.checkin(used)
         if reply.error is not None:
@@ -677,18 +685,11 @@
         sent_ms = self._clock.now()
         is_sent = False
         try:
-            steps = used.preparation(work)
-            for reply in (
-                await pool.run(used, steps, self._left_ms(ticket))
-                if steps
-                else ()
-            ):
-                if reply.error is not None:
-                    self._end(owner, work.transaction)
-                    pool.discard(used)
-                    return work_module.Refused(
-                        'ABORTED', f'prepare: {reply.error.code}'
-                    )
+            code = await self._prepare(pool, used, ticket)
+            if code is not None:
+                self._end(owner, work.transaction)
+                pool.discard(used)
+                return work_module.Refused('ABORTED', f'prepare: {code}')
             is_sent = True
             step = connection_module.Step(work.request_id, used.text(work))
             [reply] = await pool.run(used, [step], self._left_ms(ticket))
@@ -712,10 +713,7 @@
         transaction.is_running = False
         if ends or reply.state == wire.STATE_IDLE:
             self._end(owner, work.transaction)
-            if reply.state == wire.STATE_IDLE:
-                pool.checkin(used)
-            else:
-                pool.discard(used)
+            _give_back(pool, used, reply)
             self._dispatch()
         if reply.error is not None:
             if reply.error.code == 'READONLY':
@@ -772,6 +770,21 @@
     return None
 
 
+def _give_back(
+    pool: pool_module.TargetPool,
+    used: connection_module.TargetConnection,
+    reply: connection_module.Reply,
+) -> None:
+    """Return a connection whose transaction has ended.
+
+    One on which the target still has a transaction open is closed.
+    """
+    if reply.state == wire.STATE_IDLE:
+        pool.checkin(used)
+        return
+    pool.discard(used)
+
+
 def _answered(
     pool: pool_module.TargetPool,
     reply: connection_module.Reply,
