--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import itertools
 from typing import Protocol
 
@@ -200,14 +201,7 @@
             return
         self._sequence += 1
         self._sent_ms[self._sequence] = self._clock.now()
-        connection.send(
-            frames.Ping(
-                self._sequence,
-                ping.is_draining,
-                ping.catalog_version,
-                ping.deposits,
-            )
-        )
+        connection.send(dataclasses.replace(ping, sequence=self._sequence))
 
     async def ask(
         self,
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -200,10 +200,18 @@
         self._on_change()
 
     async def ping_forever(
-        self, build: collections.abc.Callable[[links.Link], frames.Ping]
+        self,
+        start_round: collections.abc.Callable[
+            [], collections.abc.Callable[[links.Link], frames.Ping]
+        ],
     ) -> None:
-        """Ping all other hosts until the task is cancelled."""
+        """Ping all other hosts until the task is cancelled.
+
+        ``start_round`` is called before each round and returns what builds
+        the ping to each host.
+        """
         while True:
+            build = start_round()
             for link in list(self._links_by_id.values()):
                 was_up = link.is_up
                 link.ping(build(link))
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -1,9 +1,8 @@
 """Answers other hosts, and sends them the work of local sessions."""
 
-import asyncio
-import collections.abc
 from typing import TypeGuard
 
+from samphirestand import background
 from samphirestand import exceptions
 from samphirestand.fleet import allowance as allowance_module
 from samphirestand.fleet import frames
@@ -42,14 +41,14 @@
         self._gateways = gateways
         self._allowance = allowance
         self._catalog = catalog
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = background.Background()
 
     def handle(
         self, sender: links.FrameConnection, frame: frames.Frame
     ) -> None:
         match frame:
             case frames.WorkFrame():
-                self._spawn(self._work(sender, frame))
+                self._background.spawn(self._work(sender, frame))
             case frames.Ping():
                 self._ping(sender, frame)
             case frames.TokenRequest():
@@ -58,7 +57,7 @@
                 )
                 sender.send(frames.TokenAnswer(frame.call, given))
             case frames.Abandon():
-                self._spawn(
+                self._background.spawn(
                     self._gateways.abandon(_owner(sender), frame.transaction)
                 )
             case frames.SnapshotRequest():
@@ -77,14 +76,7 @@
                 )
 
     def disconnected(self, sender: links.FrameConnection) -> None:
-        self._spawn(self._gateways.abandon_all(_owner(sender)))
-
-    def _spawn(
-        self, job: collections.abc.Coroutine[object, object, None]
-    ) -> None:
-        task = asyncio.create_task(job)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._gateways.abandon_all(_owner(sender)))
 
     async def _work(
         self, sender: links.FrameConnection, frame: frames.WorkFrame
@@ -126,7 +118,7 @@
     ) -> None:
         self._members = members
         self._gateways = gateways
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = background.Background()
 
     def choose(self, service: str) -> str:
         return self._gateways.owner(service)
@@ -172,9 +164,7 @@
     def abandon(self, host_id: str, transaction: int) -> None:
         if host_id == self._members.local.host_id:
             job = self._gateways.abandon(LOCAL_OWNER, transaction)
-            task = asyncio.create_task(job)
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._background.spawn(job)
             return
         link = self._members.link(host_id)
         if link is not None:
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -12,6 +12,7 @@
 from tornado import httpserver
 from tornado import web
 
+from samphirestand import background
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.fleet import allowance as allowance_module
@@ -56,7 +57,7 @@
         self._path = path
         self._clock = clock_module.SystemClock()
         self._random = random.Random()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = background.Background()
         self._servers: list[httpserver.HTTPServer] = []
         self._fetching: dict[str, asyncio.Task[None]] = {}
         self.metrics = metrics_module.Metrics()
@@ -130,12 +131,12 @@
             self.catalog.run(),
             self.targets.run(),
             self.members.register_forever(),
-            self.members.ping_forever(self._ping()),
+            self.members.ping_forever(self._start_ping_round),
             self.gateways.upkeep_forever(),
             self._release_sessions_forever(),
         ):
-            self._tasks.append(asyncio.create_task(job))
-        self._tasks.append(asyncio.create_task(self._admit_callers()))
+            self._background.spawn(job)
+        self._background.spawn(self._admit_callers())
         probe = web.Application(
             [('/-/ready', _ReadyHandler, {'node': self})],
             log_function=_no_access_log,
@@ -169,23 +170,19 @@
         server.listen(endpoint.port, endpoint.address)
         self._servers.append(server)
 
-    def _ping(
+    def _start_ping_round(
         self,
     ) -> collections.abc.Callable[[links.Link], frames.Ping]:
-        """Return a function that builds the ping to each host."""
-        deposits: dict[str, tuple[frames.Deposit, ...]] = {}
+        """Return what builds the ping to each host."""
+        deposits_by_host = self.allowance.deposits_by_host()
 
         def build(link: links.Link) -> frames.Ping:
-            host_id = link.peer.host_id
-            if host_id not in deposits:
-                for key, value in self.allowance.deposits_by_host().items():
-                    deposits[key] = deposits.get(key, ()) + value
             self._follow(link)
             return frames.Ping(
                 0,
                 self.members.is_draining,
                 self.catalog.current.version,
-                deposits.pop(host_id, ()),
+                deposits_by_host.get(link.peer.host_id, ()),
             )
 
         return build
@@ -254,8 +251,7 @@
         self.gateways.close()
         self.members.stop()
         self.store.close()
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
 
 
 class _ReadyHandler(web.RequestHandler):
