fleet: Keep links to the hosts that do jobs only, charge rates at gateways

Cause: every host dialled and pinged every other.

Three hosts of each zone do jobs, large ones first, in an order that all hosts compute from the rows in the store; a dead one is replaced by the next. Only they gain parts of the rates. An operation takes its token at the gateway, since a host without jobs gains nothing. A newer configuration is fetched from one host after 200 ms, not from all at once, and sent to job hosts that lack it.

Ruled out: links opened on demand, which these sizes don't need yet; asking the collecting host from each entry host, a round trip for each operation.

--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -1,8 +1,8 @@
 """Rates of client accounts over the whole fleet.
 
-Each host gains an equal share of every account's rate. Tokens that a host
-doesn't need move to the account's collecting host, which hands them out to
-hosts that run short. Tokens are only moved, never created twice, so the
+Each host that does jobs gains an equal share of every account's rate. Tokens
+that it doesn't need move to the account's collecting host, which hands them
+out to hosts that run short. Tokens are only moved, never created twice, so the
 fleet stays below the rate also when hosts can't reach each other.
 """
 
@@ -148,7 +148,7 @@
             f'rate {found.rate}, burst {found.burst}, '
             f'{bucket.millitokens:.0f} thousandths here, '
             f'demand {bucket.demand:.1f}/s, '
-            f'{self._members.known_count} hosts, collected by '
+            f'{self._members.gaining_count} hosts, collected by '
             f'{self._members.host_for(_job(account))}'
         )
 
@@ -161,7 +161,9 @@
             since_ms = now - min(START_CREDIT_MS, now - self._started_ms)
             bucket = Bucket(refilled_ms=since_ms)
             self._buckets_by_account[account.name] = bucket
-        rate = account.rate / self._members.known_count
+        rate = 0.0
+        if self._members.is_gaining:
+            rate = account.rate / self._members.gaining_count
         capacity = max(self._home_capacity(account), rate * GAIN_KEPT_MS)
         bucket.refill(now, rate, capacity)
         return bucket
@@ -169,13 +171,13 @@
     def _home_capacity(self, account: catalog_module.Account) -> float:
         """Return the thousandths that this host may keep."""
         capacity = (
-            HOME_SHARE * account.burst * MILLI / self._members.known_count
+            HOME_SHARE * account.burst * MILLI / self._members.gaining_count
         )
         return capacity if capacity >= SMALLEST_HOME else 0.0
 
     def _pot_capacity(self, account: catalog_module.Account) -> float:
         """Return the thousandths that the collecting host may keep."""
-        at_home = self._home_capacity(account) * self._members.known_count
+        at_home = self._home_capacity(account) * self._members.gaining_count
         return max(MILLI, account.burst * MILLI - at_home)
 
     async def _ask(
--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -19,6 +19,8 @@
   address @2 :Text;
   port @3 :UInt16;
   incarnation @4 :UInt64;
+  millicores @5 :UInt32;
+  linkKbps @6 :UInt32;
 }
 
 struct Work {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -8,6 +8,7 @@
 
 from samphirestand import catalog
 from samphirestand import exceptions
+from samphirestand import node_settings
 from samphirestand import types
 from samphirestand import work as work_module
 
@@ -51,6 +52,7 @@
     address: str
     port: int
     incarnation: int
+    capacity: node_settings.Capacity = node_settings.Capacity()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -204,6 +206,8 @@
             part.address = frame.address
             part.port = frame.port
             part.incarnation = frame.incarnation
+            part.millicores = frame.capacity.millicores
+            part.linkKbps = frame.capacity.link_kbps
     body: bytes = message.to_bytes_packed()
     return len(body).to_bytes(LENGTH_BYTES, 'big') + body
 
@@ -288,6 +292,7 @@
                 part.address,
                 part.port,
                 part.incarnation,
+                node_settings.Capacity(part.millicores, part.linkKbps),
             )
         case other:
             raise ValueError(f'unknown frame {other}')
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -131,6 +131,7 @@
         self._sent_ms: dict[int, int] = {}
         self.is_draining = False
         self.reaches_store = True
+        self.used_ms = 0  # when something other than a ping was last sent
         self.is_silent = False
         # When the host was last known to answer; the start of this link if
         # it never did.
@@ -219,6 +220,7 @@
         call = next(self._calls)
         future = asyncio.get_running_loop().create_future()
         self._waiting[call] = future
+        self.used_ms = self._clock.now()
         connection.send(build(call))
         timer = asyncio.get_running_loop().call_later(
             timeout_ms / 1000, _expire, future
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -10,8 +10,10 @@
 from samphirestand import exceptions
 from samphirestand.fleet import frames
 from samphirestand.fleet import links
+from samphirestand.fleet import placement
 from samphirestand.hosts import rendezvous
 from samphirestand import log
+from samphirestand import node_settings
 from samphirestand.platform import store as store_module
 
 __all__ = ['HOSTS_TABLE', 'PING_INTERVAL_MS', 'Members']
@@ -22,13 +24,31 @@
 # Four pings in a row are lost within 1 s when a host fails.
 PING_INTERVAL_MS = 250
 
+# Links that carry nothing are pinged in each of this many rounds.
+IDLE_ROUNDS = 4
+
+# A link carries work if it did within this time.
+LINK_USE_MS = 2_000
+
+# Links to hosts that no longer do jobs are kept until the last transaction
+# on them has ended; operators allow about 3 s of rest inside one.
+LINK_KEPT_MS = 10_000
+
 # A host renews its row this often, and reads the others' rows.
 RENEW_MS = 10_000
 
+# Hosts that start together find each other's rows with the second and third
+# reading.
+FIRST_RENEWALS_MS = (700, 2_000)
+
 # A row that nobody has renewed for this long, of a host that doesn't answer,
 # is deleted: four renewals were missed.
 EXPIRY_MS = 45_000
 
+# A host that does jobs is replaced by the next one of its zone when it hasn't
+# answered for this long; a process that ended is back within about a second.
+DEAD_MS = 2_000
+
 # Links come up within a few round trips; hosts that start together are ready
 # within half a second of each other.
 SETTLE_MS = 800
@@ -51,10 +71,16 @@
     address: str
     port: int = pydantic.Field(ge=1, le=65535)
     incarnation: int = pydantic.Field(ge=0)
+    millicores: int = pydantic.Field(default=0, ge=0)
+    link_kbps: int = pydantic.Field(default=0, ge=0)
 
 
 class Members:
-    """Keeps a link to each other host and chooses hosts for jobs."""
+    """Knows all hosts, keeps links to those that do jobs, and chooses.
+
+    A few hosts of each zone do jobs for the fleet, the large ones first. All
+    hosts have links to these, and only to these.
+    """
 
     def __init__(
         self,
@@ -69,17 +95,42 @@
         self._clock = clock
         self._store = store
         self._on_change = on_change
+        self._hosts_by_id = {local.host_id: local}
+        self._large_ids: frozenset[str] = frozenset()
+        self._job_host_ids: frozenset[str] = frozenset()
+        self._gaining_ids: frozenset[str] = frozenset()
+        self._considered_dead_ids: frozenset[str] = frozenset()
         self._links_by_id: dict[str, links.Link] = {}
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._was_up_by_id: dict[str, bool] = {}
         self._seen_ms_by_id: dict[str, tuple[int, int]] = {}
-        self._known_count = 1
         self._read_ms: int | None = None  # when the store first answered
+        self._last_read_ms = clock.now()
+        self._round = 0
+        self._choose_job_hosts()
 
     @property
     def known_count(self) -> int:
         """Return how many hosts exist, reachable or not, this one included."""
-        return max(self._known_count, 1)
+        return len(self._hosts_by_id)
+
+    @property
+    def gaining_count(self) -> int:
+        """Return among how many hosts the accounts' rates are divided.
+
+        Hosts that don't answer count, too: they may live behind a partition.
+        """
+        return max(len(self._gaining_ids), 1)
+
+    @property
+    def is_gaining(self) -> bool:
+        """Tell whether this host gains a part of the accounts' rates."""
+        return self.local.host_id in self._gaining_ids
+
+    @property
+    def is_job_host(self) -> bool:
+        """Tell whether this host may do jobs for the fleet."""
+        return self.local.host_id in self._job_host_ids
 
     @property
     def is_settled(self) -> bool:
@@ -116,25 +167,31 @@
         return self._links_by_id.get(host_id)
 
     def host_for(self, job: str, zone: str | None = None) -> str:
-        """Return the id of the host that should do ``job``.
+        """Return the id of the host that should do ``job``; '' if none can.
 
-        Prefers hosts that reach the store, then hosts of ``zone``. Draining
-        hosts are chosen only when no other answers.
+        Prefers hosts that reach the store, then hosts of ``zone``, then large
+        ones. Draining hosts are chosen only when no other answers.
         """
-        usable = [each for each in self.up_links() if not each.is_draining]
+        usable = [
+            each
+            for each in self.up_links()
+            if not each.is_draining and each.peer.host_id in self._job_host_ids
+        ]
         choices = [
             (each.peer.host_id, each.peer.zone, each.reaches_store)
             for each in usable
         ]
-        if not self.is_draining or not choices:
+        if self.is_job_host and (not self.is_draining or not choices):
             choices.append(
                 (self.local.host_id, self.local.zone, self.reaches_store)
             )
         connected = [each for each in choices if each[2]] or choices
         near = [each for each in connected if each[1] == zone] or connected
+        large = [each for each in near if each[0] in self._large_ids] or near
         return max(
-            (host_id for host_id, _, _ in near),
+            (host_id for host_id, _, _ in large),
             key=lambda host_id: rendezvous.score(host_id, job),
+            default='',
         )
 
     @property
@@ -147,7 +204,8 @@
         killed the rest must go on serving.
         """
         down = [each for each in self._links_by_id.values() if not each.is_up]
-        if 2 * sum(each.is_silent for each in down) > self.known_count:
+        count = len(self._links_by_id) + 1
+        if 2 * sum(each.is_silent for each in down) > count:
             return True
         before = self._clock.now() - ISOLATION_MS
         others = [
@@ -173,22 +231,70 @@
         )
 
     def learn(self, hello: frames.Hello) -> None:
-        """Note a host; dials it if it is new or has moved."""
+        """Note a host that is new or has moved."""
         if hello.host_id == self.local.host_id:
             return
-        known = self._links_by_id.get(hello.host_id)
-        if known is not None:
-            # Incarnations are told apart, not ordered: the time of day may
-            # jump back between two starts.
-            if known.peer == hello:
-                return
-            known.stop()
-            self._tasks_by_id[hello.host_id].cancel()
+        # Incarnations are told apart, not ordered: the time of day may jump
+        # back between two starts.
+        if self._hosts_by_id.get(hello.host_id) == hello:
+            return
+        self._hosts_by_id[hello.host_id] = hello
+        self._drop_link(hello.host_id)
+        _log.info('host_learned', peer=hello.host_id, zone=hello.zone)
+        self._choose_job_hosts()
+
+    def _choose_job_hosts(self) -> None:
+        """Keep links to the hosts that do jobs, and to no others."""
+        hosts = self._hosts_by_id.values()
+        self._large_ids = placement.large_host_ids(hosts)
+        self._gaining_ids = placement.choose_job_hosts(hosts)
+        self._replace_dead_job_hosts(self._dead_ids())
+
+    def _dead_ids(self) -> frozenset[str]:
+        now = self._clock.now()
+        return frozenset(
+            host_id
+            for host_id, link in self._links_by_id.items()
+            if not link.is_up and now - link.answered_ms > DEAD_MS
+        )
+
+    def _replace_dead_job_hosts(self, dead_ids: frozenset[str]) -> None:
+        self._considered_dead_ids = dead_ids
+        hosts = self._hosts_by_id.values()
+        chosen = placement.choose_job_hosts(hosts, dead_ids)
+        if chosen != self._job_host_ids:
+            _log.info(
+                'job_hosts_changed',
+                hosts=sorted(chosen),
+                dead=sorted(dead_ids),
+                known=len(hosts),
+            )
+        self._job_host_ids = chosen
+        for host_id in chosen - self._links_by_id.keys():
+            if host_id != self.local.host_id:
+                self._add_link(self._hosts_by_id[host_id])
+
+    def _review_links(self) -> None:
+        """Follow hosts that died or came back; close links without use."""
+        dead_ids = self._dead_ids()
+        if dead_ids != self._considered_dead_ids:
+            self._replace_dead_job_hosts(dead_ids)
+        before = self._clock.now() - LINK_KEPT_MS
+        for host_id, link in list(self._links_by_id.items()):
+            if host_id not in self._job_host_ids and link.used_ms < before:
+                self._drop_link(host_id)
+
+    def _add_link(self, hello: frames.Hello) -> None:
         link = links.Link(hello, self.local, self._clock, self._note_change)
         self._links_by_id[hello.host_id] = link
         self._tasks_by_id[hello.host_id] = asyncio.create_task(link.run())
-        self._known_count = max(self._known_count, len(self._links_by_id) + 1)
-        _log.info('host_learned', peer=hello.host_id, zone=hello.zone)
+
+    def _drop_link(self, host_id: str) -> None:
+        link = self._links_by_id.pop(host_id, None)
+        if link is None:
+            return
+        link.stop()
+        self._tasks_by_id.pop(host_id).cancel()
 
     def _note_change(self) -> None:
         for host_id, link in self._links_by_id.items():
@@ -211,17 +317,34 @@
         the ping to each host.
         """
         while True:
+            self._review_links()
             build = start_round()
+            self._round += 1
             for link in list(self._links_by_id.values()):
+                if not self._is_pinged(link):
+                    continue
                 was_up = link.is_up
                 link.ping(build(link))
                 if was_up and not link.is_up:
                     self._note_change()
             await self._clock.sleep(PING_INTERVAL_MS)
 
+    def _is_pinged(self, link: links.Link) -> bool:
+        """Tell whether a link is pinged in this round.
+
+        Hosts that do jobs decide by their pings who does which job.
+        """
+        return (
+            self.is_job_host
+            or self._round % IDLE_ROUNDS == 0
+            or not link.is_up
+            or self._clock.now() - link.used_ms < LINK_USE_MS
+        )
+
     async def register_forever(self) -> None:
         """Keep this host's row in the store, and learn the others'."""
         is_lost = False
+        pauses = list(FIRST_RENEWALS_MS)
         while True:
             try:
                 await self._register()
@@ -233,7 +356,7 @@
                 await self._clock.sleep(RETRY_MS)
                 continue
             is_lost = False
-            await self._clock.sleep(RENEW_MS)
+            await self._clock.sleep(pauses.pop(0) if pauses else RENEW_MS)
 
     async def _register(self) -> None:
         value = {
@@ -241,6 +364,8 @@
             'address': self.local.address,
             'port': self.local.port,
             'incarnation': self.local.incarnation,
+            'millicores': self.local.capacity.millicores,
+            'link_kbps': self.local.capacity.link_kbps,
         }
         await self._store.put(
             HOSTS_TABLE, self.local.host_id, json.dumps(value).encode(), None
@@ -249,7 +374,10 @@
     async def _read(self) -> None:
         feed = await self._store.read(HOSTS_TABLE)
         now = self._clock.now()
-        count = 0
+        if now - self._last_read_ms > EXPIRY_MS:
+            # Nobody could renew rows while the store was away.
+            self._seen_ms_by_id.clear()
+        self._last_read_ms = now
         for row in feed.rows:
             seen_version, since_ms = self._seen_ms_by_id.get(row.key, (0, 0))
             is_new = row.version != seen_version
@@ -262,10 +390,8 @@
             if now - since_ms > EXPIRY_MS and not self._answers(row.key):
                 await self._forget(row)
                 continue
-            count += 1
             if is_new:
                 self.learn(hello)
-        self._known_count = max(count, 1)
         if self._read_ms is None:
             self._read_ms = now
 
@@ -276,12 +402,12 @@
         )
 
     async def _forget(self, row: store_module.Row) -> None:
-        await self._store.delete(HOSTS_TABLE, row.key, row.version)
-        link = self._links_by_id.pop(row.key, None)
-        if link is not None:
-            link.stop()
-            self._tasks_by_id.pop(row.key).cancel()
-        _log.info('host_forgotten', peer=row.key)
+        if self._hosts_by_id.pop(row.key, None) is not None:
+            _log.info('host_forgotten', peer=row.key)
+        self._drop_link(row.key)
+        self._choose_job_hosts()
+        if self.is_job_host:
+            await self._store.delete(HOSTS_TABLE, row.key, row.version)
 
     def stop(self) -> None:
         """Close all links."""
@@ -298,5 +424,10 @@
         _log.warning('host_row_unreadable', peer=row.key, reason=str(error))
         return None
     return frames.Hello(
-        row.key, model.zone, model.address, model.port, model.incarnation
+        row.key,
+        model.zone,
+        model.address,
+        model.port,
+        model.incarnation,
+        node_settings.Capacity(model.millicores, model.link_kbps),
     )
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -19,9 +19,6 @@
 # gateway's own time-out answer must arrive before the link's.
 ANSWER_MARGIN_MS = 250
 
-# Another host answers a question about its configuration within this time.
-SNAPSHOT_TIMEOUT_MS = 1_000
-
 LOCAL_OWNER = 'local'
 
 _log = log.get_logger(__name__)
@@ -68,6 +65,8 @@
                         self._catalog.raw,
                     )
                 )
+            case frames.Snapshot():
+                self._catalog.offer(frame.catalog, _owner(sender))
             case frames.Hello():
                 self._members.learn(frame)
             case _:
@@ -95,12 +94,6 @@
             )
         )
 
-    async def follow_peers(self, link: links.Link) -> None:
-        """Fetch a configuration that a peer has and this host hasn't."""
-        answer = await link.ask(frames.SnapshotRequest, SNAPSHOT_TIMEOUT_MS)
-        if isinstance(answer, frames.Snapshot) and answer.catalog:
-            self._catalog.offer(answer.catalog, link.peer.host_id)
-
 
 def _owner(sender: links.FrameConnection) -> str:
     if sender.hello is None:
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -7,6 +7,7 @@
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
+from samphirestand.fleet import allowance as allowance_module
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import watch
 from samphirestand.gateway import gateway as gateway_module
@@ -69,6 +70,7 @@
         members: members_module.Members,
         targets: watch.TargetWatch,
         catalog: collections.abc.Callable[[], catalog_module.Catalog],
+        allowance: allowance_module.Allowance,
         succession: succession_module.Succession | None,
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -77,6 +79,7 @@
         self._members = members
         self._targets = targets
         self._catalog = catalog
+        self._allowance = allowance
         self._succession = succession
         self._metrics = metrics
         self._gateways_by_service: dict[str, gateway_module.Gateway] = {}
@@ -114,8 +117,43 @@
         """Run a statement of the entry host ``owner``."""
         if work.service not in self._catalog().services_by_name:
             return work_module.Refused('BUSY', 'unknown service')
+        refusal = await self._charge(work)
+        if refusal is not None:
+            return refusal
         return await self._gateway(work.service).run(owner, work)
 
+    async def _charge(
+        self, work: work_module.Work
+    ) -> work_module.Refused | None:
+        """Take a rate token for the first statement of an operation.
+
+        Few hosts are gateways, so that an account's tokens are divided among
+        few places, also where many hosts take callers.
+        """
+        if not work.account or work.stage not in (
+            work_module.Stage.SINGLE,
+            work_module.Stage.OPEN,
+        ):
+            return None
+        if await self._allowance.take(work.account):
+            return None
+        reason = (
+            f'account {work.account} is above its rate: '
+            f'{self._allowance.describe(work.account)}'
+        )
+        self._metrics.count('refused_rate')
+        _log.info(
+            'work_refused_rate',
+            request=work.request_id,
+            service=work.service,
+            account=work.account,
+            reason=reason,
+            version=self._catalog().version,
+        )
+        return work_module.Refused(
+            'BUSY', reason, self._allowance.retry_after_ms(work.account)
+        )
+
     async def abandon(self, owner: str, number: int) -> None:
         """Roll back one transaction of an entry host."""
         for each in list(self._gateways_by_service.values()):
--- a/samphirestand/hosts/rendezvous.py
+++ b/samphirestand/hosts/rendezvous.py
@@ -1,13 +1,19 @@
 """Rendezvous hash: the same choice on all hosts that see the same hosts."""
 
 import collections.abc
+import functools
 import hashlib
 
 from samphirestand import types
 
 SCORE_BYTES = 8
 
+# Pairs of host and key whose score is kept: those of a few hundred jobs on
+# the hosts that do jobs.
+CACHED_SCORES = 16_384
 
+
+@functools.lru_cache(maxsize=CACHED_SCORES)
 def score(host_id: str, key: str) -> bytes:
     """Return how well the host suits ``key``; the highest score wins."""
     return hashlib.blake2b(
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -16,6 +16,7 @@
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.fleet import allowance as allowance_module
+from samphirestand.fleet import catalog_exchange
 from samphirestand.fleet import frames
 from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
@@ -59,7 +60,6 @@
         self._random = random.Random()
         self._background = background.Background()
         self._servers: list[httpserver.HTTPServer] = []
-        self._fetching: dict[str, asyncio.Task[None]] = {}
         self.metrics = metrics_module.Metrics()
         self.store = store_module.Store(settings.store)
         self.catalog = watch.CatalogWatch(
@@ -74,10 +74,14 @@
             settings.peers.address,
             settings.peers.port,
             self._clock.wall(),
+            settings.capacity,
         )
         self.members = members_module.Members(
             local, self._clock, self.store, self._refresh
         )
+        self._exchange = catalog_exchange.CatalogExchange(
+            self._clock, self._random, self.members, self.catalog
+        )
         self.allowance = allowance_module.Allowance(
             self._clock, self.members, lambda: self.catalog.current
         )
@@ -95,6 +99,7 @@
             self.members,
             self.targets,
             lambda: self.catalog.current,
+            self.allowance,
             succession,
             self.metrics,
         )
@@ -105,7 +110,6 @@
         context = session_module.Context(
             self._clock,
             lambda: self.catalog.current,
-            self.allowance,
             service_module.PeerDispatcher(self.members, self.gateways),
             self.metrics,
         )
@@ -177,7 +181,7 @@
         deposits_by_host = self.allowance.deposits_by_host()
 
         def build(link: links.Link) -> frames.Ping:
-            self._follow(link)
+            self._exchange.review(link)
             return frames.Ping(
                 0,
                 self.members.is_draining,
@@ -187,15 +191,6 @@
 
         return build
 
-    def _follow(self, link: links.Link) -> None:
-        """Fetch the configuration of a host that has a newer one."""
-        if link.catalog_version <= self.catalog.current.version:
-            return
-        running = self._fetching.get(link.peer.host_id)
-        if running is None or running.done():
-            job = self.peer_service.follow_peers(link)
-            self._fetching[link.peer.host_id] = asyncio.create_task(job)
-
     async def _release_sessions_forever(self) -> None:
         """Let callers go to other hosts while this one is cut off.
 
--- a/samphirestand/node_settings.py
+++ b/samphirestand/node_settings.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ['Endpoint', 'NodeSettings']
+__all__ = ['Capacity', 'Endpoint', 'NodeSettings']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -16,6 +16,14 @@
         return f'{self.address}:{self.port}'
 
 
+@dataclasses.dataclass(frozen=True)
+class Capacity:
+    """What a host has: thousandths of a core, and its link in kbit/s."""
+
+    millicores: int = 0
+    link_kbps: int = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class NodeSettings:
     """Addresses and bounds of one host; times in milliseconds."""
@@ -29,3 +37,4 @@
     store: Endpoint
     promotions: Endpoint | None
     grace_ms: int  # from SIGTERM to SIGKILL
+    capacity: Capacity = Capacity()
--- a/samphirestand/platform/node_file.py
+++ b/samphirestand/platform/node_file.py
@@ -29,6 +29,14 @@
     GraceS: float = 6  # from SIGTERM to SIGKILL
 
 
+class _Limits(pydantic.BaseModel):
+    CpuShare: float = pydantic.Field(
+        default=0.0, ge=0
+    )  # the part of each core
+    Cores: int = pydantic.Field(default=0, ge=0)
+    LinkMbps: float = pydantic.Field(default=0.0, ge=0)
+
+
 class _Store(pydantic.BaseModel):
     Addr: str
 
@@ -45,6 +53,7 @@
     Zone: str
     PortRange: tuple[int, int]
     Listen: _Listen
+    Limits: _Limits = pydantic.Field(default_factory=_Limits)
     Bounds: _Bounds = pydantic.Field(default_factory=_Bounds)
     platform: _Store
     Cloud: _Cloud = pydantic.Field(default_factory=_Cloud)
@@ -79,6 +88,10 @@
         store=_endpoint(model.platform.Addr),
         promotions=(_endpoint(model.Cloud.Addr) if model.Cloud.Addr else None),
         grace_ms=int(model.Bounds.GraceS * 1_000),
+        capacity=node_settings.Capacity(
+            millicores=int(model.Limits.CpuShare * model.Limits.Cores * 1_000),
+            link_kbps=int(model.Limits.LinkMbps * 1_000),
+        ),
     )
 
 
--- a/samphirestand/sessions/session.py
+++ b/samphirestand/sessions/session.py
@@ -8,7 +8,6 @@
 
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
-from samphirestand.fleet import allowance as allowance_module
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand.platform import wire
@@ -53,7 +52,6 @@
 
     clock: clock_module.Clock
     catalog: collections.abc.Callable[[], catalog_module.Catalog]
-    allowance: allowance_module.Allowance
     dispatcher: Dispatcher
     metrics: metrics_module.Metrics
     transactions: collections.abc.Iterator[int] = _transactions
@@ -259,7 +257,7 @@
             case statements.Deallocate():
                 self._deallocate(statement)
             case statements.Begin():
-                await self._begin(query, statement)
+                self._begin(query, statement)
             case statements.Commit() | statements.Rollback():
                 await self._finish(query, statement)
             case _:
@@ -309,13 +307,11 @@
             return
         self._complete()
 
-    async def _begin(
-        self, query: wire.Query, statement: statements.Begin
-    ) -> None:
+    def _begin(self, query: wire.Query, statement: statements.Begin) -> None:
         if self._transaction is not None:
             self._malformed('a transaction is open')
             return
-        admitted = await self._operation(query)
+        admitted = self._operation(query)
         if admitted is None:
             return
         self._transaction = _Transaction(
@@ -327,28 +323,14 @@
         )
         self._complete()
 
-    async def _operation(self, query: wire.Query) -> _Admitted | None:
+    def _operation(self, query: wire.Query) -> _Admitted | None:
         """Admit a new operation; an error has been sent if None."""
         admitted = self._admit()
         if isinstance(admitted, work_module.Refused):
             self._log_refusal(query, admitted)
             self._error(admitted.code, admitted.reason)
             return None
-        if not admitted.account:
-            return admitted
-        allowance = self._context.allowance
-        if await allowance.take(admitted.account):
-            return admitted
-        refusal = work_module.Refused(
-            'BUSY',
-            f'account {admitted.account} is above its rate: '
-            f'{allowance.describe(admitted.account)}',
-            allowance.retry_after_ms(admitted.account),
-        )
-        self._context.metrics.count('refused_rate')
-        self._log_refusal(query, refusal)
-        self._error(refusal.code, _with_retry(refusal))
-        return None
+        return admitted
 
     def _log_refusal(
         self, query: wire.Query, refusal: work_module.Refused
@@ -379,7 +361,7 @@
         )
         transaction = self._transaction
         if transaction is None:
-            admitted = await self._operation(query)
+            admitted = self._operation(query)
             if admitted is None:
                 return
             work = self._work(query, admitted, work_module.Stage.SINGLE)
--- a/tests/fleet/test_allowance.py
+++ b/tests/fleet/test_allowance.py
@@ -41,7 +41,8 @@
 class FakeMembers:
     """The part of the membership that rates need."""
 
-    known_count = HOSTS
+    gaining_count = HOSTS
+    is_gaining = True
 
     def __init__(self, fleet, number):
         self.fleet = fleet
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -17,6 +17,7 @@
         self.is_draining = False
         self.reaches_store = True
         self.answered_ms = now
+        self.used_ms = now
 
 
 @pytest.fixture
@@ -31,8 +32,10 @@
     names = ['n1', 'n2', 's0', 's1', 's2', 'e0', 'e1', 'e2']
     zones = {'n': 'north', 's': 'south', 'e': 'east'}
     for name in names:
-        found._links_by_id[name] = FakeLink(name, zones[name[0]], clock.now())
-    found._known_count = 9
+        link = FakeLink(name, zones[name[0]], clock.now())
+        found._links_by_id[name] = link
+        found._hosts_by_id[name] = link.peer
+    found._choose_job_hosts()
     return found
 
 
