fleet: Learn all rows before dialling

Cause: learning one row at a time made a host dial up to four temporary job hosts a zone while it read the rows. Found by the test of the number of links, which failed before.

--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -232,16 +232,26 @@
 
     def learn(self, hello: frames.Hello) -> None:
         """Note a host that is new or has moved."""
-        if hello.host_id == self.local.host_id:
-            return
-        # Incarnations are told apart, not ordered: the time of day may jump
-        # back between two starts.
-        if self._hosts_by_id.get(hello.host_id) == hello:
-            return
-        self._hosts_by_id[hello.host_id] = hello
-        self._drop_link(hello.host_id)
-        _log.info('host_learned', peer=hello.host_id, zone=hello.zone)
-        self._choose_job_hosts()
+        self.learn_all([hello])
+
+    def learn_all(
+        self, hellos: collections.abc.Iterable[frames.Hello]
+    ) -> None:
+        """Note all hosts before any of them is dialled."""
+        has_changed = False
+        for hello in hellos:
+            # Incarnations are told apart, not ordered: the time of day may
+            # jump back between two starts.
+            if hello.host_id == self.local.host_id or (
+                self._hosts_by_id.get(hello.host_id) == hello
+            ):
+                continue
+            self._hosts_by_id[hello.host_id] = hello
+            self._drop_link(hello.host_id)
+            _log.info('host_learned', peer=hello.host_id, zone=hello.zone)
+            has_changed = True
+        if has_changed:
+            self._choose_job_hosts()
 
     def _choose_job_hosts(self) -> None:
         """Keep links to the hosts that do jobs, and to no others."""
@@ -378,6 +388,7 @@
             # Nobody could renew rows while the store was away.
             self._seen_ms_by_id.clear()
         self._last_read_ms = now
+        learned = []
         for row in feed.rows:
             seen_version, since_ms = self._seen_ms_by_id.get(row.key, (0, 0))
             is_new = row.version != seen_version
@@ -391,7 +402,8 @@
                 await self._forget(row)
                 continue
             if is_new:
-                self.learn(hello)
+                learned.append(hello)
+        self.learn_all(learned)
         if self._read_ms is None:
             self._read_ms = now
 
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -1,10 +1,14 @@
 """Which hosts are chosen for jobs, and when a host is cut off."""
 
+import asyncio
+import unittest.mock
+
 import pytest
 
 from samphirestand import clock as clock_module
 from samphirestand.fleet import frames
 from samphirestand.fleet import members as members_module
+from samphirestand.fleet import placement
 
 
 class FakeLink:
@@ -99,3 +103,53 @@
     chosen = members.host_for('gateway/a', 'south')
     members._links_by_id[chosen].is_draining = True
     assert members.host_for('gateway/a', 'south') != chosen
+
+
+def test_host_of_a_large_fleet_has_few_links(clock):
+    """Fails if 77 hosts have 5,852 connections between them."""
+
+    async def scenario():
+        local = frames.Hello('a-0', 'a', '127.0.0.1', 1, 1)
+        found = members_module.Members(local, clock, None, lambda: None)
+        found.learn_all(
+            frames.Hello(f'{zone}-{number}', zone, '127.0.0.1', 1, 1)
+            for zone in 'abcd'
+            for number in range(20)
+        )
+        count = len(found._links_by_id)
+        found.stop()
+        return count, found.known_count
+
+    count, known = asyncio.run(scenario())
+    assert known == 80
+    assert count <= 4 * placement.MOST_PER_ZONE
+
+
+def test_link_to_a_former_job_host_is_kept_while_it_is_used(members, clock):
+    """Fails if transactions are cut when a job host comes back."""
+    link = members._links_by_id['s1']
+    link.stop = lambda: None
+    members._tasks_by_id['s1'] = unittest.mock.Mock()
+    members._job_host_ids -= {'s1'}
+    clock.set(clock.now() + 5_000)
+    members._review_links()
+    assert 's1' in members._links_by_id
+    clock.set(clock.now() + members_module.LINK_KEPT_MS)
+    members._review_links()
+    assert 's1' not in members._links_by_id
+
+
+def test_job_goes_to_a_large_host(members):
+    """Fails if a gateway lands on a host with a tenth of the link."""
+    members._large_ids = frozenset(['s2'])
+    assert members.host_for('gateway/a', 'south') == 's2'
+    members._links_by_id['s2'].is_up = False
+    assert members.host_for('gateway/a', 'south') in ('s0', 's1')
+
+
+def test_job_has_no_host_while_no_job_host_answers(members):
+    """Fails if each host opens connections to targets for itself."""
+    members._job_host_ids -= {'n0'}
+    for link in members._links_by_id.values():
+        link.is_up = False
+    assert members.host_for('gateway/a', 'south') == ''
