fleet: Wait for the end of a link instead of looking ten times a second

Cause: each link woke its host ten times a second. Hosts without gateways look after them four times a second.

--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -53,9 +53,13 @@
         self._handler = handler
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
-        self.is_closed = False
+        self.closed = asyncio.Event()
         self.hello: frames.Hello | None = None  # of a host that dialled
 
+    @property
+    def is_closed(self) -> bool:
+        return self.closed.is_set()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
@@ -74,7 +78,7 @@
             self.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.is_closed = True
+        self.closed.set()
         self._handler.disconnected(self)
 
     def send(self, frame: frames.Frame) -> None:
@@ -164,8 +168,7 @@
             connection.send(self._hello)
             self.ping(frames.Ping(0, False, 0))
             retry_ms = FIRST_RETRY_MS
-            while not connection.is_closed:
-                await self._clock.sleep(FIRST_RETRY_MS)
+            await connection.closed.wait()
 
     async def _dial(self) -> FrameConnection | None:
         loop = asyncio.get_running_loop()
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -23,6 +23,10 @@
 # How often targets are checked for silence.
 UPKEEP_INTERVAL_MS = 100
 
+# How often a host without gateways looks whether it has become one. A host
+# that takes over does so with the first statement that it is sent, too.
+RELAXED_UPKEEP_MS = 250
+
 # A gateway that another host has taken over keeps idle connections for this
 # long: both hosts' connections count towards the targets' limit.
 HANDOVER_MS = 500
@@ -190,7 +194,11 @@
             self._targets.is_relaxed = not (
                 owns_any or self._gateways_by_service
             )
-            await self._clock.sleep(UPKEEP_INTERVAL_MS)
+            await self._clock.sleep(
+                RELAXED_UPKEEP_MS
+                if self._targets.is_relaxed
+                else UPKEEP_INTERVAL_MS
+            )
 
     def _upkeep(
         self,
