--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -61,6 +61,9 @@
 # others.
 STORE_PAUSE_MS = 3_000
 
+# Names of hosts that one log line holds.
+MAX_LOGGED_HOSTS = 10
+
 # While the store can't be reached.
 RETRY_MS = 700
 
@@ -259,7 +262,7 @@
         self, hellos: collections.abc.Iterable[frames.Hello]
     ) -> None:
         """Note all hosts before any of them is dialled."""
-        has_changed = False
+        learned = []
         for hello in hellos:
             # Incarnations are told apart, not ordered: the time of day may
             # jump back between two starts.
@@ -269,10 +272,16 @@
                 continue
             self._hosts_by_id[hello.host_id] = hello
             self._drop_link(hello.host_id)
-            _log.info('host_learned', peer=hello.host_id, zone=hello.zone)
-            has_changed = True
-        if has_changed:
-            self._choose_job_hosts()
+            learned.append(hello.host_id)
+        if not learned:
+            return
+        _log.info(
+            'hosts_learned',
+            count=len(learned),
+            first=learned[:MAX_LOGGED_HOSTS],
+            known=self.known_count,
+        )
+        self._choose_job_hosts()
 
     def _choose_job_hosts(self) -> None:
         """Keep links to the hosts that do jobs, and to no others."""
