gateway: Let work wait as long as its objective; place by what targets did

The longest wait is the objective; the expected wait counts only work that needs the same targets. Placement uses each target's own times and failures.

--- a/samphirestand/gateway/freshness.py
+++ b/samphirestand/gateway/freshness.py
@@ -1,6 +1,6 @@
 """Log positions that cover all commits acknowledged before a moment."""
 
-import collections
+import bisect
 
 from samphirestand import types
 
@@ -21,9 +21,7 @@
     """
 
     def __init__(self) -> None:
-        self._seen: collections.deque[tuple[int, types.Position]] = (
-            collections.deque()
-        )
+        self._seen: list[tuple[int, types.Position]] = []
 
     @property
     def latest_ms(self) -> int | None:
@@ -40,8 +38,8 @@
         if self._seen and sent_ms - self._seen[-1][0] < SPACING_MS:
             return
         self._seen.append((sent_ms, position))
-        while self._seen[0][0] < sent_ms - KEPT_MS:
-            self._seen.popleft()
+        oldest = bisect.bisect_left(self._seen, sent_ms - KEPT_MS, key=_moment)
+        del self._seen[:oldest]
 
     def floor(self, needed_ms: int) -> types.Position | None:
         """Return a position that covers all commits before ``needed_ms``.
@@ -49,7 +47,9 @@
         The lowest one that is known, so that replicas which lag are used as
         long as the route allows. None if there is no evidence that new.
         """
-        for sent_ms, position in self._seen:
-            if sent_ms >= needed_ms:
-                return position
-        return None
+        index = bisect.bisect_left(self._seen, needed_ms, key=_moment)
+        return self._seen[index][1] if index < len(self._seen) else None
+
+
+def _moment(seen: tuple[int, types.Position]) -> int:
+    return seen[0]
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -51,10 +51,6 @@
 # One for each replica of a service with three targets; the primary is last.
 MAX_SHORT_ATTEMPTS = 2
 
-# The first guess of how long a target takes for one statement.
-FIRST_SERVICE_MS = 15.0
-SMOOTHING = 0.05
-
 # Errors after which nothing of the statement is kept, so that it may be
 # tried again.
 NOTHING_KEPT = frozenset(
@@ -76,6 +72,7 @@
     attempts: int = 0
     avoided: set[str] = dataclasses.field(default_factory=set)
     last_reason: str = ''
+    is_bound: bool = False  # whether only the primary suits it
     leads: bool = False  # whether the chosen target is the primary
     floor: types.Position | None = None  # what a chosen replica must have
 
@@ -83,12 +80,16 @@
     def deadline_ms(self) -> int:
         return self.received_ms + self.work.budget_ms
 
-    @property
-    def order(self) -> tuple[bool, int]:
+    def order(self, now: int) -> tuple[bool, bool, int]:
+        """Return the key of the queue.
+
+        Open transactions come first, then what can be in time.
+        """
         key = policy.order(
             self.received_ms, self.work.objective_ms, self.work.priority
         )
-        return self.pinned is None, key
+        is_late = now - self.received_ms > self.work.objective_ms
+        return self.pinned is None, is_late, key
 
 
 @dataclasses.dataclass(eq=False)
@@ -126,7 +127,7 @@
         self.pools_by_id: dict[str, pool_module.TargetPool] = {}
         self._waiting: list[_Ticket] = []
         self._transactions: dict[Key, _Transaction] = {}
-        self._service_ms = FIRST_SERVICE_MS
+        self._service_ms = pool_module.FIRST_SERVICE_MS
         self.primary_id = ''
         # Targets that claim to be primary and have answered that they are
         # not.
@@ -272,18 +273,43 @@
             return self._refuse(
                 ticket, 'the primary is being replaced', OUTAGE_RETRY_MS
             )
-        if ticket.needs_primary:
-            primary = self.primary
-            ahead = sum(each.needs_primary for each in self._waiting)
-            slots = primary.target.slots if primary is not None else 1
-        else:
-            ahead = len(self._waiting)
-            slots = sum(each.target.slots for each in usable)
-        wait_ms = policy.expected_wait_ms(ahead, slots, self._service_ms)
-        if wait_ms + self._service_ms > ticket.work.budget_ms:
-            return self._refuse(ticket, f'a wait of {wait_ms:.0f} ms')
+        wait_ms, service_ms = self._expected_wait(ticket, usable)
+        patience = self._patience_ms(ticket)
+        if not policy.admits(wait_ms, service_ms, patience):
+            return self._refuse(ticket, f'a wait of {wait_ms:.0f} ms', wait_ms)
         return None
 
+    def _expected_wait(
+        self, ticket: _Ticket, usable: list[pool_module.TargetPool]
+    ) -> tuple[float, float]:
+        """Return how long a ticket will wait and then run."""
+        now = self._clock.now()
+        earlier = [
+            each
+            for each in self._waiting
+            if each.order(now) < ticket.order(now)
+        ]
+        suited = [each for each in usable if self._suits(ticket, each)]
+        primary = self.primary
+        if primary is None or suited not in ([], [primary]):
+            slots = sum(each.target.slots for each in suited or usable)
+            service_ms = self._service_ms
+        else:
+            # Other waiting work may go to the replicas.
+            earlier = [each for each in earlier if each.is_bound]
+            slots = primary.target.slots
+            service_ms = primary.service_ms
+            ticket.is_bound = True
+        wait_ms = policy.expected_wait_ms(len(earlier), slots, service_ms)
+        return wait_ms, service_ms
+
+    def _patience_ms(self, ticket: _Ticket) -> int:
+        work = ticket.work
+        is_recovering = self.recovery_ms is not None and ticket.needs_primary
+        return policy.patience_ms(
+            work.objective_ms, work.budget_ms, is_recovering
+        )
+
     def _is_primary_expected(self, ticket: _Ticket) -> bool:
         """Tell whether a primary will lead while the ticket can wait."""
         primary = self.primary
@@ -304,6 +330,8 @@
         for ticket in self._waiting:
             if ticket.needs_primary and not self._is_primary_expected(ticket):
                 ticket.future.cancel()
+        for pool in self.pools_by_id.values():
+            pool.decay_estimates(self._service_ms)
         self._dispatch()
 
     def _refuse(
@@ -337,7 +365,11 @@
         """Wait for a slot of a target that may run the ticket."""
         self._waiting.append(ticket)
         self._dispatch()
-        left_ms = ticket.deadline_ms - self._clock.now() - self._service_ms
+        patience_ms = ticket.work.budget_ms
+        if ticket.pinned is None:
+            patience_ms = self._patience_ms(ticket)
+        waited_ms = self._clock.now() - ticket.received_ms
+        left_ms = patience_ms - waited_ms - self._service_ms
         timer = asyncio.get_running_loop().call_later(
             max(0.0, left_ms / 1000), ticket.future.cancel
         )
@@ -360,7 +392,10 @@
         """Give free slots to waiting work, the most urgent first."""
         if not self._waiting:
             return
-        for ticket in sorted(self._waiting, key=lambda each: each.order):
+        now = self._clock.now()
+        for ticket in sorted(self._waiting, key=lambda each: each.order(now)):
+            if not any(map(self._has_slot, self.pools_by_id.values())):
+                return
             if ticket.future.done():
                 continue
             pool = self._place(ticket)
@@ -384,10 +419,14 @@
         return min(choices, key=self._cost)
 
     def _cost(self, pool: pool_module.TargetPool) -> float:
-        """Return the expected time of one more statement on a target."""
-        load = (pool.running + 1) / pool.target.slots
-        penalty = 1.0 if pool.target.target_id == self.primary_id else 0.0
-        return (load + penalty) * self._service_ms + pool.round_trip_ms
+        return policy.placement_cost(
+            (pool.running + 1) / pool.target.slots,
+            pool.service_ms,
+            pool.round_trip_ms,
+            is_primary=pool.target.target_id == self.primary_id,
+            failing_share=pool.failing_share,
+            is_unsteady=pool.is_unsteady,
+        )
 
     def _has_slot(self, pool: pool_module.TargetPool) -> bool:
         return pool.running < policy.depth(
@@ -398,26 +437,34 @@
         self, ticket: _Ticket
     ) -> collections.abc.Iterator[pool_module.TargetPool]:
         now = self._clock.now()
-        is_transaction = ticket.work.stage is work_module.Stage.OPEN
-        for target_id, pool in self.pools_by_id.items():
-            if pool.is_down or now < pool.avoid_until_ms:
-                continue
-            is_primary = target_id == self.primary_id
-            # A leaving primary is used until another one leads: nothing
-            # else can take writes.
-            if pool.target.is_draining and not is_primary:
-                continue
-            if is_transaction and (
-                pool.pinned >= max(1, pool.limit - UNPINNED_CONNECTIONS)
+        for pool in self.pools_by_id.values():
+            if (
+                not pool.is_down
+                and now >= pool.avoid_until_ms
+                and self._suits(ticket, pool)
             ):
-                continue
-            if is_primary:
-                yield pool
-            elif ticket.needs_primary or target_id in ticket.avoided:
-                continue
-            elif self._floor(ticket) is not None:
                 yield pool
 
+    def _suits(self, ticket: _Ticket, pool: pool_module.TargetPool) -> bool:
+        """Tell whether a target may run a ticket once it has a slot."""
+        target_id = pool.target.target_id
+        is_primary = target_id == self.primary_id
+        # A leaving primary is used until another one leads: nothing else can
+        # take writes.
+        if pool.target.is_draining and not is_primary:
+            return False
+        is_transaction = ticket.work.stage is work_module.Stage.OPEN
+        if is_transaction and (
+            pool.pinned >= max(1, pool.limit - UNPINNED_CONNECTIONS)
+        ):
+            return False
+        if is_primary:
+            return True
+        if ticket.needs_primary or target_id in ticket.avoided:
+            return False
+        floor = self._floor(ticket)
+        return floor is not None and not pool.lacks(floor)
+
     def _floor(self, ticket: _Ticket) -> types.Position | None:
         """Return the position that a replica must have for the ticket."""
         needed_ms = (
@@ -446,7 +493,12 @@
             self._release(pool)
         if isinstance(outcome, work_module.Answered):
             took_ms = self._clock.now() - started_ms
-            self._service_ms += SMOOTHING * (took_ms - self._service_ms)
+            self._service_ms += pool_module.SERVICE_SMOOTHING * (
+                took_ms - self._service_ms
+            )
+            pool.note_service(took_ms, has_failed=False)
+        elif isinstance(outcome, work_module.Failed):
+            pool.note_service(0, has_failed=True)
         return outcome
 
     async def _run_on(
@@ -596,9 +648,10 @@
             case 'READONLY':
                 self._deny(pool)
             case 'LAGGING':
-                pool.lagging_count += 1
+                pool.note_lacking(ticket.floor)
                 ticket.avoided.add(target_id)
             case 'FAILED':
+                pool.note_service(0, has_failed=True)
                 ticket.avoided.add(target_id)
             case 'BUSY':
                 pool.avoid_until_ms = self._clock.now() + FULL_PAUSE_MS
--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -12,10 +12,13 @@
 __all__ = [
     'Candidate',
     'ReplicaState',
+    'admits',
     'choose_candidate',
     'depth',
     'expected_wait_ms',
     'order',
+    'patience_ms',
+    'placement_cost',
     'retry_after_ms',
 ]
 
@@ -27,6 +30,19 @@
 PRIORITY_STEP_MS = 40
 
 
+# What a failed statement costs, in times of a statement: its callers must
+# come back, or it is run again on another target.
+FAILURE_COST = 5.0
+
+# The primary is left to what only it can do until the replicas are this many
+# statements a slot behind.
+PRIMARY_COST = 1.0
+
+# A target that went away several times lately is used when the others are
+# about as far behind as their callers' objectives allow.
+UNSTEADY_COST = 8.0
+
+
 def order(received_ms: int, objective_ms: int, priority: int) -> int:
     """Return the key by which waiting work is served, the lowest first.
 
@@ -37,6 +53,49 @@
     return received_ms + objective_ms + priority * PRIORITY_STEP_MS
 
 
+def admits(wait_ms: float, service_ms: float, patience: int) -> bool:
+    """Tell whether work is queued that waits about ``wait_ms``.
+
+    Answers load beyond what the targets can serve for seconds: with a queue
+    as long as the time limits all work is late, with one as long as the
+    objectives the same amount is in time and the rest may come back early.
+    """
+    return wait_ms + service_ms <= patience
+
+
+def patience_ms(objective_ms: int, budget_ms: int, is_recovering: bool) -> int:
+    """Return for how long work may wait for a slot.
+
+    Answers the same load as ``admits``. While a new primary is expected
+    nothing is served meanwhile, so work may wait to its time limit.
+    """
+    if is_recovering:
+        return budget_ms
+    return min(objective_ms, budget_ms)
+
+
+def placement_cost(
+    load: float,
+    service_ms: float,
+    round_trip_ms: float,
+    *,
+    is_primary: bool,
+    failing_share: float,
+    is_unsteady: bool,
+) -> float:
+    """Return the expected time of one more statement on a target.
+
+    ``load`` is statements a slot. Answers targets that are slower than
+    others, in another zone, that fail a part of what they run, or that come
+    and go, whatever their health answers say. A cost leaves nobody out: the
+    last target that there is will be used.
+    """
+    penalty = PRIMARY_COST * is_primary + UNSTEADY_COST * is_unsteady
+    return (
+        load + penalty + FAILURE_COST * failing_share
+    ) * service_ms + round_trip_ms
+
+
 def expected_wait_ms(ahead: int, slots: int, service_ms: float) -> float:
     """Return how long work waits behind ``ahead`` others.
 
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -1,12 +1,14 @@
 """Connections to one target, and how the target is doing."""
 
 import asyncio
+import collections
 
 from samphirestand import catalog
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.gateway import connection as connection_module
 from samphirestand.platform import wire
+from samphirestand import types
 from samphirestand import work as work_module
 
 __all__ = ['TargetPool']
@@ -29,12 +31,29 @@
 # asked, is probed.
 SILENT_MS = 400
 
+# A target that went away this often within the time is unsteady.
+UNSTEADY_FAILURES = 2
+UNSTEADY_MS = 8_000
+
+# How much of the difference to the other targets an estimate loses with each
+# look after a target that was not used, so that it is tried again in time.
+ESTIMATE_DECAY = 0.03
+
+# A replica that lacked a position is not asked for it again for this long:
+# replicas apply what they have received several times a second.
+LACKING_MS = 80
+
 # The name under which the proxy itself opens sessions for probes.
 OWN_ACCOUNT = 'samphirestand'
 
 # The weight of a new sample of the smoothed times.
 SMOOTHING = 0.1
 
+# The first guess of how long a target takes for one statement, and the weight
+# of a new sample.
+FIRST_SERVICE_MS = 15.0
+SERVICE_SMOOTHING = 0.05
+
 
 class TargetPool:
     """Keeps the connections to one target within their limit."""
@@ -55,6 +74,14 @@
         self.avoid_until_ms = 0
         self.is_down = False
         self.failed_probes = 0
+        self.service_ms = FIRST_SERVICE_MS
+        self.failing_share = 0.0
+        self._used_ms = clock.now()
+        self._failures_ms: collections.deque[int] = collections.deque(
+            maxlen=UNSTEADY_FAILURES
+        )
+        self._lacked: types.Position | None = None
+        self._lacked_ms = 0
         self.lagging_count = 0  # reads refused since it was last looked at
         self._failing_since_ms: int | None = None
         self._sent_ms: dict[object, int] = {}
@@ -193,6 +220,43 @@
         """Note that the target could not be reached or went silent."""
         if self._failing_since_ms is None:
             self._failing_since_ms = self._clock.now()
+            self._failures_ms.append(self._failing_since_ms)
+
+    @property
+    def is_unsteady(self) -> bool:
+        """Tell whether the target went away several times lately."""
+        return (
+            len(self._failures_ms) == UNSTEADY_FAILURES
+            and self._clock.now() - self._failures_ms[0] < UNSTEADY_MS
+        )
+
+    def note_service(self, took_ms: int, has_failed: bool) -> None:
+        """Note how a statement went that this target ran."""
+        self._used_ms = self._clock.now()
+        self.failing_share += SMOOTHING * (has_failed - self.failing_share)
+        if not has_failed:
+            self.service_ms += SERVICE_SMOOTHING * (took_ms - self.service_ms)
+
+    def decay_estimates(self, usual_ms: float) -> None:
+        """Forget slowly how a target did that isn't used."""
+        if self._clock.now() - self._used_ms < SILENT_MS:
+            return
+        self.service_ms += ESTIMATE_DECAY * (usual_ms - self.service_ms)
+        self.failing_share -= ESTIMATE_DECAY * self.failing_share
+
+    def note_lacking(self, position: types.Position | None) -> None:
+        """Note that the target answered that its log lacks a position."""
+        self.lagging_count += 1
+        self._lacked = position
+        self._lacked_ms = self._clock.now()
+
+    def lacks(self, position: types.Position) -> bool:
+        """Tell whether the log was just found to lack a position."""
+        return (
+            self._lacked is not None
+            and position >= self._lacked
+            and self._clock.now() - self._lacked_ms < LACKING_MS
+        )
 
     @property
     def needs_probe(self) -> bool:
--- a/samphirestand/log.py
+++ b/samphirestand/log.py
@@ -98,6 +98,13 @@
     structlog.contextvars.bind_contextvars(host=host_id)
 
 
+def silence() -> None:
+    """Write nothing below the level of errors, for replays and measures."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+
+
 def get_logger(name: str) -> Any:
     """Return a logger whose lines carry the module's ``name``."""
     return structlog.get_logger(module=name)
