gateway: Admit callers once the targets are known, give tokens back

While a primary is suspected, work was refused after its objective and used up its retries and its tokens. A gateway that took over promoted a replica with a probe that had failed behind a partition.

Ruled out: waiting to the time limits as before, which overload needs shorter.

Commands to one target take turns, since they share a connection: five at once took each other's answers (test fails before). A primary that answers again isn't replaced (test fails before).

--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -131,6 +131,12 @@
                 await self._clock.sleep(RETRY_MS)
             self._refilled(found)
 
+    def give_back(self, account: str) -> None:
+        """Return the token of an operation that no target was offered."""
+        bucket = self._buckets_by_account.get(account)
+        if bucket is not None:
+            bucket.millitokens += MILLI
+
     def retry_after_ms(self, account: str) -> int:
         """Return when an account that ran short should come back."""
         found = self._catalog().accounts_by_name.get(account)
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -69,6 +69,10 @@
 
 _log = log.get_logger(__name__)
 
+StartRound = collections.abc.Callable[
+    [], collections.abc.Callable[[links.Link], frames.Ping]
+]
+
 
 class _RowModel(pydantic.BaseModel):
     zone: str
@@ -347,9 +351,7 @@
 
     async def ping_forever(
         self,
-        start_round: collections.abc.Callable[
-            [], collections.abc.Callable[[links.Link], frames.Ping]
-        ],
+        start_round: StartRound,
     ) -> None:
         """Ping all other hosts until the task is cancelled.
 
@@ -358,17 +360,21 @@
         """
         while True:
             self._review_links()
-            build = start_round()
-            self._round += 1
-            for link in list(self._links_by_id.values()):
-                if not self._is_pinged(link):
-                    continue
-                was_up = link.is_up
-                link.ping(build(link))
-                if was_up and not link.is_up:
-                    self._note_change()
+            self.ping_once(start_round)
             await self._clock.sleep(PING_INTERVAL_MS)
 
+    def ping_once(self, start_round: StartRound) -> None:
+        """Ping the hosts that are due in this round."""
+        build = start_round()
+        self._round += 1
+        for link in list(self._links_by_id.values()):
+            if not self._is_pinged(link):
+                continue
+            was_up = link.is_up
+            link.ping(build(link))
+            if was_up and not link.is_up:
+                self._note_change()
+
     def _is_pinged(self, link: links.Link) -> bool:
         """Tell whether a link is pinged in this round.
 
--- a/samphirestand/fleet/placement.py
+++ b/samphirestand/fleet/placement.py
@@ -11,6 +11,9 @@
 # Hosts of a zone that do jobs: enough that two of them may fail at once.
 JOB_HOSTS_PER_ZONE = 3
 
+# Fleets of up to this many hosts have links between all of them.
+SMALL_FLEET = 12
+
 # Hosts of a zone that are dialled while some of its job hosts are dead. It
 # bounds the dialling when a whole zone is gone.
 MOST_PER_ZONE = 2 * JOB_HOSTS_PER_ZONE
@@ -46,6 +49,8 @@
     All hosts that see the same registrations and the same dead hosts choose
     alike. For each dead host the next one of its zone is added.
     """
+    if len(hosts) <= SMALL_FLEET:
+        return frozenset(each.host_id for each in hosts)
     large = large_host_ids(hosts)
     by_zone: dict[str, list[frames.Hello]] = collections.defaultdict(list)
     for each in hosts:
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -130,7 +130,8 @@
         # Set by who knows whether this host decides about targets, and
         # whether it uses them at all.
         self.is_relaxed = False
-        self.is_needed = False
+        self.is_needed = True
+        self.has_read = False
 
     def of_service(self, service: str) -> list[catalog_module.Target]:
         """Return the targets of a service, leaving ones included."""
@@ -179,6 +180,7 @@
                     'registry_regained', targets=len(self._targets_by_id)
                 )
             is_lost = False
+            self.has_read = True
             self._drop_gone(now)
             await self._clock.sleep(
                 RELAXED_INTERVAL_MS if self.is_relaxed else TARGETS_INTERVAL_MS
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -305,7 +305,12 @@
 
     def _patience_ms(self, ticket: _Ticket) -> int:
         work = ticket.work
-        is_recovering = self.recovery_ms is not None and ticket.needs_primary
+        primary = self.primary
+        is_recovering = ticket.needs_primary and (
+            self.recovery_ms is not None
+            or primary is None
+            or primary.needs_probe
+        )
         return policy.patience_ms(
             work.objective_ms, work.budget_ms, is_recovering
         )
@@ -485,7 +490,8 @@
     ) -> work_module.Outcome | Retry:
         pool = await self._slot(ticket)
         if isinstance(pool, exceptions.Sentinel):
-            return self._refuse(ticket, pool.reason)
+            waited_ms = self._clock.now() - ticket.received_ms
+            return self._refuse(ticket, pool.reason, waited_ms)
         started_ms = self._clock.now()
         try:
             outcome = await self._run_on(owner, pool, ticket)
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -142,7 +142,11 @@
         refusal = await self._charge(work)
         if refusal is not None:
             return refusal
-        return await self._gateway(work.service).run(owner, work)
+        outcome = await self._gateway(work.service).run(owner, work)
+        if isinstance(outcome, work_module.Refused) and _is_charged(work):
+            # Nothing ran, and the caller will come back.
+            self._allowance.give_back(work.account)
+        return outcome
 
     async def _charge(
         self, work: work_module.Work
@@ -152,10 +156,7 @@
         Few hosts are gateways, so that an account's tokens are divided among
         few places, also where many hosts take callers.
         """
-        if not work.account or work.stage not in (
-            work_module.Stage.SINGLE,
-            work_module.Stage.OPEN,
-        ):
+        if not _is_charged(work):
             return None
         if await self._allowance.take(work.account):
             return None
@@ -361,3 +362,11 @@
 
 def _ignore_claims(claims: frames.Claims) -> None:
     """Do nothing until somebody is interested."""
+
+
+def _is_charged(work: work_module.Work) -> bool:
+    """Tell whether work takes a token: the first statement of an operation."""
+    return bool(work.account) and work.stage in (
+        work_module.Stage.SINGLE,
+        work_module.Stage.OPEN,
+    )
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -35,9 +35,11 @@
 UNSTEADY_FAILURES = 2
 UNSTEADY_MS = 8_000
 
-# How much of the difference to the other targets an estimate loses with each
-# look after a target that was not used, so that it is tried again in time.
-ESTIMATE_DECAY = 0.03
+# The estimates of a target that isn't used move by this part, each 100 ms,
+# towards a little less than what is usual, so that it is tried again within
+# seconds.
+ESTIMATE_DECAY = 0.1
+UNUSED_SERVICE_SHARE = 0.8
 
 # A replica that lacked a position is not asked for it again for this long:
 # replicas apply what they have received several times a second.
@@ -88,6 +90,8 @@
         self._replied_ms = clock.now()
         self.round_trip_ms = 1.0
         self._control: connection_module.TargetConnection | None = None
+        # Commands share a connection, on which answers come in order.
+        self._control_lock = asyncio.Lock()
 
     @property
     def limit(self) -> int:
@@ -241,7 +245,9 @@
         """Forget slowly how a target did that isn't used."""
         if self._clock.now() - self._used_ms < SILENT_MS:
             return
-        self.service_ms += ESTIMATE_DECAY * (usual_ms - self.service_ms)
+        self.service_ms += ESTIMATE_DECAY * (
+            UNUSED_SERVICE_SHARE * usual_ms - self.service_ms
+        )
         self.failing_share -= ESTIMATE_DECAY * self.failing_share
 
     def note_lacking(self, position: types.Position | None) -> None:
@@ -291,23 +297,55 @@
         Uses a fresh connection after a failure, since an old one may have
         gone silent while the target lives.
         """
+        async with self._control_lock:
+            try:
+                if self._control is None or not self._control.is_usable:
+                    self._control = await self._open_control(timeout_ms)
+                return await self._command(self._control, text, timeout_ms)
+            except exceptions.TargetError as error:
+                self._close_control()
+                return exceptions.Sentinel(str(error))
+            except asyncio.CancelledError:
+                self._close_control()
+                raise
+
+    async def control_at_once(
+        self, text: str, timeout_ms: int
+    ) -> wire.Status | exceptions.Sentinel:
+        """Send a command without waiting for earlier ones.
+
+        Those may wait for a connection that is cut off.
+        """
         try:
-            if self._control is None or not self._control.is_usable:
-                self._control = await connection_module.open_connection(
-                    self.target, OWN_ACCOUNT, timeout_ms, self._clock.now()
-                )
-            step = connection_module.Step(wire.OWN_ID, text)
-            sent_ms = self._clock.now()
-            [reply] = await self._control.run([step], timeout_ms)
-            self.round_trip_ms += SMOOTHING * (
-                self._clock.now() - sent_ms - self.round_trip_ms
-            )
+            opened = await self._open_control(timeout_ms)
         except exceptions.TargetError as error:
-            self._close_control()
             return exceptions.Sentinel(str(error))
-        except asyncio.CancelledError:
-            self._close_control()
-            raise
+        try:
+            return await self._command(opened, text, timeout_ms)
+        except exceptions.TargetError as error:
+            return exceptions.Sentinel(str(error))
+        finally:
+            opened.close()
+
+    async def _open_control(
+        self, timeout_ms: int
+    ) -> connection_module.TargetConnection:
+        return await connection_module.open_connection(
+            self.target, OWN_ACCOUNT, timeout_ms, self._clock.now()
+        )
+
+    async def _command(
+        self,
+        used: connection_module.TargetConnection,
+        text: str,
+        timeout_ms: int,
+    ) -> wire.Status | exceptions.Sentinel:
+        sent_ms = self._clock.now()
+        step = connection_module.Step(wire.OWN_ID, text)
+        [reply] = await used.run([step], timeout_ms)
+        self.round_trip_ms += SMOOTHING * (
+            self._clock.now() - sent_ms - self.round_trip_ms
+        )
         if reply.error is not None:
             return exceptions.Sentinel(reply.error.code)
         status = wire.decode_status(reply.rows[0]) if reply.rows else None
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -1,5 +1,7 @@
 """Replaces the primary of a service that has failed or is leaving."""
 
+import asyncio
+
 import pydantic
 
 from samphirestand import catalog as catalog_module
@@ -95,6 +97,13 @@
             replicas=sorted(pools),
         )
 
+        # Asked at the same time and looked at before the order: a primary
+        # that answers again after a partition isn't replaced.
+        silent_primary = gateway.primary
+        last_question = None
+        if silent_primary is not None and silent_primary.is_down:
+            last_question = asyncio.create_task(_leads(silent_primary))
+
         # The replicas are asked before the token is taken: without enough
         # answers nothing may be changed.
         states, unanswered = await self._ask(pools, wire.STATUS)
@@ -135,6 +144,12 @@
         refusal = _objection(
             candidate, paused, fresh, [*missing, *silent], service
         )
+        if (
+            last_question is not None
+            and last_question.done()
+            and last_question.result()
+        ):
+            refusal = f'{old} answers again and leads'
         if refusal is None and self._clock.now() - taken_ms > ORDER_LIMIT_MS:
             # This process was paused; another holder may be at work.
             _log.warning('succession_too_late', service=service.name)
@@ -164,10 +179,10 @@
         """Send a command to all; returns answers and who gave none."""
         answers = {}
         unanswered = []
-        for target_id, pool in pools.items():
-            status = await pool.control(text, COMMAND_TIMEOUT_MS)
-            if isinstance(status, exceptions.Sentinel):
-                status = await pool.control(text, COMMAND_TIMEOUT_MS)
+        statuses = await asyncio.gather(
+            *(_command(pool, text) for pool in pools.values())
+        )
+        for target_id, status in zip(pools, statuses, strict=True):
             if isinstance(status, exceptions.Sentinel):
                 unanswered.append(target_id)
                 _log.warning(
@@ -319,6 +334,25 @@
         return False
 
 
+async def _command(
+    pool: pool_module.TargetPool, text: str
+) -> wire.Status | exceptions.Sentinel:
+    """Send a command, a second time over a new connection if need be."""
+    status = await pool.control(text, COMMAND_TIMEOUT_MS)
+    if isinstance(status, exceptions.Sentinel):
+        return await pool.control(text, COMMAND_TIMEOUT_MS)
+    return status
+
+
+async def _leads(pool: pool_module.TargetPool) -> bool:
+    """Tell whether a target that was silent answers that it is primary."""
+    status = await pool.control_at_once(wire.STATUS, COMMAND_TIMEOUT_MS)
+    if isinstance(status, exceptions.Sentinel) or not status.is_primary:
+        return False
+    pool.note_reply()
+    return True
+
+
 def _key(service: str) -> str:
     return f'promotion/{service}'
 
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -157,9 +157,14 @@
     async def _admit_callers(self) -> None:
         """Listen for callers once their work can be sent somewhere."""
         while not (
-            self.members.is_settled and self.catalog.current.version > 0
+            self.members.is_settled
+            and self.catalog.current.version > 0
+            and self.targets.has_read
         ):
             await self._clock.sleep(SETTLE_INTERVAL_MS)
+        # Brings the first rate tokens to the hosts that hand them out.
+        self.members.ping_once(self._start_ping_round)
+        await self._clock.sleep(SETTLE_INTERVAL_MS)
         callers = self.settings.callers
         await self.sessions.start(callers.address, callers.port)
         _log.info(
@@ -181,8 +186,8 @@
         has_jobs = self.members.is_job_host
         self.catalog.is_relaxed = is_settled and not has_jobs
         self.targets.is_needed = (
-            is_settled and has_jobs
-        ) or self.gateways.is_used
+            has_jobs or not is_settled or self.gateways.is_used
+        )
 
     def _start_ping_round(
         self,
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -6,6 +6,7 @@
 import pytest
 
 from samphirestand.gateway import policy
+from samphirestand.platform import wire
 from samphirestand import types
 from tests import nodes
 
@@ -193,3 +194,40 @@
                 await client.query('READ x')
 
     run(scenario, hosts=1)
+
+
+def test_primary_that_answers_again_is_not_replaced():
+    """Fails if a probe that failed behind a partition costs a promotion."""
+
+    async def scenario(fleet):
+        await write_until_served(fleet, fleet.nodes[0], 'before')
+        gateways = fleet.nodes[0].gateways
+        gateway = gateways._gateway(nodes.SERVICE)
+        gateway.primary.is_down = True
+        service = fleet.nodes[0].catalog.current.services_by_name[
+            nodes.SERVICE
+        ]
+        is_done = await gateways._succession.replace(gateway, service, 'test')
+        assert not is_done
+        assert fleet.store.promotions == []
+        assert all(
+            not each.paused_term for each in fleet.group.servers.values()
+        )
+        await write_until_served(fleet, fleet.nodes[0], 'after')
+
+    run(scenario, hosts=1)
+
+
+def test_commands_to_one_target_do_not_take_each_other_s_answers():
+    """Fails if a probe and a promotion's question break each other."""
+
+    async def scenario(fleet):
+        await write_until_served(fleet, fleet.nodes[0], 'before')
+        gateway = fleet.nodes[0].gateways._gateway(nodes.SERVICE)
+        pool = gateway.primary
+        statuses = await asyncio.gather(
+            *(pool.control(wire.STATUS, 500) for _ in range(5))
+        )
+        assert all(isinstance(each, wire.Status) for each in statuses)
+
+    run(scenario, hosts=1)
