--- a/bench/replay.py
+++ b/bench/replay.py
@@ -236,6 +236,9 @@
 
     model: ModelTarget
 
+    def opening_ms(self, account: str) -> float:
+        return 0.0
+
     async def checkout(self, work: Any, timeout_ms: int) -> Any:
         return _Connection()
 
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -421,13 +421,15 @@
         ]
         if not choices:
             return None
-        return min(choices, key=self._cost)
+        account = ticket.work.account
+        return min(choices, key=lambda each: self._cost(each, account))
 
-    def _cost(self, pool: pool_module.TargetPool) -> float:
+    def _cost(self, pool: pool_module.TargetPool, account: str) -> float:
         return policy.placement_cost(
             (pool.running + 1) / pool.target.slots,
             pool.service_ms,
             pool.round_trip_ms,
+            opening_ms=pool.opening_ms(account),
             is_primary=pool.target.target_id == self.primary_id,
             failing_share=pool.failing_share,
             is_unsteady=pool.is_unsteady,
--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -79,6 +79,7 @@
     service_ms: float,
     round_trip_ms: float,
     *,
+    opening_ms: float,
     is_primary: bool,
     failing_share: float,
     is_unsteady: bool,
@@ -87,13 +88,16 @@
 
     ``load`` is statements a slot. Answers targets that are slower than
     others, in another zone, that fail a part of what they run, or that come
-    and go, whatever their health answers say. A cost leaves nobody out: the
-    last target that there is will be used.
+    and go, whatever their health answers say; and more accounts than a target
+    allows connections, by going where the account has one. A cost leaves
+    nobody out: the last target that there is will be used.
     """
     penalty = PRIMARY_COST * is_primary + UNSTEADY_COST * is_unsteady
     return (
-        load + penalty + FAILURE_COST * failing_share
-    ) * service_ms + round_trip_ms
+        (load + penalty + FAILURE_COST * failing_share) * service_ms
+        + round_trip_ms
+        + opening_ms
+    )
 
 
 def expected_wait_ms(ahead: int, slots: int, service_ms: float) -> float:
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -51,6 +51,10 @@
 # The weight of a new sample of the smoothed times.
 SMOOTHING = 0.1
 
+# The first guess of how long a connection takes to open: two round trips and
+# up to 30 ms of a slot.
+FIRST_OPENING_MS = 25.0
+
 # The first guess of how long a target takes for one statement, and the weight
 # of a new sample.
 FIRST_SERVICE_MS = 15.0
@@ -71,6 +75,7 @@
         self.max_connections = max_connections
         self._connections: list[connection_module.TargetConnection] = []
         self._opening = 0
+        self._opening_ms = FIRST_OPENING_MS
         self.running = 0
         self.pinned = 0
         self.avoid_until_ms = 0
@@ -108,6 +113,15 @@
             not each.is_busy for each in self._connections
         )
 
+    def opening_ms(self, account: str) -> float:
+        """Return the time to a connection of an account, 0 if one is idle."""
+        if any(
+            each.account == account and not each.is_busy
+            for each in self._connections
+        ):
+            return 0.0
+        return self._opening_ms
+
     async def checkout(
         self, work: work_module.Work, timeout_ms: int
     ) -> connection_module.TargetConnection:
@@ -137,6 +151,7 @@
         self, account: str, timeout_ms: int
     ) -> connection_module.TargetConnection:
         self._opening += 1
+        started_ms = self._clock.now()
         try:
             opened = await connection_module.open_connection(
                 self.target,
@@ -153,6 +168,9 @@
         finally:
             self._opening -= 1
         self.note_reply()
+        self._opening_ms += SMOOTHING * (
+            self._clock.now() - started_ms - self._opening_ms
+        )
         opened.is_busy = True
         self._connections.append(opened)
         return opened
--- /dev/null
+++ b/tests/gateway/test_placement.py
@@ -0,0 +1,64 @@
+"""Which target gets a statement."""
+
+import asyncio
+
+from tests import nodes
+
+ACCOUNTS = 9
+ROUNDS = 5
+AT_ONCE = 3
+
+
+def accounts():
+    return [
+        {
+            'Name': f'acct-{number}',
+            'ApiKeys': [f'key-{number}'],
+            'Priority': 1,
+            'RatePerS': 1000,
+            'Burst': 1000,
+        }
+        for number in range(ACCOUNTS)
+    ]
+
+
+def test_account_goes_where_it_has_a_connection():
+    """Fails if many accounts make each target open connections for all.
+
+    A target allows fewer connections than there are accounts, and opening
+    one takes as long as several statements.
+    """
+
+    async def scenario():
+        async with nodes.running(1) as fleet:
+            document = nodes.configuration(2, Tenants=accounts())
+            fleet.store.put('op', 'config', document)
+            node = fleet.nodes[0]
+            await fleet.until(lambda: node.catalog.current.version == 2)
+            clients = [
+                await nodes.Client.connect(node, 'old', f'key-{number}')
+                for number in range(ACCOUNTS)
+            ]
+            for server in fleet.group.servers.values():
+                server.work_ms = 5
+            await asyncio.sleep(1)
+            for number in range(ROUNDS):
+                # Fewer at once than the replicas have slots, and others
+                # together each time.
+                order = clients[number:] + clients[:number]
+                for start in range(0, ACCOUNTS, AT_ONCE):
+                    await asyncio.gather(
+                        *(
+                            each.query('READ x')
+                            for each in order[start : start + AT_ONCE]
+                        )
+                    )
+            return {
+                (each.account, each.server_id)
+                for each in fleet.group.statements
+                if 'READ x' in each.text
+            }
+
+    pairs = asyncio.run(scenario())
+    assert len({account for account, _ in pairs}) == ACCOUNTS
+    assert len(pairs) <= 1.5 * ACCOUNTS
