--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -249,7 +249,7 @@
         unused_ms = IDLE_MS
         if not is_owner and now - gateway.used_ms > HANDOVER_MS:
             unused_ms = 0
-        for target_id, pool in gateway.pools_by_id.items():
+        for target_id, pool in gateway.group.pools_by_id.items():
             pool.close_idle(unused_ms)
             if pool.needs_probe:
                 zone = pool.target.zone
@@ -267,10 +267,10 @@
                 self._replace(gateway, service, reason),
             )
             return
-        for target_id, pool in gateway.pools_by_id.items():
+        for target_id, pool in gateway.group.pools_by_id.items():
             if pool.lagging_count >= LAGGING_LIMIT and self._succession:
                 self._once(f'resume/{target_id}', self._resume(gateway, pool))
-        latest_ms = gateway.freshness.latest_ms
+        latest_ms = gateway.group.freshness.latest_ms
         if now - gateway.bounded_ms < RECENT_USE_MS and (
             latest_ms is None or now - latest_ms > EVIDENCE_MS
         ):
@@ -280,9 +280,9 @@
         self, gateway: gateway_module.Gateway
     ) -> str | None:
         """Return why the primary must be replaced; None if it needn't."""
-        if not gateway.pools_by_id:
+        if not gateway.group.pools_by_id:
             return None
-        primary = gateway.primary
+        primary = gateway.group.primary
         if primary is None:
             return 'no target leads'
         if primary.is_down:
@@ -337,7 +337,7 @@
 
     async def _evidence(self, gateway: gateway_module.Gateway) -> None:
         """Ask the primary for its position."""
-        pool = gateway.primary
+        pool = gateway.group.primary
         if pool is None:
             return
         sent_ms = self._clock.now()
@@ -351,7 +351,7 @@
             pool.note_failure()
             return
         if status.is_primary:
-            gateway.freshness.record(sent_ms, status.received)
+            gateway.group.freshness.record(sent_ms, status.received)
 
     def close(self) -> None:
         for task in self._busy.values():
--- /dev/null
+++ b/samphirestand/gateway/group.py
@@ -0,0 +1,128 @@
+"""The targets of one service, and which of them leads."""
+
+import collections.abc
+
+from samphirestand import catalog as catalog_module
+from samphirestand import clock as clock_module
+from samphirestand.fleet import watch
+from samphirestand.gateway import freshness as freshness_module
+from samphirestand.gateway import pool as pool_module
+from samphirestand import log
+
+__all__ = ['TargetGroup']
+
+_log = log.get_logger(__name__)
+
+
+class TargetGroup:
+    """Follows the registry, and knows better where targets said so."""
+
+    def __init__(
+        self,
+        service: str,
+        clock: clock_module.Clock,
+        targets: watch.TargetWatch,
+        catalog: collections.abc.Callable[[], catalog_module.Catalog],
+    ) -> None:
+        self.service = service
+        self._clock = clock
+        self._targets = targets
+        self._catalog = catalog
+        self.freshness = freshness_module.Freshness()
+        self.pools_by_id: dict[str, pool_module.TargetPool] = {}
+        self.primary_id = ''
+        # Targets that claim to be primary and have answered that they are
+        # not.
+        self._denied_ids: set[str] = set()
+        # The newest claim that was considered; what this host learns from
+        # the targets themselves is newer than all claims before it.
+        self._claim_version = 0
+        # When a primary is expected to lead; None if that isn't known.
+        self.recovery_ms: int | None = None
+
+    @property
+    def primary(self) -> pool_module.TargetPool | None:
+        return self.pools_by_id.get(self.primary_id)
+
+    def refresh(self) -> None:
+        """Follow the registry and the configuration."""
+        service = self._catalog().services_by_name.get(self.service)
+        limit = service.max_connections if service is not None else 1
+        present = {
+            each.target_id: each
+            for each in self._targets.of_service(self.service)
+        }
+        for target_id in [
+            each
+            for each, pool in self.pools_by_id.items()
+            if each not in present
+            or present[each].started_ms != pool.target.started_ms
+        ]:
+            self.pools_by_id.pop(target_id).close()
+        for target_id, target in present.items():
+            pool = self.pools_by_id.get(target_id)
+            if pool is None:
+                pool = pool_module.TargetPool(target, self._clock, limit)
+                self.pools_by_id[target_id] = pool
+            pool.target = target
+            pool.max_connections = limit
+            if not target.claims_primary:
+                self._denied_ids.discard(target_id)
+        self._choose_primary()
+
+    def _choose_primary(self) -> None:
+        """Follow the registry, unless this host knows something newer."""
+        claimed = self._targets.claimed_primary(self.service)
+        if claimed is None:
+            return
+        target_id = claimed.target_id
+        version = self._targets.claim_version(target_id)
+        if version > self._claim_version:
+            self._claim_version = version
+            self.set_primary(target_id, 'registry')
+        elif not self.primary_id and target_id not in self._denied_ids:
+            self.set_primary(target_id, 'registry')
+
+    def set_primary(self, target_id: str, source: str) -> None:
+        """Send what only a primary can do to ``target_id`` from now on."""
+        claimed = self._targets.claimed_primary(self.service)
+        if claimed is not None:
+            self._claim_version = max(
+                self._claim_version,
+                self._targets.claim_version(claimed.target_id),
+            )
+        self._denied_ids.discard(target_id)
+        self.recovery_ms = None
+        if target_id == self.primary_id:
+            return
+        _log.info(
+            'primary_changed',
+            service=self.service,
+            target=target_id,
+            earlier=self.primary_id,
+            source=source,
+        )
+        self.primary_id = target_id
+
+    def deny(self, pool: pool_module.TargetPool) -> None:
+        """Note that a target has answered that it is not the primary."""
+        target_id = pool.target.target_id
+        if target_id in self._denied_ids:
+            return
+        self._denied_ids.add(target_id)
+        _log.info('primary_denied', service=self.service, target=target_id)
+        if self.primary_id == target_id:
+            self.primary_id = ''
+        self._choose_primary()
+
+    def is_primary(self, pool: pool_module.TargetPool) -> bool:
+        return pool.target.target_id == self.primary_id
+
+    def up_pools(self) -> list[pool_module.TargetPool]:
+        """Return the targets that answer, as far as is known."""
+        return [each for each in self.pools_by_id.values() if not each.is_down]
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in self.pools_by_id.values():
+            pool.close()
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -75,7 +75,7 @@
         self.max_connections = max_connections
         self._connections: list[connection_module.TargetConnection] = []
         self._opening = 0
-        self._opening_ms = FIRST_OPENING_MS
+        self.opening_ms = FIRST_OPENING_MS
         self.running = 0
         self.pinned = 0
         self.avoid_until_ms = 0
@@ -113,14 +113,12 @@
             not each.is_busy for each in self._connections
         )
 
-    def opening_ms(self, account: str) -> float:
-        """Return the time to a connection of an account, 0 if one is idle."""
-        if any(
+    def has_idle(self, account: str) -> bool:
+        """Tell whether a connection of an account can be used at once."""
+        return any(
             each.account == account and not each.is_busy
             for each in self._connections
-        ):
-            return 0.0
-        return self._opening_ms
+        )
 
     async def checkout(
         self, work: work_module.Work, timeout_ms: int
@@ -168,8 +166,8 @@
         finally:
             self._opening -= 1
         self.note_reply()
-        self._opening_ms += SMOOTHING * (
-            self._clock.now() - started_ms - self._opening_ms
+        self.opening_ms += SMOOTHING * (
+            self._clock.now() - started_ms - self.opening_ms
         )
         opened.is_busy = True
         self._connections.append(opened)
--- /dev/null
+++ b/samphirestand/gateway/queue.py
@@ -0,0 +1,268 @@
+"""Work that waits for slots of targets, and which target it gets."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from samphirestand import catalog as catalog_module
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand.gateway import group as group_module
+from samphirestand.gateway import policy
+from samphirestand.gateway import pool as pool_module
+from samphirestand import types
+from samphirestand import work as work_module
+
+__all__ = ['SlotQueue', 'Ticket']
+
+# Evidence about the primary must be newer than the oldest moment that a
+# read needs by this much, against timers that fire late.
+FRESHNESS_MARGIN_MS = 100
+
+# Connections that must stay available for operations of one statement.
+UNPINNED_CONNECTIONS = 2
+
+
+@dataclasses.dataclass(eq=False)
+class Ticket:
+    """Work that waits for a slot."""
+
+    work: work_module.Work
+    received_ms: int
+    needs_primary: bool
+    future: asyncio.Future[pool_module.TargetPool]
+    pinned: pool_module.TargetPool | None = None
+    attempts: int = 0
+    avoided: set[str] = dataclasses.field(default_factory=set)
+    last_reason: str = ''
+    is_bound: bool = False  # whether only the primary suits it
+    leads: bool = False  # whether the chosen target is the primary
+    floor: types.Position | None = None  # what a chosen replica must have
+
+    @property
+    def deadline_ms(self) -> int:
+        return self.received_ms + self.work.budget_ms
+
+    def left_ms(self, now: int) -> int:
+        """Return how much of the time limit is left."""
+        return self.deadline_ms - now
+
+    def order(self, now: int) -> tuple[bool, bool, int]:
+        """Return the key of the queue.
+
+        Open transactions come first, then what can be in time.
+        """
+        key = policy.order(
+            self.received_ms, self.work.objective_ms, self.work.priority
+        )
+        is_late = now - self.received_ms > self.work.objective_ms
+        return self.pinned is None, is_late, key
+
+
+class SlotQueue:
+    """Gives free slots to waiting work, the most urgent first."""
+
+    def __init__(
+        self, clock: clock_module.Clock, group: group_module.TargetGroup
+    ) -> None:
+        self._clock = clock
+        self._group = group
+        self._waiting: list[Ticket] = []
+        self.service_ms = pool_module.FIRST_SERVICE_MS
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    async def wait(
+        self, ticket: Ticket
+    ) -> pool_module.TargetPool | exceptions.Sentinel:
+        """Wait for a slot of a target that may run the ticket."""
+        self._waiting.append(ticket)
+        self.dispatch()
+        patience_ms = ticket.work.budget_ms
+        if ticket.pinned is None:
+            patience_ms = self.patience_ms(ticket)
+        waited_ms = self._clock.now() - ticket.received_ms
+        left_ms = patience_ms - waited_ms - self.service_ms
+        timer = asyncio.get_running_loop().call_later(
+            max(0.0, left_ms / 1000), ticket.future.cancel
+        )
+        try:
+            return await ticket.future
+        except asyncio.CancelledError:
+            if ticket.future.cancelled():
+                return exceptions.Sentinel('no slot in time')
+            raise
+        finally:
+            timer.cancel()
+            if ticket in self._waiting:
+                self._waiting.remove(ticket)
+
+    def release(self, pool: pool_module.TargetPool) -> None:
+        pool.running -= 1
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        """Give free slots to waiting work, the most urgent first."""
+        if not self._waiting:
+            return
+        now = self._clock.now()
+        for ticket in sorted(self._waiting, key=lambda each: each.order(now)):
+            if not any(map(self._has_slot, self._group.pools_by_id.values())):
+                return
+            if ticket.future.done():
+                continue
+            pool = self._place(ticket)
+            if pool is None:
+                continue
+            pool.running += 1
+            self._waiting.remove(ticket)
+            ticket.future.set_result(pool)
+
+    def _place(self, ticket: Ticket) -> pool_module.TargetPool | None:
+        """Return the target with a free slot that suits the ticket best."""
+        if ticket.pinned is not None:
+            return ticket.pinned if self._has_slot(ticket.pinned) else None
+        choices = [
+            pool
+            for pool in self._eligible(ticket)
+            if self._has_slot(pool) and pool.can_serve(ticket.work.account)
+        ]
+        if not choices:
+            return None
+        account = ticket.work.account
+        return min(choices, key=lambda each: self._cost(each, account))
+
+    def _cost(self, pool: pool_module.TargetPool, account: str) -> float:
+        is_primary = self._group.is_primary(pool)
+        # A connection at the primary draws no reads to it that replicas can
+        # serve.
+        needs_opening = is_primary or not pool.has_idle(account)
+        return policy.placement_cost(
+            (pool.running + 1) / pool.target.slots,
+            pool.service_ms,
+            pool.round_trip_ms,
+            opening_ms=pool.opening_ms if needs_opening else 0.0,
+            is_primary=is_primary,
+            failing_share=pool.failing_share,
+            is_unsteady=pool.is_unsteady,
+        )
+
+    def _has_slot(self, pool: pool_module.TargetPool) -> bool:
+        return pool.running < policy.depth(
+            pool.target.slots, pool.round_trip_ms, self.service_ms
+        )
+
+    def _eligible(
+        self, ticket: Ticket
+    ) -> collections.abc.Iterator[pool_module.TargetPool]:
+        now = self._clock.now()
+        for pool in self._group.pools_by_id.values():
+            if (
+                not pool.is_down
+                and now >= pool.avoid_until_ms
+                and self._suits(ticket, pool)
+            ):
+                yield pool
+
+    def _suits(self, ticket: Ticket, pool: pool_module.TargetPool) -> bool:
+        """Tell whether a target may run a ticket once it has a slot."""
+        target_id = pool.target.target_id
+        is_primary = self._group.is_primary(pool)
+        # A leaving primary is used until another one leads: nothing else can
+        # take writes.
+        if pool.target.is_draining and not is_primary:
+            return False
+        is_transaction = ticket.work.stage is work_module.Stage.OPEN
+        if is_transaction and (
+            pool.pinned >= max(1, pool.limit - UNPINNED_CONNECTIONS)
+        ):
+            return False
+        if is_primary:
+            return True
+        if ticket.needs_primary or target_id in ticket.avoided:
+            return False
+        floor = self.floor(ticket)
+        return floor is not None and not pool.lacks(floor)
+
+    def floor(self, ticket: Ticket) -> types.Position | None:
+        """Return the position that a replica must have for the ticket."""
+        needed_ms = (
+            ticket.received_ms - ticket.work.max_age_ms + FRESHNESS_MARGIN_MS
+        )
+        floor = self._group.freshness.floor(needed_ms)
+        own = ticket.work.session_position
+        if floor is None or own is None:
+            return floor
+        if ticket.work.consistency is (
+            catalog_module.Consistency.READ_YOUR_WRITES
+        ):
+            return max(floor, own)
+        return floor
+
+    def expected_wait(
+        self, ticket: Ticket, usable: list[pool_module.TargetPool]
+    ) -> tuple[float, float]:
+        """Return how long a ticket will wait and then run."""
+        now = self._clock.now()
+        earlier = [
+            each
+            for each in self._waiting
+            if each.order(now) < ticket.order(now)
+        ]
+        suited = [each for each in usable if self._suits(ticket, each)]
+        primary = self._group.primary
+        if primary is None or suited not in ([], [primary]):
+            slots = sum(each.target.slots for each in suited or usable)
+            service_ms = self.service_ms
+        else:
+            # Other waiting work may go to the replicas.
+            earlier = [each for each in earlier if each.is_bound]
+            slots = primary.target.slots
+            service_ms = primary.service_ms
+            ticket.is_bound = True
+        wait_ms = policy.expected_wait_ms(len(earlier), slots, service_ms)
+        return wait_ms, service_ms
+
+    def patience_ms(self, ticket: Ticket) -> int:
+        work = ticket.work
+        primary = self._group.primary
+        is_recovering = ticket.needs_primary and (
+            self._group.recovery_ms is not None
+            or primary is None
+            or primary.needs_probe
+        )
+        return policy.patience_ms(
+            work.objective_ms, work.budget_ms, is_recovering
+        )
+
+    def is_primary_expected(self, ticket: Ticket) -> bool:
+        """Tell whether a primary will lead while the ticket can wait."""
+        primary = self._group.primary
+        if primary is not None and not primary.is_down:
+            return True
+        if self._group.recovery_ms is None:
+            return False
+        return self._group.recovery_ms + self.service_ms < ticket.deadline_ms
+
+    def review(self) -> None:
+        """Refuse waiting work that no primary will serve in time.
+
+        Other work may run on a target that was to be left out for a while.
+
+        Answers the failure of a primary under load: callers learn at once
+        that they should come back, instead of at their deadline.
+        """
+        for ticket in self._waiting:
+            if ticket.needs_primary and not self.is_primary_expected(ticket):
+                ticket.future.cancel()
+        for pool in self._group.pools_by_id.values():
+            pool.decay_estimates(self.service_ms)
+        self.dispatch()
+
+    def note_service(self, pool: pool_module.TargetPool, took_ms: int) -> None:
+        """Note how long a target took for a statement."""
+        self.service_ms += pool_module.SERVICE_SMOOTHING * (
+            took_ms - self.service_ms
+        )
+        pool.note_service(took_ms, has_failed=False)
--- /dev/null
+++ b/samphirestand/gateway/replies.py
@@ -0,0 +1,66 @@
+"""What becomes of a target's answer, for single statements and others."""
+
+from samphirestand.gateway import connection as connection_module
+from samphirestand.gateway import pool as pool_module
+from samphirestand.platform import wire
+from samphirestand import work as work_module
+
+__all__ = ['answered', 'failed', 'give_back', 'prepare']
+
+
+async def prepare(
+    pool: pool_module.TargetPool,
+    used: connection_module.TargetConnection,
+    work: work_module.Work,
+    timeout_ms: int,
+) -> str | None:
+    """Send what the connection lacks; returns the code of an error.
+
+    Raises ``AnswerLost``.
+    """
+    steps = used.preparation(work)
+    if not steps:
+        return None
+    for reply in await pool.run(used, steps, timeout_ms):
+        if reply.error is not None:
+            return reply.error.code
+    return None
+
+
+def give_back(
+    pool: pool_module.TargetPool,
+    used: connection_module.TargetConnection,
+    reply: connection_module.Reply,
+) -> None:
+    """Return a connection whose transaction has ended.
+
+    One on which the target still has a transaction open is closed.
+    """
+    if reply.state == wire.STATE_IDLE:
+        pool.checkin(used)
+        return
+    pool.discard(used)
+
+
+def answered(
+    pool: pool_module.TargetPool,
+    reply: connection_module.Reply,
+) -> work_module.Answered:
+    return work_module.Answered(
+        reply.rows,
+        reply.signature,
+        reply.position,
+        pool.target.target_id,
+    )
+
+
+def failed(
+    pool: pool_module.TargetPool, reply: connection_module.Reply
+) -> work_module.Failed:
+    assert reply.error is not None
+    return work_module.Failed(
+        reply.error.code,
+        reply.error.text,
+        reply.position,
+        pool.target.target_id,
+    )
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -83,10 +83,10 @@
 
         Raises ``PlatformError`` while the store can't be reached.
         """
-        old = gateway.primary_id
+        old = gateway.group.primary_id
         pools = {
             target_id: pool
-            for target_id, pool in gateway.pools_by_id.items()
+            for target_id, pool in gateway.group.pools_by_id.items()
             if target_id != old
         }
         _log.warning(
@@ -99,7 +99,7 @@
 
         # Asked at the same time and looked at before the order: a primary
         # that answers again after a partition isn't replaced.
-        silent_primary = gateway.primary
+        silent_primary = gateway.group.primary
         last_question = None
         if silent_primary is not None and silent_primary.is_down:
             last_question = asyncio.create_task(_leads(silent_primary))
@@ -109,7 +109,7 @@
         states, unanswered = await self._ask(pools, wire.STATUS)
         for target_id, status in states.items():
             if status.is_primary:
-                gateway.set_primary(target_id, 'status')
+                gateway.group.set_primary(target_id, 'status')
                 return True
         candidate = policy.choose_candidate(
             _states(states, pools), unanswered, service.is_synchronous
@@ -308,7 +308,7 @@
             )
             match answer:
                 case promotion.Promoted.ACCEPTED:
-                    gateway.recovery_ms = self._clock.now() + EFFECT_MS
+                    gateway.group.recovery_ms = self._clock.now() + EFFECT_MS
                     return await self._await_effect(gateway, target_id)
                 case promotion.Promoted.REJECTED:
                     return False
@@ -320,14 +320,14 @@
     ) -> bool:
         deadline = self._clock.now() + EFFECT_LIMIT_MS
         while self._clock.now() < deadline:
-            pool = gateway.pools_by_id.get(target_id)
+            pool = gateway.group.pools_by_id.get(target_id)
             if pool is None:
                 return False
             status = await pool.control(wire.STATUS, COMMAND_TIMEOUT_MS)
             if not isinstance(status, exceptions.Sentinel) and (
                 status.is_primary
             ):
-                gateway.set_primary(target_id, 'promotion')
+                gateway.group.set_primary(target_id, 'promotion')
                 gateway.refresh()
                 return True
             await self._clock.sleep(EFFECT_INTERVAL_MS)
--- /dev/null
+++ b/samphirestand/gateway/transactions.py
@@ -0,0 +1,163 @@
+"""Open transactions and the connections that they hold."""
+
+import asyncio
+import dataclasses
+
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand.gateway import connection as connection_module
+from samphirestand.gateway import group as group_module
+from samphirestand.gateway import pool as pool_module
+from samphirestand.gateway import queue
+from samphirestand.gateway import replies
+from samphirestand import log
+from samphirestand.platform import wire
+from samphirestand import work as work_module
+
+__all__ = ['Transaction', 'Transactions']
+
+_log = log.get_logger(__name__)
+
+
+@dataclasses.dataclass(eq=False)
+class Transaction:
+    """An open transaction and the connection that it holds."""
+
+    pool: pool_module.TargetPool
+    connection: connection_module.TargetConnection
+    is_running: bool = True
+
+
+class Transactions:
+    """The open transactions of one gateway, by entry host and number."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        group: group_module.TargetGroup,
+        slots: queue.SlotQueue,
+    ) -> None:
+        self._clock = clock
+        self._group = group
+        self._queue = slots
+        self._open_by_key: dict[tuple[str, int], Transaction] = {}
+
+    def __len__(self) -> int:
+        return len(self._open_by_key)
+
+    def begin(
+        self,
+        owner: str,
+        number: int,
+        pool: pool_module.TargetPool,
+        used: connection_module.TargetConnection,
+    ) -> Transaction:
+        """Note a transaction before its first statement is sent.
+
+        A caller that leaves meanwhile gets it rolled back.
+        """
+        transaction = Transaction(pool, used)
+        pool.pinned += 1
+        self._open_by_key[owner, number] = transaction
+        return transaction
+
+    def end(self, owner: str, number: int) -> Transaction | None:
+        """Forget a transaction; its connection is the caller's."""
+        transaction = self._open_by_key.pop((owner, number), None)
+        if transaction is not None:
+            transaction.pool.pinned -= 1
+        return transaction
+
+    async def run(
+        self, owner: str, work: work_module.Work
+    ) -> work_module.Outcome:
+        """Run a statement inside an open transaction."""
+        transaction = self._open_by_key.get((owner, work.transaction))
+        if transaction is None or transaction.is_running:
+            return work_module.Refused('ABORTED', 'the transaction is gone')
+        transaction.is_running = True
+        pool, used = transaction.pool, transaction.connection
+        ends = work.stage is work_module.Stage.END
+        ticket = queue.Ticket(
+            work,
+            self._clock.now(),
+            False,
+            asyncio.get_running_loop().create_future(),
+            pinned=pool,
+        )
+        needs_slot = not ends or work.commits
+        if needs_slot:
+            slot = await self._queue.wait(ticket)
+            if isinstance(slot, exceptions.Sentinel):
+                self.end(owner, work.transaction)
+                pool.discard(used)
+                return work_module.Refused('ABORTED', slot.reason)
+        sent_ms = self._clock.now()
+        is_sent = False
+        try:
+            code = await replies.prepare(
+                pool, used, ticket.work, ticket.left_ms(self._clock.now())
+            )
+            if code is not None:
+                self.end(owner, work.transaction)
+                pool.discard(used)
+                return work_module.Refused('ABORTED', f'prepare: {code}')
+            is_sent = True
+            step = connection_module.Step(work.request_id, used.text(work))
+            [reply] = await pool.run(
+                used, [step], ticket.left_ms(self._clock.now())
+            )
+        except exceptions.AnswerLost as error:
+            self.end(owner, work.transaction)
+            pool.discard(used)
+            _log.warning(
+                'answer_lost',
+                request=work.request_id,
+                target=pool.target.target_id,
+                reason=str(error),
+                sent=is_sent,
+                writes=work.commits,
+            )
+            if work.commits and work.wrote_before and is_sent:
+                return work_module.Lost(str(error))
+            return work_module.Refused('ABORTED', str(error))
+        finally:
+            if needs_slot:
+                self._queue.release(pool)
+        transaction.is_running = False
+        if ends or reply.state == wire.STATE_IDLE:
+            self.end(owner, work.transaction)
+            replies.give_back(pool, used, reply)
+            self._queue.dispatch()
+        if reply.error is not None:
+            if reply.error.code == 'READONLY':
+                self._group.deny(pool)
+            return replies.failed(pool, reply)
+        if work.commits and work.wrote_before and reply.position is not None:
+            self._group.freshness.record(sent_ms, reply.position)
+        return replies.answered(pool, reply)
+
+    async def abandon(self, owner: str, number: int) -> None:
+        """Roll back a transaction whose caller has left."""
+        transaction = self.end(owner, number)
+        if transaction is None:
+            return
+        pool, used = transaction.pool, transaction.connection
+        if transaction.is_running:
+            pool.discard(used)
+            return
+        step = connection_module.Step(wire.OWN_ID, wire.ROLLBACK)
+        try:
+            await pool.run(used, [step], pool_module.PROBE_TIMEOUT_MS)
+        except exceptions.AnswerLost as error:
+            _log.info('rollback_lost', reason=str(error))
+            pool.discard(used)
+            return
+        pool.checkin(used)
+        self._queue.dispatch()
+
+    async def abandon_all(self, owner: str) -> None:
+        """Roll back all transactions of an entry host that is gone."""
+        for each, number in list(self._open_by_key):
+            if each == owner:
+                await self.abandon(each, number)
