gateway: Let some work wait however long targets take

Cause, found in reading: with a service time above the objective the longest wait was below zero, so a slow primary made the gateway refuse all work for it.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -125,7 +125,8 @@
     burst: float = 1.0  # times the load, while the trouble lasts
     lag_ms: int = 8
     trouble_lag_ms: int = 8
-    slow: float = 1.0  # how much slower one replica is in the trouble
+    slow: float = 1.0  # how much slower one target is in the trouble
+    slow_target: int = 1  # 0 is the primary
     slots: int = 5
     from_ms: int = 5_000
     until_ms: int = 13_000
@@ -137,6 +138,7 @@
     Pattern('burst', burst=1.7, until_ms=8_000),
     Pattern('replicas-behind', load=0.9, trouble_lag_ms=20_000),
     Pattern('slow-replica', slow=5.0),
+    Pattern('slow-primary', slow=12.0, slow_target=0),
     Pattern('overload', burst=2.6),
 )
 
@@ -161,7 +163,7 @@
     def __init__(self, replay: '_Replay', number: int) -> None:
         self._replay = replay
         self.is_primary = number == 0
-        self.is_slow = number == 1
+        self.is_slow = number == replay.pattern.slow_target
         self.one_way_ms = NEAR_MS if number == 0 else FAR_MS
         self._slots = asyncio.Semaphore(replay.pattern.slots)
         self._waiting = 0
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -158,12 +158,9 @@
         if ticket.needs_primary and not self._queue.is_primary_expected(
             ticket
         ):
-            return self._refuse(
-                ticket, 'the primary is being replaced', OUTAGE_RETRY_MS
-            )
-        wait_ms, service_ms = self._queue.expected_wait(ticket, usable)
-        patience = self._queue.patience_ms(ticket)
-        if not policy.admits(wait_ms, service_ms, patience):
+            return self._refuse(ticket, queue.NO_PRIMARY, OUTAGE_RETRY_MS)
+        wait_ms = self._queue.expected_wait_ms(ticket, usable)
+        if wait_ms > self._queue.longest_wait_ms(ticket):
             return self._refuse(ticket, f'a wait of {wait_ms:.0f} ms', wait_ms)
         return None
 
--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -12,12 +12,11 @@
 __all__ = [
     'Candidate',
     'ReplicaState',
-    'admits',
     'choose_candidate',
     'depth',
     'expected_wait_ms',
+    'longest_wait_ms',
     'order',
-    'patience_ms',
     'placement_cost',
     'retry_after_ms',
 ]
@@ -30,6 +29,9 @@
 PRIORITY_STEP_MS = 40
 
 
+# The part of its objective that work may wait however long targets take.
+LEAST_WAIT_SHARE = 0.5
+
 # What a failed statement costs, in times of a statement: its callers must
 # come back, or it is run again on another target.
 FAILURE_COST = 5.0
@@ -53,25 +55,23 @@
     return received_ms + objective_ms + priority * PRIORITY_STEP_MS
 
 
-def admits(wait_ms: float, service_ms: float, patience: int) -> bool:
-    """Tell whether work is queued that waits about ``wait_ms``.
+def longest_wait_ms(
+    objective_ms: int, budget_ms: int, service_ms: float, is_patient: bool
+) -> float:
+    """Return for how long work may wait for a slot.
 
     Answers load beyond what the targets can serve for seconds: with a queue
     as long as the time limits all work is late, with one as long as the
     objectives the same amount is in time and the rest may come back early.
+    Where a statement takes longer than the objective, some work still waits,
+    so that no slot is idle. While a new primary is expected nothing is served
+    meanwhile, and open transactions can go nowhere else: such work is patient
+    and may wait to its time limit.
     """
-    return wait_ms + service_ms <= patience
-
-
-def patience_ms(objective_ms: int, budget_ms: int, is_recovering: bool) -> int:
-    """Return for how long work may wait for a slot.
-
-    Answers the same load as ``admits``. While a new primary is expected
-    nothing is served meanwhile, so work may wait to its time limit.
-    """
-    if is_recovering:
-        return budget_ms
-    return min(objective_ms, budget_ms)
+    if is_patient:
+        return budget_ms - service_ms
+    patience_ms = min(objective_ms, budget_ms)
+    return max(patience_ms - service_ms, LEAST_WAIT_SHARE * patience_ms)
 
 
 def placement_cost(
--- a/samphirestand/gateway/queue.py
+++ b/samphirestand/gateway/queue.py
@@ -13,7 +13,9 @@
 from samphirestand import types
 from samphirestand import work as work_module
 
-__all__ = ['SlotQueue', 'Ticket']
+__all__ = ['NO_PRIMARY', 'SlotQueue', 'Ticket']
+
+NO_PRIMARY = 'the primary is being replaced'
 
 # Evidence about the primary must be newer than the oldest moment that a
 # read needs by this much, against timers that fire late.
@@ -35,6 +37,7 @@
     attempts: int = 0
     avoided: set[str] = dataclasses.field(default_factory=set)
     last_reason: str = ''
+    refusal: str = 'no slot in time'  # why it waits no longer
     is_bound: bool = False  # whether only the primary suits it
     leads: bool = False  # whether the chosen target is the primary
     floor: types.Position | None = None  # what a chosen replica must have
@@ -79,11 +82,8 @@
         """Wait for a slot of a target that may run the ticket."""
         self._waiting.append(ticket)
         self.dispatch()
-        patience_ms = ticket.work.budget_ms
-        if ticket.pinned is None:
-            patience_ms = self.patience_ms(ticket)
         waited_ms = self._clock.now() - ticket.received_ms
-        left_ms = patience_ms - waited_ms - self.service_ms
+        left_ms = self.longest_wait_ms(ticket) - waited_ms
         timer = asyncio.get_running_loop().call_later(
             max(0.0, left_ms / 1000), ticket.future.cancel
         )
@@ -91,7 +91,7 @@
             return await ticket.future
         except asyncio.CancelledError:
             if ticket.future.cancelled():
-                return exceptions.Sentinel('no slot in time')
+                return exceptions.Sentinel(ticket.refusal)
             raise
         finally:
             timer.cancel()
@@ -200,10 +200,10 @@
             return max(floor, own)
         return floor
 
-    def expected_wait(
+    def expected_wait_ms(
         self, ticket: Ticket, usable: list[pool_module.TargetPool]
-    ) -> tuple[float, float]:
-        """Return how long a ticket will wait and then run."""
+    ) -> float:
+        """Return how long a ticket will wait behind more urgent work."""
         now = self._clock.now()
         earlier = [
             each
@@ -214,26 +214,31 @@
         primary = self._group.primary
         if primary is None or suited not in ([], [primary]):
             slots = sum(each.target.slots for each in suited or usable)
-            service_ms = self.service_ms
-        else:
-            # Other waiting work may go to the replicas.
-            earlier = [each for each in earlier if each.is_bound]
-            slots = primary.target.slots
-            service_ms = primary.service_ms
-            ticket.is_bound = True
-        wait_ms = policy.expected_wait_ms(len(earlier), slots, service_ms)
-        return wait_ms, service_ms
-
-    def patience_ms(self, ticket: Ticket) -> int:
+            return policy.expected_wait_ms(
+                len(earlier), slots, self.service_ms
+            )
+        # Other waiting work may go to the replicas.
+        ticket.is_bound = True
+        bound = sum(each.is_bound for each in earlier)
+        return policy.expected_wait_ms(
+            bound, primary.target.slots, primary.service_ms
+        )
+
+    def longest_wait_ms(self, ticket: Ticket) -> float:
+        """Return for how long a ticket may wait in all."""
         work = ticket.work
         primary = self._group.primary
-        is_recovering = ticket.needs_primary and (
-            self._group.recovery_ms is not None
-            or primary is None
-            or primary.needs_probe
+        # A transaction that is open has no other target to go to.
+        is_patient = ticket.pinned is not None or (
+            ticket.needs_primary
+            and (
+                self._group.recovery_ms is not None
+                or primary is None
+                or primary.needs_probe
+            )
         )
-        return policy.patience_ms(
-            work.objective_ms, work.budget_ms, is_recovering
+        return policy.longest_wait_ms(
+            work.objective_ms, work.budget_ms, self.service_ms, is_patient
         )
 
     def is_primary_expected(self, ticket: Ticket) -> bool:
@@ -255,6 +260,7 @@
         """
         for ticket in self._waiting:
             if ticket.needs_primary and not self.is_primary_expected(ticket):
+                ticket.refusal = NO_PRIMARY
                 ticket.future.cancel()
         for pool in self._group.pools_by_id.values():
             pool.decay_estimates(self.service_ms)
