--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -167,6 +167,9 @@
             since_ms = now - min(START_CREDIT_MS, now - self._started_ms)
             bucket = Bucket(refilled_ms=since_ms)
             self._buckets_by_account[account.name] = bucket
+        if not self._members.knows_fleet:
+            # This host would take itself for the only one.
+            return bucket
         rate = 0.0
         if self._members.is_gaining:
             rate = account.rate / self._members.gaining_count
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -123,6 +123,11 @@
         """Return how many hosts exist, reachable or not, this one included."""
         return len(self._hosts_by_id)
 
+    @property
+    def knows_fleet(self) -> bool:
+        """Tell whether the other hosts' rows have been read."""
+        return self._read_ms is not None
+
     @property
     def gaining_count(self) -> int:
         """Return among how many hosts the accounts' rates are divided.
--- a/tests/fleet/test_allowance.py
+++ b/tests/fleet/test_allowance.py
@@ -43,6 +43,7 @@
 
     gaining_count = HOSTS
     is_gaining = True
+    knows_fleet = True
 
     def __init__(self, fleet, number):
         self.fleet = fleet
@@ -156,3 +157,22 @@
     for start in admitted:
         count = sum(start <= each < start + 5_000 for each in admitted)
         assert count <= 67 * 5 + 67
+
+
+def test_host_that_does_not_know_the_fleet_gains_nothing():
+    """Fails if each host that starts takes the whole rate for itself."""
+
+    async def scenario():
+        fleet = FakeFleet([catalog.Account('a', 100, 100)])
+        for host in fleet.hosts:
+            host.knows_fleet = False
+            host.gaining_count = 1
+        await fill(fleet)
+        tasks = [
+            asyncio.create_task(host.allowance.take('a'))
+            for host in fleet.hosts
+        ]
+        await fleet.clock.advance(1_000)
+        return await asyncio.gather(*tasks)
+
+    assert not any(asyncio.run(scenario()))
