gateway: Remember replicas that left, and the newest acknowledged commit

Ruled out: a lagging replica or one left paused; both others answered with the same position.

A replica that has left counts as silent for 20 s, unless a server runs at its address or a later commit was acknowledged here.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -18,6 +18,7 @@
 from bench import virtual_time
 from samphirestand import catalog
 from samphirestand import exceptions
+from samphirestand.fleet import watch
 from samphirestand.gateway import connection as connection_module
 from samphirestand.gateway import gateway as gateway_module
 from samphirestand.gateway import pool as pool_module
@@ -296,6 +297,9 @@
     def claimed_primary(self, service: str) -> catalog.Target:
         return self._targets[0]
 
+    def departed_replicas(self, service: str) -> list[watch.Departure]:
+        return []
+
     def claim_version(self, target_id: str) -> int:
         return 1
 
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -1,6 +1,7 @@
 """Follows the operators' configuration and the registry of targets."""
 
 import collections.abc
+import dataclasses
 
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
@@ -9,7 +10,7 @@
 from samphirestand.platform import records
 from samphirestand.platform import store as store_module
 
-__all__ = ['CatalogWatch', 'TargetWatch']
+__all__ = ['CatalogWatch', 'Departure', 'TargetWatch']
 
 # A configuration is in force within 3 s of its acknowledgement. A feed whose
 # connection has gone silent is noticed after this time and the store's
@@ -36,9 +37,21 @@
 # two seconds of its return.
 LAPSE_GRACE_MS = 2_500
 
+# For how long a replica that has left is remembered. It may have confirmed
+# commits that no other replica has received yet.
+DEPARTED_MS = 20_000
+
 _log = log.get_logger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class Departure:
+    """A target that has left the registry, and when this was noticed."""
+
+    target: catalog_module.Target
+    noticed_ms: int
+
+
 class CatalogWatch:
     """The highest version of the configuration that this host has seen."""
 
@@ -126,6 +139,7 @@
         self._targets_by_id: dict[str, catalog_module.Target] = {}
         self._claim_by_id: dict[str, int] = {}
         self._gone_ms_by_id: dict[str, int] = {}
+        self._departures: list[Departure] = []
         self._unsure_until_ms = 0
         # Set by who knows whether this host decides about targets, and
         # whether it uses them at all.
@@ -152,6 +166,27 @@
             default=None,
         )
 
+    def departed_replicas(self, service: str) -> list[Departure]:
+        """Return the replicas of a service that left lately without an heir.
+
+        A server that starts at the address of one that was to leave has its
+        log.
+        """
+        since_ms = self._clock.now() - DEPARTED_MS
+        self._departures = [
+            each for each in self._departures if each.noticed_ms >= since_ms
+        ]
+        taken = {
+            (each.address, each.port) for each in self.of_service(service)
+        }
+        return [
+            each
+            for each in self._departures
+            if each.target.service == service
+            and not each.target.claims_primary
+            and (each.target.address, each.target.port) not in taken
+        ]
+
     def claim_version(self, target_id: str) -> int:
         """Return the store's version at which a target began to claim."""
         return self._claim_by_id.get(target_id, 0)
@@ -249,6 +284,10 @@
             return
         for target_id in list(self._gone_ms_by_id):
             del self._gone_ms_by_id[target_id]
-            if self._targets_by_id.pop(target_id, None) is not None:
-                _log.info('target_gone', target=target_id)
+            target = self._targets_by_id.pop(target_id, None)
+            if target is not None:
+                self._departures.append(Departure(target, now))
+                _log.info(
+                    'target_gone', target=target_id, service=target.service
+                )
                 self._on_change()
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -318,7 +318,7 @@
                 return replies.failed(pool, reply)
             return self._error(pool, ticket, reply)
         if work.writes and not is_transaction and reply.position is not None:
-            self.group.freshness.record(sent_ms, reply.position)
+            self.group.note_acknowledged(sent_ms, reply.position)
         return replies.answered(pool, reply)
 
     def _error(
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -8,6 +8,7 @@
 from samphirestand.gateway import freshness as freshness_module
 from samphirestand.gateway import pool as pool_module
 from samphirestand import log
+from samphirestand import types
 
 __all__ = ['TargetGroup']
 
@@ -37,6 +38,10 @@
         # The newest claim that was considered; what this host learns from
         # the targets themselves is newer than all claims before it.
         self._claim_version = 0
+        # The newest commit that was acknowledged through this gateway, and
+        # when it was sent.
+        self.acknowledged: types.Position | None = None
+        self.acknowledged_sent_ms = 0
         # When a primary is expected to lead; None if that isn't known.
         self.recovery_ms: int | None = None
 
@@ -115,6 +120,27 @@
             self.primary_id = ''
         self._choose_primary()
 
+    def note_acknowledged(
+        self, sent_ms: int, position: types.Position
+    ) -> None:
+        """Note a commit that the primary has acknowledged."""
+        self.freshness.record(sent_ms, position)
+        if self.acknowledged is None or position > self.acknowledged:
+            self.acknowledged = position
+            self.acknowledged_sent_ms = sent_ms
+
+    def unconfirmed_departures(self) -> list[str]:
+        """Return the replicas that may have taken commits with them.
+
+        A commit that was sent after a replica had left was confirmed by one
+        of those that are still there, which thus has all earlier ones.
+        """
+        return [
+            each.target.target_id
+            for each in self._targets.departed_replicas(self.service)
+            if each.noticed_ms >= self.acknowledged_sent_ms
+        ]
+
     def is_primary(self, pool: pool_module.TargetPool) -> bool:
         return pool.target.target_id == self.primary_id
 
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -14,6 +14,7 @@
 from samphirestand.platform import promotion
 from samphirestand.platform import store as store_module
 from samphirestand.platform import wire
+from samphirestand import types
 
 __all__ = ['DUTIES_TABLE', 'Succession']
 
@@ -112,7 +113,9 @@
                 gateway.group.set_primary(target_id, 'status')
                 return True
         candidate = policy.choose_candidate(
-            _states(states, pools), unanswered, service.is_synchronous
+            _states(states, pools),
+            [*unanswered, *gateway.group.unconfirmed_departures()],
+            service.is_synchronous,
         )
         if isinstance(candidate, exceptions.Sentinel):
             _log.warning(
@@ -142,7 +145,12 @@
             {candidate.target_id: pools[candidate.target_id]}, wire.STATUS
         )
         refusal = _objection(
-            candidate, paused, fresh, [*missing, *silent], service
+            candidate,
+            paused,
+            fresh,
+            [*missing, *silent],
+            service,
+            gateway.group.acknowledged,
         )
         if (
             last_question is not None
@@ -363,6 +371,7 @@
     fresh: dict[str, wire.Status],
     unanswered: list[str],
     service: catalog_module.Service,
+    acknowledged: types.Position | None,
 ) -> str | None:
     """Return why the candidate may lack a commit; None if it can't."""
     status = fresh.get(candidate.target_id)
@@ -370,6 +379,12 @@
         return f'no answer from {candidate.target_id}'
     if service.is_synchronous and unanswered:
         return f'no answer from {", ".join(sorted(unanswered))}'
+    if (
+        service.is_synchronous
+        and acknowledged is not None
+        and status.received < acknowledged
+    ):
+        return f'{candidate.target_id} lacks commit {acknowledged}'
     ahead = [
         target_id
         for target_id, other in paused.items()
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -134,7 +134,7 @@
                 self._group.deny(pool)
             return replies.failed(pool, reply)
         if work.commits and work.wrote_before and reply.position is not None:
-            self._group.freshness.record(sent_ms, reply.position)
+            self._group.note_acknowledged(sent_ms, reply.position)
         return replies.answered(pool, reply)
 
     async def abandon(self, owner: str, number: int) -> None:
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -231,3 +231,75 @@
         assert all(isinstance(each, wire.Status) for each in statuses)
 
     run(scenario, hosts=1)
+
+
+async def leave(fleet, server):
+    """Let a server end after its time of draining."""
+    server.state = 'draining'
+    server.register()
+    node = fleet.nodes[0]
+    await fleet.until(
+        lambda: any(
+            each.is_draining for each in node.targets.of_service(nodes.SERVICE)
+        )
+    )
+    server.crash()
+    fleet.store.delete('servers', server.server_id)
+    await fleet.until(lambda: len(node.targets.of_service(nodes.SERVICE)) == 2)
+
+
+@pytest.mark.parametrize('knows_commit', [True, False])
+def test_replica_without_a_commit_that_a_leaving_one_confirmed(knows_commit):
+    """Fails if a commit is lost with the only replica that had received it.
+
+    The host that replaces the primary may know the commit, or may have become
+    the gateway only afterwards.
+    """
+
+    async def scenario(fleet):
+        primary, leaving, behind = fleet.group.servers.values()
+        behind.is_deaf = True
+        await write_until_served(fleet, fleet.nodes[0], 'kept')
+        await leave(fleet, leaving)
+        group = fleet.nodes[0].gateways._gateway(nodes.SERVICE).group
+        if not knows_commit:
+            group.acknowledged = None
+            group.acknowledged_sent_ms = 0
+        primary.crash()
+        await asyncio.sleep(4)
+        assert fleet.store.promotions == []
+
+    run(scenario, hosts=1)
+
+
+def test_replica_that_left_before_later_commits_is_not_waited_for():
+    """Fails if a service has no primary for long after a planned change."""
+
+    async def scenario(fleet):
+        primary, leaving, remaining = fleet.group.servers.values()
+        await write_until_served(fleet, fleet.nodes[0], 'before')
+        await leave(fleet, leaving)
+        await write_until_served(fleet, fleet.nodes[0], 'after')
+        primary.crash()
+        await fleet.until(lambda: fleet.group.primary is remaining)
+
+    run(scenario, hosts=1)
+
+
+def test_server_at_the_address_of_a_replica_has_its_log():
+    """Fails if the heir of a replica isn't asked in its place."""
+
+    async def scenario(fleet):
+        _, leaving, _ = fleet.group.servers.values()
+        node = fleet.nodes[0]
+        await leave(fleet, leaving)
+        group = node.gateways._gateway(nodes.SERVICE).group
+        assert group.unconfirmed_departures() == [leaving.server_id]
+        heir = await fleet.group.add('south', leaving.port, is_primary=False)
+        await fleet.until(
+            lambda: len(node.targets.of_service(nodes.SERVICE)) == 3
+        )
+        assert heir.server_id != leaving.server_id
+        assert group.unconfirmed_departures() == []
+
+    run(scenario, hosts=1)
