--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -86,7 +86,14 @@
 
     @property
     def is_idle(self) -> bool:
-        return not self._queue and not self._transactions
+        """Tell whether no statement runs or waits and nothing is open."""
+        return (
+            not self._queue
+            and not self._transactions
+            and not any(
+                each.running for each in self.group.pools_by_id.values()
+            )
+        )
 
     def refresh(self) -> None:
         """Follow the registry and the configuration."""
