--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -154,7 +154,7 @@
             f'rate {found.rate}, burst {found.burst}, '
             f'{bucket.millitokens:.0f} thousandths here, '
             f'demand {bucket.demand:.1f}/s, '
-            f'{self._members.gaining_count} hosts, collected by '
+            f'{self._members.token_source_count} hosts, collected by '
             f'{self._members.host_for(_job(account))}'
         )
 
@@ -171,8 +171,8 @@
             # This host would take itself for the only one.
             return bucket
         rate = 0.0
-        if self._members.is_gaining:
-            rate = account.rate / self._members.gaining_count
+        if self._members.is_token_source:
+            rate = account.rate / self._members.token_source_count
         capacity = max(self._home_capacity(account), rate * GAIN_KEPT_MS)
         bucket.refill(now, rate, capacity)
         return bucket
@@ -180,13 +180,18 @@
     def _home_capacity(self, account: catalog_module.Account) -> float:
         """Return the thousandths that this host may keep."""
         capacity = (
-            HOME_SHARE * account.burst * MILLI / self._members.gaining_count
+            HOME_SHARE
+            * account.burst
+            * MILLI
+            / self._members.token_source_count
         )
         return capacity if capacity >= SMALLEST_HOME else 0.0
 
     def _pot_capacity(self, account: catalog_module.Account) -> float:
         """Return the thousandths that the collecting host may keep."""
-        at_home = self._home_capacity(account) * self._members.gaining_count
+        at_home = (
+            self._home_capacity(account) * self._members.token_source_count
+        )
         return max(MILLI, account.burst * MILLI - at_home)
 
     async def _ask(
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -9,8 +9,8 @@
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.fleet import frames
+from samphirestand.fleet import job_hosts
 from samphirestand.fleet import links
-from samphirestand.fleet import placement
 from samphirestand.hosts import rendezvous
 from samphirestand import log
 from samphirestand import node_settings
@@ -107,7 +107,7 @@
         self._hosts_by_id = {local.host_id: local}
         self._large_ids: frozenset[str] = frozenset()
         self._job_host_ids: frozenset[str] = frozenset()
-        self._gaining_ids: frozenset[str] = frozenset()
+        self._token_source_ids: frozenset[str] = frozenset()
         self._considered_dead_ids: frozenset[str] = frozenset()
         self._links_by_id: dict[str, links.Link] = {}
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
@@ -129,17 +129,17 @@
         return self._read_ms is not None
 
     @property
-    def gaining_count(self) -> int:
+    def token_source_count(self) -> int:
         """Return among how many hosts the accounts' rates are divided.
 
         Hosts that don't answer count, too: they may live behind a partition.
         """
-        return max(len(self._gaining_ids), 1)
+        return max(len(self._token_source_ids), 1)
 
     @property
-    def is_gaining(self) -> bool:
+    def is_token_source(self) -> bool:
         """Tell whether this host gains a part of the accounts' rates."""
-        return self.local.host_id in self._gaining_ids
+        return self.local.host_id in self._token_source_ids
 
     @property
     def is_job_host(self) -> bool:
@@ -295,8 +295,8 @@
     def _choose_job_hosts(self) -> None:
         """Keep links to the hosts that do jobs, and to no others."""
         hosts = self._hosts_by_id.values()
-        self._large_ids = placement.large_host_ids(hosts)
-        self._gaining_ids = placement.choose_job_hosts(hosts)
+        self._large_ids = job_hosts.large_host_ids(hosts)
+        self._token_source_ids = job_hosts.choose_job_hosts(hosts)
         self._replace_dead_job_hosts(self._dead_ids())
 
     def _dead_ids(self) -> frozenset[str]:
@@ -310,7 +310,7 @@
     def _replace_dead_job_hosts(self, dead_ids: frozenset[str]) -> None:
         self._considered_dead_ids = dead_ids
         hosts = self._hosts_by_id.values()
-        chosen = placement.choose_job_hosts(hosts, dead_ids)
+        chosen = job_hosts.choose_job_hosts(hosts, dead_ids)
         if chosen != self._job_host_ids:
             _log.info(
                 'job_hosts_changed',
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -12,8 +12,8 @@
 from samphirestand.gateway import group as group_module
 from samphirestand.gateway import policy
 from samphirestand.gateway import pool as pool_module
-from samphirestand.gateway import queue
 from samphirestand.gateway import replies
+from samphirestand.gateway import slot_queue
 from samphirestand.gateway import transactions
 from samphirestand import log
 from samphirestand import metrics as metrics_module
@@ -76,7 +76,7 @@
         self._catalog = catalog
         self._metrics = metrics
         self.group = group_module.TargetGroup(service, clock, targets, catalog)
-        self._queue = queue.SlotQueue(clock, self.group)
+        self._queue = slot_queue.SlotQueue(clock, self.group)
         self._transactions = transactions.Transactions(
             clock, self.group, self._queue
         )
@@ -139,7 +139,7 @@
         )
         if not needs_primary:
             self.bounded_ms = now
-        ticket = queue.Ticket(
+        ticket = slot_queue.Ticket(
             work,
             now,
             needs_primary,
@@ -158,21 +158,24 @@
                 return self._refuse(ticket, outcome.reason)
             ticket.future = asyncio.get_running_loop().create_future()
 
-    def _admit(self, ticket: queue.Ticket) -> work_module.Refused | None:
+    def _admit(self, ticket: slot_queue.Ticket) -> work_module.Refused | None:
         usable = self.group.up_pools()
         if not usable:
             return self._refuse(ticket, 'no target of the service is up')
         if ticket.needs_primary and not self._queue.is_primary_expected(
             ticket
         ):
-            return self._refuse(ticket, queue.NO_PRIMARY, OUTAGE_RETRY_MS)
+            return self._refuse(ticket, slot_queue.NO_PRIMARY, OUTAGE_RETRY_MS)
         wait_ms = self._queue.expected_wait_ms(ticket, usable)
         if wait_ms > self._queue.longest_wait_ms(ticket):
             return self._refuse(ticket, f'a wait of {wait_ms:.0f} ms', wait_ms)
         return None
 
     def _refuse(
-        self, ticket: queue.Ticket, reason: str, wait_ms: float | None = None
+        self,
+        ticket: slot_queue.Ticket,
+        reason: str,
+        wait_ms: float | None = None,
     ) -> work_module.Refused:
         if wait_ms is None:
             wait_ms = policy.expected_wait_ms(
@@ -200,7 +203,7 @@
         return work_module.Refused('BUSY', reason, retry_ms)
 
     async def _attempt(
-        self, owner: str, ticket: queue.Ticket
+        self, owner: str, ticket: slot_queue.Ticket
     ) -> work_module.Outcome | Retry:
         pool = await self._queue.wait(ticket)
         if isinstance(pool, exceptions.Sentinel):
@@ -215,11 +218,14 @@
             took_ms = self._clock.now() - started_ms
             self._queue.note_service(pool, took_ms)
         elif isinstance(outcome, work_module.Failed):
-            pool.note_service(0, has_failed=True)
+            pool.note_statement_failed()
         return outcome
 
     async def _run_on(
-        self, owner: str, pool: pool_module.TargetPool, ticket: queue.Ticket
+        self,
+        owner: str,
+        pool: pool_module.TargetPool,
+        ticket: slot_queue.Ticket,
     ) -> work_module.Outcome | Retry:
         """Run a ticket's statement on a connection of ``pool``."""
         work = ticket.work
@@ -270,7 +276,7 @@
         self,
         pool: pool_module.TargetPool,
         used: connection_module.TargetConnection,
-        ticket: queue.Ticket,
+        ticket: slot_queue.Ticket,
         step: connection_module.Step,
     ) -> Retry | work_module.Outcome | None:
         sent_ms = self._clock.now()
@@ -289,7 +295,7 @@
         owner: str,
         pool: pool_module.TargetPool,
         used: connection_module.TargetConnection,
-        ticket: queue.Ticket,
+        ticket: slot_queue.Ticket,
         is_open: bool,
     ) -> work_module.Outcome | Retry:
         work = ticket.work
@@ -331,7 +337,7 @@
     def _error(
         self,
         pool: pool_module.TargetPool,
-        ticket: queue.Ticket,
+        ticket: slot_queue.Ticket,
         reply: connection_module.Reply,
     ) -> work_module.Outcome | Retry:
         """Decide whether work that got an error is tried again."""
@@ -349,7 +355,7 @@
                 pool.note_lacking(ticket.floor)
                 ticket.avoided.add(target_id)
             case 'FAILED':
-                pool.note_service(0, has_failed=True)
+                pool.note_statement_failed()
                 ticket.avoided.add(target_id)
             case 'BUSY':
                 pool.avoid_until_ms = self._clock.now() + FULL_PAUSE_MS
@@ -365,7 +371,7 @@
     def _lost(
         self,
         pool: pool_module.TargetPool,
-        ticket: queue.Ticket,
+        ticket: slot_queue.Ticket,
         error: exceptions.AnswerLost,
         is_sent: bool,
     ) -> work_module.Outcome | Retry:
@@ -393,7 +399,7 @@
             str(error), timed_out=ticket.left_ms(self._clock.now()) <= 0
         )
 
-    def _attempt_ms(self, ticket: queue.Ticket) -> int:
+    def _attempt_ms(self, ticket: slot_queue.Ticket) -> int:
         """Return how long one attempt may take."""
         left_ms = ticket.left_ms(self._clock.now())
         work = ticket.work
@@ -410,7 +416,7 @@
         return int(patience_ms)
 
 
-def _opening_step(ticket: queue.Ticket) -> connection_module.Step | None:
+def _opening_step(ticket: slot_queue.Ticket) -> connection_module.Step | None:
     """Return the BEGIN that goes before the ticket's statement.
 
     Only a plain BEGIN proves that a primary still leads, so an operation of
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -250,12 +250,16 @@
             and self._clock.now() - self._failures_ms[0] < UNSTEADY_MS
         )
 
-    def note_service(self, took_ms: int, has_failed: bool) -> None:
-        """Note how a statement went that this target ran."""
+    def note_served(self, took_ms: int) -> None:
+        """Note how long the target took for a statement that succeeded."""
         self._used_ms = self._clock.now()
-        self.failing_share += SMOOTHING * (has_failed - self.failing_share)
-        if not has_failed:
-            self.service_ms += SERVICE_SMOOTHING * (took_ms - self.service_ms)
+        self.failing_share -= SMOOTHING * self.failing_share
+        self.service_ms += SERVICE_SMOOTHING * (took_ms - self.service_ms)
+
+    def note_statement_failed(self) -> None:
+        """Note that the target ran a statement and answered an error."""
+        self._used_ms = self._clock.now()
+        self.failing_share += SMOOTHING * (1 - self.failing_share)
 
     def decay_estimates(self, usual_ms: float) -> None:
         """Forget slowly how a target did that isn't used."""
--- a/samphirestand/gateway/replies.py
+++ b/samphirestand/gateway/replies.py
@@ -1,4 +1,4 @@
-"""What becomes of a target's answer, for single statements and others."""
+"""Steps that single statements and open transactions share."""
 
 from samphirestand.gateway import connection as connection_module
 from samphirestand.gateway import pool as pool_module
--- a/samphirestand/gateway/queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -271,4 +271,4 @@
         self.service_ms += pool_module.SERVICE_SMOOTHING * (
             took_ms - self.service_ms
         )
-        pool.note_service(took_ms, has_failed=False)
+        pool.note_served(took_ms)
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -8,8 +8,8 @@
 from samphirestand.gateway import connection as connection_module
 from samphirestand.gateway import group as group_module
 from samphirestand.gateway import pool as pool_module
-from samphirestand.gateway import queue
 from samphirestand.gateway import replies
+from samphirestand.gateway import slot_queue
 from samphirestand import log
 from samphirestand.platform import wire
 from samphirestand import work as work_module
@@ -35,7 +35,7 @@
         self,
         clock: clock_module.Clock,
         group: group_module.TargetGroup,
-        slots: queue.SlotQueue,
+        slots: slot_queue.SlotQueue,
     ) -> None:
         self._clock = clock
         self._group = group
@@ -78,7 +78,7 @@
         transaction.is_running = True
         pool, used = transaction.pool, transaction.connection
         ends = work.stage is work_module.Stage.END
-        ticket = queue.Ticket(
+        ticket = slot_queue.Ticket(
             work,
             self._clock.now(),
             False,
--- a/tests/fleet/test_allowance.py
+++ b/tests/fleet/test_allowance.py
@@ -41,8 +41,8 @@
 class FakeMembers:
     """The part of the membership that rates need."""
 
-    gaining_count = HOSTS
-    is_gaining = True
+    token_source_count = HOSTS
+    is_token_source = True
     knows_fleet = True
 
     def __init__(self, fleet, number):
@@ -166,7 +166,7 @@
         fleet = FakeFleet([catalog.Account('a', 100, 100)])
         for host in fleet.hosts:
             host.knows_fleet = False
-            host.gaining_count = 1
+            host.token_source_count = 1
         await fill(fleet)
         tasks = [
             asyncio.create_task(host.allowance.take('a'))
