--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -377,14 +377,7 @@
     ) -> work_module.Outcome | Retry:
         """Decide what becomes of work whose connection failed."""
         work = ticket.work
-        _log.warning(
-            'answer_lost',
-            request=work.request_id,
-            target=pool.target.target_id,
-            reason=str(error),
-            sent=is_sent,
-            writes=work.writes,
-        )
+        replies.log_lost(pool, work, error, is_sent=is_sent)
         ticket.avoided.add(pool.target.target_id)
         is_transaction = work.stage is work_module.Stage.OPEN
         can_repeat = not is_sent or not (work.writes or is_transaction)
--- a/samphirestand/gateway/replies.py
+++ b/samphirestand/gateway/replies.py
@@ -1,11 +1,15 @@
 """Steps that single statements and open transactions share."""
 
+from samphirestand import exceptions
 from samphirestand.gateway import connection as connection_module
 from samphirestand.gateway import pool as pool_module
+from samphirestand import log
 from samphirestand.platform import wire
 from samphirestand import work as work_module
 
-__all__ = ['answered', 'failed', 'give_back', 'prepare']
+__all__ = ['answered', 'failed', 'give_back', 'log_lost', 'prepare']
+
+_log = log.get_logger(__name__)
 
 
 async def prepare(
@@ -64,3 +68,21 @@
         reply.position,
         pool.target.target_id,
     )
+
+
+def log_lost(
+    pool: pool_module.TargetPool,
+    work: work_module.Work,
+    error: exceptions.AnswerLost,
+    *,
+    is_sent: bool,
+) -> None:
+    """Log that a target went silent under a statement."""
+    _log.warning(
+        'answer_lost',
+        request=work.request_id,
+        target=pool.target.target_id,
+        reason=str(error),
+        sent=is_sent,
+        writes=work.writes or work.commits,
+    )
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -110,14 +110,7 @@
         except exceptions.AnswerLost as error:
             self.end(owner, work.transaction)
             pool.discard(used)
-            _log.warning(
-                'answer_lost',
-                request=work.request_id,
-                target=pool.target.target_id,
-                reason=str(error),
-                sent=is_sent,
-                writes=work.commits,
-            )
+            replies.log_lost(pool, work, error, is_sent=is_sent)
             if work.commits and work.wrote_before and is_sent:
                 return work_module.Lost(str(error))
             return work_module.Refused('ABORTED', str(error))
