--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -22,7 +22,7 @@
 
 __all__ = ['Gateway']
 
-# How often work that nothing of was kept is tried on a target.
+# How often work is tried on targets as long as nothing of it is kept.
 MAX_ATTEMPTS = 6
 
 # After a target said that it is full.
@@ -53,7 +53,7 @@
 
 _log = log.get_logger(__name__)
 
-
+# The outcome of an attempt after which another one may be made.
 Retry = exceptions.Sentinel
 
 
@@ -72,8 +72,6 @@
         self.service = service
         self._clock = clock
         self._random = generator
-        self._targets = targets
-        self._catalog = catalog
         self._metrics = metrics
         self.group = group_module.TargetGroup(service, clock, targets, catalog)
         self._queue = slot_queue.SlotQueue(clock, self.group)
