gateway: Use a primary only on evidence from its replicas

Change: a promotion pauses all replicas, the candidate included, and is ordered 400 ms after the last pause, or as soon as the old primary has stepped down. A replica that was asked and not paused is thus evidence for the primary for 400 ms after the question; so is an acknowledged commit where a replica confirms commits. Reads and transactions wait for it in the queue; a write waits while a replica is paused instead of being sent without an answer to come. Positions of the primary count only as far as the evidence goes. A gateway that learns of a later term follows it and sends STEPDOWN. Orders end before another host may take the token, checked once more when the connection is open, and token times count from before the row was read.

Three tests of test_succession.py waited for a primary that is not the old one and would now also accept a moment without any primary; they wait for a new one. One left out the primary among the servers that must be paused; it leaves out the old one, which steps down.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -299,6 +299,27 @@
             ) from error
         return replies
 
+    async def run_command(
+        self, text: str, timeout_ms: int
+    ) -> wire.Status | exceptions.Sentinel:
+        step = connection_module.TargetStatement(wire.PROXY_REQUEST_ID, text)
+        try:
+            [reply] = await self.run(_Connection(), [step], timeout_ms)
+        except exceptions.AnswerLost as error:
+            return exceptions.Sentinel(str(error))
+        if reply.error is not None:
+            return exceptions.Sentinel(reply.error.code)
+        assert reply.position is not None
+        return wire.Status(
+            is_primary=self.model.is_primary,
+            term=reply.position.term,
+            received=reply.position,
+            held=0,
+            lag_ms=0,
+            busy=0,
+            connections=0,
+        )
+
 
 # How long each running statement occupies a slot, by its request_id.
 _WORK_MS_BY_REQUEST_ID: dict[str, float] = {}
--- a/samphirestand/background.py
+++ b/samphirestand/background.py
@@ -18,17 +18,17 @@
     """
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[object]] = set()
 
     def spawn(
-        self, coroutine: collections.abc.Coroutine[object, object, None]
+        self, coroutine: collections.abc.Coroutine[object, object, object]
     ) -> None:
         """Run a coroutine as a task; log the exception if it fails."""
-        task = asyncio.create_task(coroutine)
+        task: asyncio.Task[object] = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+    def _on_task_done(self, task: asyncio.Task[object]) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -4,12 +4,14 @@
 import collections.abc
 import random
 
+from samphirestand import background
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.fleet import watch
 from samphirestand.gateway import connection as connection_module
 from samphirestand.gateway import group as group_module
+from samphirestand.gateway import leadership as leadership_module
 from samphirestand.gateway import policy
 from samphirestand.gateway import pool as pool_module
 from samphirestand.gateway import replies
@@ -46,6 +48,11 @@
 # comes last.
 MAX_SHORT_TIMEOUT_ATTEMPTS = 2
 
+# How long a target may take to answer with its status when evidence for the
+# primary is needed, and the delay before the targets are asked again.
+EVIDENCE_TIMEOUT_MS = 250
+EVIDENCE_RETRY_MS = 50
+
 # Codes of errors after which the target kept no effect of the statement, so
 # that it can safely be tried again.
 RETRYABLE_CODES = frozenset(
@@ -79,6 +86,8 @@
         self._transactions = transactions.GatewayTransactions(
             clock, self.group, self._queue
         )
+        self._background = background.Background()
+        self._evidence_task: asyncio.Task[None] | None = None
         self.last_used_ms = clock.now()
         self.last_bounded_read_ms = 0  # of a read that replicas may run
         self.refresh()
@@ -113,8 +122,165 @@
 
     def close(self) -> None:
         """Close all connections to targets."""
+        if self._evidence_task is not None:
+            self._evidence_task.cancel()
+        self._background.cancel()
         self.group.close()
 
+    def request_evidence(self) -> asyncio.Task[None]:
+        """Start to ask for evidence for the primary, unless that is running.
+
+        Returns the task, which ends when no waiting request lacks evidence.
+        """
+        if self._evidence_task is None or self._evidence_task.done():
+            self._evidence_task = asyncio.create_task(self._gather_evidence())
+        return self._evidence_task
+
+    async def _gather_evidence(self) -> None:
+        while True:
+            await self._ask_for_evidence()
+            self._queue.assign_slots()
+            if not self._queue.lacks_evidence:
+                return
+            await self._clock.sleep(EVIDENCE_RETRY_MS)
+
+    async def _ask_for_evidence(self) -> None:
+        """Ask other targets whether the primary may have been replaced.
+
+        One answer is enough where a replica confirms each commit, since a
+        promotion then waits for all replicas to be paused. Elsewhere replicas
+        that don't answer aren't waited for, so all must answer here.
+        """
+        group = self.group
+        leadership = group.leadership
+        primary = group.primary
+        if primary is None:
+            return
+        if leadership.term is None:
+            await self._ask_for_term(leadership, primary)
+        if leadership.term is None or group.leadership is not leadership:
+            return
+        sent_ms = self._clock.now()
+        other_pools = sorted(
+            (each for each in group.pools_by_id.values() if each != primary),
+            key=lambda each: (each.needs_probe, each.round_trip_ms),
+        )
+        if not other_pools:
+            leadership.confirm(sent_ms)
+            return
+        first_count = 1 if group.is_synchronous else len(other_pools)
+        for pools in (other_pools[:first_count], other_pools[first_count:]):
+            sent_ms = self._clock.now()
+            statuses = await asyncio.gather(
+                *(
+                    each.run_command(wire.STATUS, EVIDENCE_TIMEOUT_MS)
+                    for each in pools
+                )
+            )
+            if group.leadership is not leadership:
+                return
+            verdicts = [
+                None
+                if isinstance(status, exceptions.Sentinel)
+                else leadership_module.judge_replica(status, leadership.term)
+                for status in statuses
+            ]
+            if self._apply_verdicts(primary, pools, verdicts, sent_ms):
+                return
+
+    async def _ask_for_term(
+        self,
+        leadership: leadership_module.Leadership,
+        primary: pool_module.TargetPool,
+    ) -> None:
+        """Ask the primary in which term it leads."""
+        status = await primary.run_command(wire.STATUS, EVIDENCE_TIMEOUT_MS)
+        if self.group.leadership is not leadership:
+            return
+        if isinstance(status, exceptions.Sentinel):
+            _log.info(
+                'primary_term_unknown',
+                service=self.service,
+                target=leadership.target_id,
+                reason=status.reason,
+            )
+            primary.record_failure()
+            return
+        if not status.is_primary:
+            self.group.mark_not_primary(primary)
+            return
+        leadership.term = status.term
+
+    def _apply_verdicts(
+        self,
+        primary: pool_module.TargetPool,
+        pools: list[pool_module.TargetPool],
+        verdicts: list[leadership_module.Verdict | None],
+        sent_ms: int,
+    ) -> bool:
+        """Record what replicas said; return whether that is conclusive."""
+        leadership = self.group.leadership
+        confirmed_count = 0
+        later_term = 0
+        for pool, verdict in zip(pools, verdicts, strict=True):
+            match verdict:
+                case leadership_module.Superseded(term, is_primary):
+                    later_term = max(later_term, term)
+                    if is_primary:
+                        self._follow_later_primary(primary, pool, term)
+                        return True
+                case leadership_module.Suspended():
+                    if not leadership.is_suspended:
+                        _log.warning(
+                            'primary_suspended',
+                            service=self.service,
+                            target=leadership.target_id,
+                            replica=pool.target.target_id,
+                        )
+                    leadership.suspend()
+                case leadership_module.Confirmed():
+                    confirmed_count += 1
+        if later_term:
+            # Another target tells which one is the primary of that term.
+            leadership.suspend()
+            return False
+        needed_count = 1 if self.group.is_synchronous else len(pools)
+        if pools and confirmed_count >= needed_count:
+            leadership.confirm(sent_ms)
+            return True
+        return False
+
+    def _follow_later_primary(
+        self,
+        earlier: pool_module.TargetPool,
+        later: pool_module.TargetPool,
+        term: int,
+    ) -> None:
+        """Use the primary of a later term and stop the earlier one."""
+        self.group.set_primary(later.target.target_id, 'status', term)
+        self._background.spawn(self.step_down(earlier, term))
+
+    async def step_down(self, pool: pool_module.TargetPool, term: int) -> bool:
+        """Tell a former primary that ``term`` has another one.
+
+        Returns whether it is now known not to be the primary.
+        """
+        status = await pool.run_command(
+            wire.step_down_text(term), EVIDENCE_TIMEOUT_MS
+        )
+        is_done = (
+            not isinstance(status, exceptions.Sentinel)
+            and not status.is_primary
+        )
+        _log.info(
+            'primary_stepped_down' if is_done else 'step_down_failed',
+            service=self.service,
+            target=pool.target.target_id,
+            term=term,
+            answer=str(status),
+        )
+        return is_done
+
     async def run(
         self, entry_host: str, work: work_module.Work
     ) -> work_module.Outcome:
@@ -147,6 +313,11 @@
         refusal = self._admission_refusal(slot_request)
         if refusal is not None:
             return refusal
+        leadership = self.group.leadership
+        if leadership.needs_refresh(now) and (
+            needs_primary or not leadership.is_confirmed
+        ):
+            self.request_evidence()
         while True:
             outcome = await self._attempt_on_target(entry_host, slot_request)
             if not isinstance(outcome, Retry):
@@ -244,6 +415,10 @@
             slot_request.minimum_position is None or slot_request.needs_primary
         ):
             return Retry('the target no longer suits')
+        if slot_request.is_on_primary and not self._queue.may_use_primary(
+            slot_request
+        ):
+            return Retry('the primary is not confirmed')
         try:
             connection = await pool.checkout(
                 work, slot_request.remaining_ms(self._clock.now())
@@ -309,7 +484,9 @@
         )
         if reply.error is None:
             if step.text == wire.BEGIN and reply.position is not None:
-                self.group.freshness.record(sent_ms, reply.position)
+                self.group.record_primary_position(
+                    pool, sent_ms, reply.position
+                )
             return None
         pool.checkin(connection)
         return self._handle_error(pool, slot_request, reply)
@@ -363,7 +540,7 @@
                 return replies.failed_outcome(pool, reply)
             return self._handle_error(pool, slot_request, reply)
         if work.writes and not is_transaction and reply.position is not None:
-            self.group.record_commit(sent_ms, reply.position)
+            self.group.record_commit(pool, sent_ms, reply.position)
         return replies.answered_outcome(pool, reply)
 
     def _handle_error(
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -54,6 +54,10 @@
 MAX_LAGGING_READS = 5
 PAUSED_REPLICA_CHECK_INTERVAL_MS = 2_000
 
+# How often a former primary is told that there is a later one, until it
+# registers as a replica.
+STEP_DOWN_INTERVAL_MS = 1_000
+
 _log = log.get_logger(__name__)
 
 
@@ -275,6 +279,7 @@
         if not is_owner:
             return
         gateway.review_waiting()
+        self._step_down_former_primaries(gateway)
         reason = self._primary_replacement_reason(gateway)
         if reason is not None and self._succession is not None:
             self._start_unless_running(
@@ -298,6 +303,33 @@
                 self._record_primary_position(gateway),
             )
 
+    def _step_down_former_primaries(
+        self, gateway: gateway_module.ServiceGateway
+    ) -> None:
+        """Stop targets that act as primary although there is a later one."""
+        leadership = gateway.group.leadership
+        if not leadership.is_confirmed or leadership.term is None:
+            return
+        for target_id, pool in gateway.group.pools_by_id.items():
+            if (
+                target_id != leadership.target_id
+                and pool.target.claims_primary
+                and not pool.is_down
+            ):
+                self._start_unless_running(
+                    f'step_down/{target_id}',
+                    self._step_down_and_wait(gateway, pool, leadership.term),
+                )
+
+    async def _step_down_and_wait(
+        self,
+        gateway: gateway_module.ServiceGateway,
+        pool: pool_module.TargetPool,
+        term: int,
+    ) -> None:
+        await gateway.step_down(pool, term)
+        await self._clock.sleep(STEP_DOWN_INTERVAL_MS)
+
     def _primary_replacement_reason(
         self, gateway: gateway_module.ServiceGateway
     ) -> str | None:
@@ -353,7 +385,9 @@
         """Resume a lagging replica if it was left paused."""
         assert self._succession is not None
         try:
-            await self._succession.resume_replica(gateway.service, pool)
+            await self._succession.resume_replica(
+                gateway.service, pool, gateway.group.leadership.term or 0
+            )
         except exceptions.PlatformError as error:
             _log.info('resume_failed', reason=str(error))
         await self._clock.sleep(PAUSED_REPLICA_CHECK_INTERVAL_MS)
@@ -363,6 +397,8 @@
         self, gateway: gateway_module.ServiceGateway
     ) -> None:
         """Ask the primary for its log position and record it."""
+        if gateway.group.leadership.needs_refresh(self._clock.now()):
+            await gateway.request_evidence()
         pool = gateway.group.primary
         if pool is None:
             return
@@ -379,7 +415,9 @@
             pool.record_failure()
             return
         if status.is_primary:
-            gateway.group.freshness.record(sent_ms, status.received)
+            gateway.group.record_primary_position(
+                pool, sent_ms, status.received
+            )
 
     def close(self) -> None:
         for task in self._tasks_by_name.values():
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -6,6 +6,7 @@
 from samphirestand import clock as clock_module
 from samphirestand.fleet import watch
 from samphirestand.gateway import freshness as freshness_module
+from samphirestand.gateway import leadership as leadership_module
 from samphirestand.gateway import pool as pool_module
 from samphirestand import log
 from samphirestand import types
@@ -34,7 +35,8 @@
         self._catalog = catalog
         self.freshness = freshness_module.Freshness()
         self.pools_by_id: dict[str, pool_module.TargetPool] = {}
-        self.primary_id = ''
+        self.leadership = leadership_module.Leadership()
+        self.is_synchronous = True
         # Targets that are registered as primary but have answered that they
         # are not.
         self._not_primary_ids: set[str] = set()
@@ -49,6 +51,11 @@
         # When a new primary is expected to accept statements; None if unknown.
         self.primary_expected_ms: int | None = None
 
+    @property
+    def primary_id(self) -> str:
+        """Return the id of the primary; '' if none is known."""
+        return self.leadership.target_id
+
     @property
     def primary(self) -> pool_module.TargetPool | None:
         return self.pools_by_id.get(self.primary_id)
@@ -57,6 +64,7 @@
         """Adopt the current registry and configuration."""
         service = self._catalog().services_by_name.get(self.service)
         max_connections = service.max_connections if service is not None else 1
+        self.is_synchronous = service is None or service.is_synchronous
         registered_by_id = {
             each.target_id: each
             for each in self._targets.of_service(self.service)
@@ -94,10 +102,13 @@
         elif not self.primary_id and target_id not in self._not_primary_ids:
             self.set_primary(target_id, 'registry')
 
-    def set_primary(self, target_id: str, source: str) -> None:
+    def set_primary(
+        self, target_id: str, source: str, term: int | None = None
+    ) -> None:
         """Use ``target_id`` as the primary from now on.
 
-        ``source`` is written to the log.
+        ``source`` is written to the log. ``term`` is the one in which the
+        target said that it leads, None if it was not asked.
         """
         claimed = self._targets.claimed_primary(self.service)
         if claimed is not None:
@@ -107,7 +118,10 @@
             )
         self._not_primary_ids.discard(target_id)
         self.primary_expected_ms = None
-        if target_id == self.primary_id:
+        if target_id == self.primary_id and term in (
+            None,
+            self.leadership.term,
+        ):
             return
         _log.info(
             'primary_changed',
@@ -115,8 +129,9 @@
             target=target_id,
             earlier=self.primary_id,
             source=source,
+            term=term,
         )
-        self.primary_id = target_id
+        self.leadership = leadership_module.Leadership(target_id, term)
 
     def mark_not_primary(self, pool: pool_module.TargetPool) -> None:
         """Record a target's answer that it is not the primary."""
@@ -126,12 +141,38 @@
         self._not_primary_ids.add(target_id)
         _log.info('target_not_primary', service=self.service, target=target_id)
         if self.primary_id == target_id:
-            self.primary_id = ''
+            self.leadership = leadership_module.Leadership()
         self._choose_primary()
 
-    def record_commit(self, sent_ms: int, position: types.Position) -> None:
-        """Record a commit that the primary acknowledged."""
-        self.freshness.record(sent_ms, position)
+    def record_primary_position(
+        self,
+        pool: pool_module.TargetPool,
+        sent_ms: int,
+        position: types.Position,
+    ) -> None:
+        """Record a log position that a target gave as the primary.
+
+        It covers the commits that were acknowledged before the request was
+        sent, but only as far as the target is known to have been the primary.
+        """
+        covered_until_ms = self.leadership.covered_until_ms
+        if self.is_primary(pool) and covered_until_ms is not None:
+            self.freshness.record(min(sent_ms, covered_until_ms), position)
+
+    def record_commit(
+        self,
+        pool: pool_module.TargetPool,
+        sent_ms: int,
+        position: types.Position,
+    ) -> None:
+        """Record a commit that the primary acknowledged.
+
+        A replica has confirmed it, so not all replicas were paused when it
+        was sent.
+        """
+        if self.is_synchronous and self.is_primary(pool):
+            self.leadership.confirm(sent_ms)
+        self.record_primary_position(pool, sent_ms, position)
         if (
             self.acknowledged_position is None
             or position > self.acknowledged_position
--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -44,6 +44,16 @@
 # other targets are about as far behind as their callers' objectives allow.
 FLAPPING_COST_STATEMENTS = 8.0
 
+# A promotion is ordered this long after the last replica was paused. Evidence
+# that a replica was not paused is valid for as long, so one question to a
+# replica serves all reads of that time. Each promotion without an answer of
+# the old primary takes this much longer.
+PROMOTION_DELAY_MS = 400
+
+# Evidence older than this is renewed while reads use it: a question takes a
+# round trip to another availability zone and a slot there.
+EVIDENCE_REFRESH_MS = 150
+
 
 def sort_key(received_ms: int, objective_ms: int, priority: int) -> int:
     """Return the key that orders waiting work, the lowest first.
@@ -146,13 +156,12 @@
 
     target_id: str
     received: types.Position
-    is_paused: bool
     is_draining: bool
 
 
 @dataclasses.dataclass(frozen=True)
 class Candidate:
-    """The replica to promote; all others must be paused meanwhile."""
+    """The replica to promote."""
 
     target_id: str
 
@@ -168,10 +177,9 @@
     draining. With synchronous replication an acknowledged commit is on at
     least one replica, and a replica that hasn't answered may hold the only
     copy, so all replicas must answer. The one with the newest received
-    position is chosen. Among equals one that isn't draining is preferred,
-    then the one that an earlier attempt left unpaused, since that attempt's
-    promotion may still take effect. The id decides last, so that any two
-    hosts choose the same replica.
+    position is chosen. Among equals one that isn't draining is preferred.
+    The id decides last, so that any two hosts choose the same replica: an
+    order of the first one may still be carried out.
 
     Returns a sentinel with the reason if no replica is certain.
     """
@@ -185,7 +193,6 @@
         key=lambda each: (
             each.received,
             not each.is_draining,
-            not each.is_paused,
             each.target_id,
         ),
     )
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -202,7 +202,7 @@
         ):
             return False
         if is_primary:
-            return True
+            return self.may_use_primary(slot_request)
         if (
             slot_request.needs_primary
             or target_id in slot_request.avoided_target_ids
@@ -213,6 +213,41 @@
             minimum_position
         )
 
+    def may_use_primary(self, slot_request: SlotRequest) -> bool:
+        """Tell whether enough evidence supports the primary for a request.
+
+        A write needs less: a primary that has been replaced can't get it
+        confirmed by a replica, so it is never acknowledged.
+        """
+        work = slot_request.work
+        leadership = self._group.leadership
+        if work.writes and work.stage is work_module.Stage.SINGLE:
+            return leadership.is_confirmed
+        return leadership.covers(self._oldest_state_ms(slot_request))
+
+    def _oldest_state_ms(self, slot_request: SlotRequest) -> int:
+        """Return the moment whose state the primary's answer may show."""
+        work = slot_request.work
+        received_ms = slot_request.received_ms
+        term = self._group.leadership.term
+        if slot_request.needs_primary or term is None:
+            return received_ms
+        # The session may have committed on a later primary already.
+        position = work.session_position
+        if position is not None and position.term > term:
+            return received_ms
+        return received_ms - work.max_age_ms
+
+    @property
+    def lacks_evidence(self) -> bool:
+        """Tell whether a waiting request needs evidence for the primary."""
+        return any(
+            each.pinned_pool is None
+            and each.needs_primary
+            and not self.may_use_primary(each)
+            for each in self._waiting_requests
+        )
+
     def minimum_position(
         self, slot_request: SlotRequest
     ) -> types.Position | None:
@@ -281,6 +316,7 @@
                 self._group.primary_expected_ms is not None
                 or primary is None
                 or primary.needs_probe
+                or self._group.leadership.is_suspended
             )
         )
         return policy.max_wait_ms(
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -43,9 +43,12 @@
 # The delay after an unfinished attempt.
 RETRY_MS = 400
 
-# A promotion whose answer was lost is ordered up to this often in all, so that
+# The delay before a promotion whose answer was lost is ordered again, so that
 # its outcome is known before anything else is tried.
-MAX_ORDER_ATTEMPTS = 4
+ORDER_RETRY_MS = 100
+
+# How often replicas are asked after a promotion whether they know of it.
+MAX_RESUME_ATTEMPTS = 5
 
 _log = log.get_logger(__name__)
 
@@ -113,14 +116,10 @@
         # Ask the replicas before taking the token: without enough answers
         # nothing may be changed.
         states, unanswered = await self._send_to_all(pools, wire.STATUS)
-        for target_id, status in states.items():
-            if status.is_primary:
-                gateway.group.set_primary(target_id, 'status')
-                return True
-        candidate = policy.choose_candidate(
-            _replica_states(states, pools),
-            [*unanswered, *gateway.group.unconfirmed_departures()],
-            service.is_synchronous,
+        if await self._follow_existing_primary(gateway, pools, states):
+            return True
+        candidate = _choose_candidate(
+            gateway, service, pools, states, unanswered
         )
         if isinstance(candidate, exceptions.Sentinel):
             _log.warning(
@@ -129,35 +128,32 @@
                 reason=candidate.reason,
             )
             return False
+        # The store's clock runs from before the write, so this does too.
+        token_taken_ms = self._clock.now()
         token = await self._acquire_token(service.name)
         if token is None:
             return False
-        token_taken_ms = self._clock.now()
 
-        # While the other replicas are paused, only the candidate can confirm
-        # commits, so it has every commit that is acknowledged from now on.
-        term = max(
+        # While all replicas are paused, no commit is acknowledged, and other
+        # gateways find no evidence for the old primary.
+        term = 1 + max(
             max(each.term, each.held, each.received.term)
             for each in states.values()
         )
-        other_pools = {
-            target_id: pool
-            for target_id, pool in pools.items()
-            if target_id != candidate.target_id
-        }
-        pause_statuses, pause_unanswered = await self._send_to_all(
-            other_pools, wire.pause_text(term + 1)
+        group = gateway.group
+        group.leadership.suspend()
+        group.primary_expected_ms = (
+            self._clock.now() + policy.PROMOTION_DELAY_MS + PROMOTION_MS
         )
-        candidate_statuses, candidate_unanswered = await self._send_to_all(
-            {candidate.target_id: pools[candidate.target_id]}, wire.STATUS
+        states, unanswered = await self._send_to_all(
+            pools, wire.pause_text(term)
+        )
+        paused_ms = self._clock.now()
+        candidate = _choose_candidate(
+            gateway, service, pools, states, unanswered
         )
         wait_reason = _missing_commit_reason(
-            candidate,
-            pause_statuses,
-            candidate_statuses,
-            [*pause_unanswered, *candidate_unanswered],
-            service,
-            gateway.group.acknowledged_position,
+            candidate, states, service, group.acknowledged_position
         )
         if (
             primary_check is not None
@@ -165,33 +161,88 @@
             and primary_check.result()
         ):
             wait_reason = f'{old_primary_id} answers again as primary'
-        if (
-            wait_reason is None
-            and self._clock.now() - token_taken_ms > MAX_ORDER_DELAY_MS
+        if wait_reason is not None or isinstance(
+            candidate, exceptions.Sentinel
         ):
-            # This process was suspended; another host may hold the token.
-            _log.warning('succession_too_late', service=service.name)
-            return False
-        if wait_reason is not None:
             _log.warning(
                 'succession_waits', service=service.name, reason=wait_reason
             )
-            await self._send_to_all(other_pools, wire.RESUME)
+            group.primary_expected_ms = None
+            await self._send_to_all(pools, wire.RESUME)
             await self._release_token(service.name, token)
             return False
-
-        # From here on the other replicas stay paused until the promotion is
-        # known to have taken effect. An order that got no answer may still be
-        # carried out, and until the promotion takes effect no commit that the
-        # candidate lacks may be acknowledged.
-        if not await self._promote_replica(
-            gateway, service.name, candidate.target_id, token
-        ):
+        is_stepped_down = (
+            old_primary is not None
+            and not old_primary.is_down
+            and await gateway.step_down(old_primary, term)
+        )
+        if not is_stepped_down:
+            # Other gateways may use the old primary on evidence from before
+            # the pause.
+            waited_ms = self._clock.now() - paused_ms
+            await self._clock.sleep(policy.PROMOTION_DELAY_MS - waited_ms)
+
+        # From here on the replicas stay paused until the promotion is known
+        # to have taken effect. An order that got no answer may still be
+        # carried out, and until then no commit that the candidate lacks may
+        # be acknowledged.
+        promoted_term = await self._promote_replica(
+            gateway,
+            service.name,
+            candidate.target_id,
+            token,
+            token_taken_ms,
+        )
+        if promoted_term is None:
             return False
-        await self._send_to_all(other_pools, wire.RESUME)
+        await self._resume_followers(pools, promoted_term)
         await self._release_token(service.name, token)
+        if old_primary is not None and not is_stepped_down:
+            await gateway.step_down(old_primary, promoted_term)
         return True
 
+    async def _follow_existing_primary(
+        self,
+        gateway: gateway_module.ServiceGateway,
+        pools: dict[str, pool_module.TargetPool],
+        states: dict[str, wire.Status],
+    ) -> bool:
+        """Use a target that says it is primary; return whether there is one.
+
+        A primary that was replaced may say so too, in a lower term.
+        """
+        newest_term = max((each.term for each in states.values()), default=0)
+        for target_id, status in states.items():
+            if not status.is_primary:
+                continue
+            if status.term == newest_term:
+                gateway.group.set_primary(target_id, 'status', status.term)
+                await self._resume_followers(pools, status.term)
+                return True
+            # Only a replica can be paused.
+            await gateway.step_down(pools[target_id], newest_term)
+        return False
+
+    async def _resume_followers(
+        self, pools: dict[str, pool_module.TargetPool], term: int
+    ) -> None:
+        """Resume the replicas that follow the primary of ``term``.
+
+        A replica that doesn't know of that primary yet might receive from the
+        earlier one. It is resumed when it is found to be lagging.
+        """
+        for _ in range(MAX_RESUME_ATTEMPTS):
+            states, _ = await self._send_to_all(pools, wire.STATUS)
+            follower_pools = {
+                target_id: pools[target_id]
+                for target_id, status in states.items()
+                if not status.is_primary and status.term >= term
+            }
+            if follower_pools:
+                await self._send_to_all(follower_pools, wire.RESUME)
+                return
+            await self._clock.sleep(PROMOTION_POLL_INTERVAL_MS)
+
     async def _send_to_all(
         self, pools: dict[str, pool_module.TargetPool], text: str
     ) -> tuple[dict[str, wire.Status], list[str]]:
@@ -289,11 +340,13 @@
         )
 
     async def resume_replica(
-        self, service: str, pool: pool_module.TargetPool
+        self, service: str, pool: pool_module.TargetPool, primary_term: int
     ) -> None:
         """Resume a replica that an earlier token holder left paused.
 
-        Raises ``PlatformError`` while the store can't be reached.
+        ``primary_term`` is the term of the current primary; a replica that
+        doesn't know of that one yet stays paused. Raises ``PlatformError``
+        while the store can't be reached.
         """
         found = await self._read_duty(service)
         if isinstance(found, exceptions.Sentinel):
@@ -303,7 +356,7 @@
             return
         status = await pool.run_command(wire.STATUS, COMMAND_TIMEOUT_MS)
         if isinstance(status, exceptions.Sentinel) or (
-            status.held <= status.term
+            status.held <= status.term or status.term < primary_term
         ):
             return
         _log.info(
@@ -320,14 +373,20 @@
         service: str,
         target_id: str,
         token: int,
-    ) -> bool:
+        token_taken_ms: int,
+    ) -> int | None:
         """Order a promotion, repeatedly if its outcome is unknown.
 
-        Returns whether the target became the primary.
+        Orders nothing once another host may soon hold a higher token. Returns
+        the term of the new primary, or None.
         """
-        for _ in range(MAX_ORDER_ATTEMPTS):
+
+        def may_order() -> bool:
+            return self._clock.now() < token_taken_ms + MAX_ORDER_DELAY_MS
+
+        while may_order():
             answer, text = await self._promotions.order(
-                service, target_id, self._host_id, token
+                service, target_id, self._host_id, token, may_order
             )
             _log.warning(
                 'promotion_ordered',
@@ -342,29 +401,40 @@
                     gateway.group.primary_expected_ms = (
                         self._clock.now() + PROMOTION_MS
                     )
-                    return await self._wait_for_promotion(gateway, target_id)
+                    return await self._wait_for_promotion(
+                        gateway, target_id, token_taken_ms + TOKEN_HOLD_MS
+                    )
                 case promotion.PromotionAnswer.REJECTED:
-                    return False
-            await self._clock.sleep(RETRY_MS // 4)
-        return False
+                    return None
+            await self._clock.sleep(ORDER_RETRY_MS)
+        _log.warning('succession_too_late', service=service)
+        return None
 
     async def _wait_for_promotion(
-        self, gateway: gateway_module.ServiceGateway, target_id: str
-    ) -> bool:
+        self,
+        gateway: gateway_module.ServiceGateway,
+        target_id: str,
+        token_held_until_ms: int,
+    ) -> int | None:
         deadline = self._clock.now() + PROMOTION_TIMEOUT_MS
         while self._clock.now() < deadline:
             pool = gateway.group.pools_by_id.get(target_id)
             if pool is None:
-                return False
+                return None
+            sent_ms = self._clock.now()
             status = await pool.run_command(wire.STATUS, COMMAND_TIMEOUT_MS)
             if not isinstance(status, exceptions.Sentinel) and (
                 status.is_primary
             ):
-                gateway.group.set_primary(target_id, 'promotion')
+                group = gateway.group
+                group.set_primary(target_id, 'promotion', status.term)
+                if self._clock.now() < token_held_until_ms:
+                    # No other host could order another promotion.
+                    group.leadership.confirm(sent_ms)
                 gateway.refresh()
-                return True
+                return status.term
             await self._clock.sleep(PROMOTION_POLL_INTERVAL_MS)
-        return False
+        return None
 
 
 async def _send_command(
@@ -395,46 +465,40 @@
     return f'promotion/{service}'
 
 
-def _missing_commit_reason(
-    candidate: policy.Candidate,
-    pause_statuses: dict[str, wire.Status],
-    candidate_statuses: dict[str, wire.Status],
+def _choose_candidate(
+    gateway: gateway_module.ServiceGateway,
+    service: catalog_module.Service,
+    pools: dict[str, pool_module.TargetPool],
+    states: dict[str, wire.Status],
     unanswered: list[str],
+) -> policy.Candidate | exceptions.Sentinel:
+    return policy.choose_candidate(
+        [
+            policy.ReplicaState(
+                target_id,
+                status.received,
+                pools[target_id].target.is_draining,
+            )
+            for target_id, status in states.items()
+        ],
+        [*unanswered, *gateway.group.unconfirmed_departures()],
+        service.is_synchronous,
+    )
+
+
+def _missing_commit_reason(
+    candidate: policy.Candidate | exceptions.Sentinel,
+    states: dict[str, wire.Status],
     service: catalog_module.Service,
     acknowledged_position: types.Position | None,
 ) -> str | None:
     """Return why the candidate may lack an acknowledged commit, or None."""
-    status = candidate_statuses.get(candidate.target_id)
-    if status is None:
-        return f'no answer from {candidate.target_id}'
-    if service.is_synchronous and unanswered:
-        return f'no answer from {", ".join(sorted(unanswered))}'
+    if isinstance(candidate, exceptions.Sentinel):
+        return candidate.reason
     if (
         service.is_synchronous
         and acknowledged_position is not None
-        and status.received < acknowledged_position
+        and states[candidate.target_id].received < acknowledged_position
     ):
         return f'{candidate.target_id} lacks commit {acknowledged_position}'
-    ahead_ids = [
-        target_id
-        for target_id, other in pause_statuses.items()
-        if other.received > status.received
-    ]
-    if ahead_ids:
-        return f'{", ".join(ahead_ids)} received more before the pause'
     return None
-
-
-def _replica_states(
-    answers: dict[str, wire.Status],
-    pools: dict[str, pool_module.TargetPool],
-) -> list[policy.ReplicaState]:
-    return [
-        policy.ReplicaState(
-            target_id,
-            status.received,
-            status.held > status.term,
-            pools[target_id].target.is_draining,
-        )
-        for target_id, status in answers.items()
-    ]
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -137,7 +137,7 @@
                 self._group.mark_not_primary(pool)
             return replies.failed_outcome(pool, reply)
         if work.commits and work.wrote_before and reply.position is not None:
-            self._group.record_commit(sent_ms, reply.position)
+            self._group.record_commit(pool, sent_ms, reply.position)
         return replies.answered_outcome(pool, reply)
 
     async def roll_back_abandoned(self, entry_host: str, number: int) -> None:
--- a/samphirestand/platform/promotion.py
+++ b/samphirestand/platform/promotion.py
@@ -1,7 +1,9 @@
 """Client of the platform call that makes a replica the primary."""
 
+import collections.abc
 import enum
 import json
+from typing import Any
 
 from tornado import httpclient
 
@@ -23,6 +25,10 @@
     UNKNOWN = 'unknown'  # the promotion may still take place
 
 
+class _SendingStopped(Exception):
+    """The body of a request was not sent."""
+
+
 class PromotionClient:
     """Orders the platform to promote replicas, with a fencing token."""
 
@@ -31,13 +37,29 @@
         self._client = httpclient.AsyncHTTPClient(force_instance=True)
 
     async def order(
-        self, service: str, target_id: str, holder: str, token: int
+        self,
+        service: str,
+        target_id: str,
+        holder: str,
+        token: int,
+        may_send: collections.abc.Callable[[], bool],
     ) -> tuple[PromotionAnswer, str]:
         """Order the platform to make ``target_id`` the primary of ``service``.
 
         Returns the answer and its text for the log. ``token`` is the fencing
-        token: the platform rejects one that is below the highest it has seen.
+        token. Not all platforms reject one that is below the highest seen, so
+        ``may_send`` is called once more when the connection is open: the
+        process may have been suspended meanwhile.
         """
+        body = json.dumps({'Service': service, 'Id': target_id}).encode()
+
+        def produce_body(
+            write: collections.abc.Callable[[bytes], Any],
+        ) -> Any:
+            if not may_send():
+                raise _SendingStopped
+            return write(body)
+
         request = httpclient.HTTPRequest(
             self._url,
             method='POST',
@@ -45,13 +67,16 @@
                 'Content-Type': 'application/json',
                 'X-Samphirestand-Duty-Holder': holder,
                 'X-Samphirestand-Fence-Token': str(token),
+                'Content-Length': str(len(body)),
             },
-            body=json.dumps({'Service': service, 'Id': target_id}),
+            body_producer=produce_body,
             connect_timeout=REQUEST_TIMEOUT_MS / 1000,
             request_timeout=REQUEST_TIMEOUT_MS / 1000,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
+        except _SendingStopped:
+            return PromotionAnswer.NOT_DONE, 'the token may have expired'
         except (httpclient.HTTPError, OSError) as error:
             return PromotionAnswer.UNKNOWN, str(error)
         text = (
--- a/samphirestand/platform/wire.py
+++ b/samphirestand/platform/wire.py
@@ -40,6 +40,7 @@
     'pause_text',
     'prepare_text',
     'set_text',
+    'step_down_text',
     'wait_for',
 ]
 
@@ -309,6 +310,11 @@
     return f'PAUSE {term}'
 
 
+def step_down_text(term: int) -> str:
+    """Return the command that makes a primary of a lower term a replica."""
+    return f'STEPDOWN {term}'
+
+
 def decode_status(data: str) -> Status | None:
     """Decode the row that answers STATUS, PAUSE or RESUME.
 
--- a/standins/database_group.py
+++ b/standins/database_group.py
@@ -44,7 +44,11 @@
 
 
 class DatabaseGroup:
-    """The servers of one service: a primary and replicas, each with a log."""
+    """The servers of one service: a primary and replicas, each with a log.
+
+    With ``primaries_go_on``, a primary that is replaced doesn't notice it: it
+    acts as the primary of its term until it is told to step down.
+    """
 
     def __init__(self, service: str, store: store_module.StoreStandin) -> None:
         self.service = service
@@ -55,6 +59,7 @@
         self.signatures: dict[str, str] = {}
         self._server_numbers = itertools.count(1)
         self.promotion_ms = 50
+        self.primaries_go_on = False
         store.on_promotion = self.order_promotion
 
     async def add(self, zone: str, port: int, is_primary: bool) -> 'Server':
@@ -66,8 +71,11 @@
 
     @property
     def primary(self) -> 'Server | None':
-        return next(
-            (each for each in self.servers.values() if each.is_primary), None
+        """Return the primary of the newest term."""
+        return max(
+            (each for each in self.servers.values() if each.is_primary),
+            key=lambda each: each.term,
+            default=None,
         )
 
     def order_promotion(self, service: str, server_id: str) -> bool:
@@ -89,11 +97,10 @@
         self.term += 1
         new_primary = self.servers[server_id]
         for server in self.servers.values():
-            server.is_primary = server is new_primary
-            server.paused_term = 0
-            if len(server.log) > len(new_primary.log):
-                del server.log[len(new_primary.log) :]
-        new_primary.term = self.term
+            if server.is_primary and self.primaries_go_on:
+                continue
+            server.follow(new_primary, self.term)
+        new_primary.is_primary = True
         for server in self.servers.values():
             server.register()
 
@@ -106,6 +113,8 @@
         for server in self.servers.values():
             if server is primary or not server.receives_log:
                 continue
+            if server.is_primary or server.term > primary.term:
+                continue
             server.log = list(primary.log)
             server.term = primary.term
             is_confirmed = True
@@ -189,6 +198,13 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def follow(self, primary: 'Server', term: int) -> None:
+        """Become a replica of the primary of ``term``."""
+        self.is_primary = False
+        self.paused_term = 0
+        self.term = term
+        del self.log[len(primary.log) :]
+
     @property
     def receives_log(self) -> bool:
         return self.is_running and not self.is_deaf and not self.paused_term
@@ -288,7 +304,7 @@
             case 'DISCARD':
                 session.values.clear()
                 session.prepared_by_name.clear()
-            case 'STATUS' | 'PAUSE' | 'RESUME':
+            case 'STATUS' | 'PAUSE' | 'RESUME' | 'STEPDOWN':
                 return self._run_control_command(command, argument_text)
             case 'BEGIN':
                 if argument_text != 'READ' and not self.is_primary:
@@ -340,6 +356,16 @@
             self.paused_term = int(argument_text)
         if command == 'RESUME':
             self.paused_term = 0
+        if (
+            command == 'STEPDOWN'
+            and self.is_primary
+            and int(argument_text) > self.term
+        ):
+            self.is_primary = False
+            newest = self.group.primary
+            if newest is not None:
+                self.follow(newest, newest.term)
+            self.register()
         role = 'primary' if self.is_primary else 'replica'
         return (
             f'DATAROW {role} {self.term} {self.position} {self.paused_term} '
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -70,7 +70,9 @@
         old_primary = fleet.group.primary
         old_primary.state = 'draining'
         old_primary.register()
-        await fleet.until(lambda: fleet.group.primary is not old_primary)
+        await fleet.until(
+            lambda: fleet.group.primary not in (None, old_primary)
+        )
         assert fleet.group.primary is servers[2]
         assert [('x', 'kept')] in servers[2].log
 
@@ -87,7 +89,7 @@
             old_primary.register()
             await fleet.until(
                 lambda old_primary=old_primary: (
-                    fleet.group.primary is not old_primary
+                    fleet.group.primary not in (None, old_primary)
                 )
             )
             await asyncio.sleep(0.2)
@@ -116,7 +118,7 @@
 
 def replica_state(target_id, offset, is_draining=False):
     return policy.ReplicaState(
-        target_id, types.Position(1, offset), False, is_draining
+        target_id, types.Position(1, offset), is_draining
     )
 
 
@@ -166,7 +168,7 @@
         others = [
             each
             for each in servers
-            if each is not candidate and not each.is_primary
+            if each is not candidate and each is not servers[0]
         ]
         assert all(each.paused_term for each in others)
         await fleet.until(lambda: candidate.is_primary)
