fleet: Make fewer calls to the store in large fleets

By the code: each host read the registry while it started (only hosts with jobs use it), read all hosts twice at start and every 30 s, all 18 job hosts polled the configuration every 1.9 s, and gateway hosts read the registry every second in the calm.

Also found: a host without jobs heard of a new job host only at its next read, up to 30 s later, and a host whose row was deleted by another host was never forgotten.

Change: pongs carry a digest of the job hosts; a host that differs from a job host for half a second reads the rows, less often while the difference stays. Rows of other hosts are renewed every 60 s. The registry is read by hosts with jobs only, every 2 s, and every 500 ms while a target is silent or a service has no primary. One job host a zone polls the configuration with short waits; the rest hear of versions with the pings or by long polls.

Ruled out: feeds with a long wait for the registry (heartbeats change it all the time).

--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -86,6 +86,7 @@
   isDraining @1 :Bool;
   catalogVersion @2 :UInt64;
   reachesStore @3 :Bool;
+  fleetDigest @4 :UInt32;  # of the job hosts; 0 if the sender tells none
 }
 
 struct Tokens {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -102,6 +102,7 @@
     is_draining: bool
     catalog_version: int
     reaches_store: bool = True
+    fleet_digest: int = 0  # of the job hosts; 0 if the sender tells none
 
 
 @dataclasses.dataclass(frozen=True)
@@ -200,6 +201,7 @@
             builder.isDraining = frame.is_draining
             builder.catalogVersion = frame.catalog_version
             builder.reachesStore = frame.reaches_store
+            builder.fleetDigest = frame.fleet_digest
         case TokenRequest():
             builder = message.init('tokenRequest')
             builder.call = frame.call_id
@@ -296,6 +298,7 @@
                 reader.isDraining,
                 reader.catalogVersion,
                 reader.reachesStore,
+                reader.fleetDigest,
             )
         case 'tokenRequest':
             reader = message.tokenRequest
--- a/samphirestand/fleet/job_hosts.py
+++ b/samphirestand/fleet/job_hosts.py
@@ -6,11 +6,12 @@
 
 import collections
 import collections.abc
+import hashlib
 
 from samphirestand.fleet import frames
 from samphirestand.hosts import rendezvous
 
-__all__ = ['choose_job_hosts', 'large_host_ids']
+__all__ = ['choose_job_hosts', 'digest', 'large_host_ids']
 
 # Live job hosts in each zone: enough that two of them may fail at once.
 JOB_HOSTS_PER_ZONE = 3
@@ -80,3 +81,9 @@
             chosen_ids.append(each.host_id)
             alive_count += each.host_id not in dead_ids
     return frozenset(chosen_ids)
+
+
+def digest(host_ids: collections.abc.Iterable[str]) -> int:
+    """Return 32 bits by which hosts compare their choices of job hosts."""
+    text = '\0'.join(sorted(host_ids)).encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=4).digest())
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -157,6 +157,7 @@
         # if it never did.
         self.last_answer_ms = clock.now()
         self.catalog_version = 0
+        self.fleet_digest = 0
         self.round_trip_ms = 0
         self._is_stopped = False
 
@@ -300,6 +301,7 @@
         self.is_silent = False
         self.last_answer_ms = self._clock.now()
         self.catalog_version = pong.catalog_version
+        self.fleet_digest = pong.fleet_digest
         sent_ms = self._sent_ms_by_sequence.pop(pong.sequence, None)
         if sent_ms is not None:
             self.round_trip_ms = self._clock.now() - sent_ms
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -41,14 +41,24 @@
 UNUSED_LINK_KEPT_MS = 10_000
 
 # How often a host renews its row and reads the rows of other hosts. Hosts that
-# aren't job hosts do so less often: they are many and change little.
+# aren't job hosts do so less often: they are many and change little, and job
+# hosts tell them when there are new job hosts.
 JOB_HOST_RENEW_MS = 10_000
-OTHER_HOST_RENEW_MS = 30_000
+OTHER_HOST_RENEW_MS = 60_000
 
-# Hosts that start together may miss each other's rows at the first read; the
-# second read after this time finds them.
+# Job hosts that start together may miss each other's rows at the first read;
+# the second read after this time finds them.
 SECOND_READ_DELAY_MS = 1_500
 
+# A host reads the rows when a job host has had another choice of job hosts
+# for this long: hosts that start together differ for a moment.
+DIFFERENCE_KEPT_MS = 500
+
+# Rows that were read because of such a difference are not read again for this
+# long, doubled up to the maximum while the difference stays.
+MIN_REREAD_INTERVAL_MS = 2_000
+MAX_REREAD_INTERVAL_MS = 60_000
+
 # The row of a host that doesn't answer is deleted when the host has missed
 # more renewals than this.
 MAX_MISSED_RENEWALS = 4
@@ -74,6 +84,9 @@
 # for a job.
 STORE_FAILURE_PAUSE_MS = 3_000
 
+# The job of following the configuration for the hosts of a zone.
+CATALOG_JOB = 'catalog'
+
 # How many host ids one log line lists.
 MAX_LOGGED_HOSTS = 10
 
@@ -133,6 +146,10 @@
         self._last_read_ms = clock.now()
         self._last_link_up_ms = clock.now()
         self._ping_round = 0
+        self.fleet_digest = 0
+        self._differs_since_ms: int | None = None
+        self._reread_interval_ms = MIN_REREAD_INTERVAL_MS
+        self._reread_wanted = asyncio.Event()
         self._choose_job_hosts()
 
     @property
@@ -164,6 +181,26 @@
         """Tell whether this host may run jobs for the fleet."""
         return self.local.host_id in self._job_host_ids
 
+    @property
+    def is_catalog_reader(self) -> bool:
+        """Tell whether this host follows the configuration for its zone.
+
+        One job host a zone does; the others learn from it of new versions.
+        """
+        if not self.is_job_host:
+            return False
+        candidates = [self.local.host_id] + [
+            each.peer.host_id
+            for each in self.up_links()
+            if each.peer.zone == self.local.zone
+            and each.peer.host_id in self._job_host_ids
+            and not each.is_draining
+        ]
+        return self.local.host_id == max(
+            candidates,
+            key=lambda host_id: rendezvous.score(host_id, CATALOG_JOB),
+        )
+
     @property
     def is_settled(self) -> bool:
         """Tell whether this host has links to the hosts that answer.
@@ -340,6 +377,7 @@
         hosts = self._hosts_by_id.values()
         self._large_ids = job_hosts.large_host_ids(hosts)
         self._token_source_ids = job_hosts.choose_job_hosts(hosts)
+        self.fleet_digest = job_hosts.digest(self._token_source_ids)
         self._replace_dead_job_hosts(self._dead_ids())
 
     def _dead_ids(self) -> frozenset[str]:
@@ -415,9 +453,33 @@
         """
         while True:
             self._update_links()
+            self._compare_digests()
             self.ping_once(start_round)
             await self._clock.sleep(PING_INTERVAL_MS)
 
+    def _compare_digests(self) -> None:
+        """Ask for the rows if job hosts know of others than this host does."""
+        differs = any(
+            each.fleet_digest not in (0, self.fleet_digest)
+            for each in self.up_links()
+            if each.peer.host_id in self._job_host_ids
+        )
+        if not differs:
+            self._differs_since_ms = None
+            self._reread_interval_ms = MIN_REREAD_INTERVAL_MS
+            return
+        now = self._clock.now()
+        if self._differs_since_ms is None:
+            self._differs_since_ms = now
+        if (
+            now - self._differs_since_ms >= DIFFERENCE_KEPT_MS
+            and now - self._last_read_ms >= self._reread_interval_ms
+        ):
+            self._reread_interval_ms = min(
+                2 * self._reread_interval_ms, MAX_REREAD_INTERVAL_MS
+            )
+            self._reread_wanted.set()
+
     def ping_once(self, start_round: StartRound) -> None:
         """Start a round and ping the hosts whose ping is due in it."""
         build_ping = start_round()
@@ -454,10 +516,11 @@
             try:
                 await self._write_row()
                 await self._read_rows()
-                if is_first:
+                if is_first and self.is_job_host:
                     await self._clock.sleep(SECOND_READ_DELAY_MS)
                     await self._read_rows()
-                    is_first = False
+                is_first = False
+                await self._reread_until_renewal()
             except exceptions.PlatformError as error:
                 if not has_failed:
                     _log.warning('host_registration_failed', reason=str(error))
@@ -465,7 +528,20 @@
                 await self._clock.sleep(STORE_RETRY_MS)
                 continue
             has_failed = False
-            await self._clock.sleep(self._renew_ms)
+
+    async def _reread_until_renewal(self) -> None:
+        """Read the rows whenever that is wanted, until the row is renewed."""
+        renew_at_ms = self._clock.now() + self._renew_ms
+        while True:
+            remaining_ms = renew_at_ms - self._clock.now()
+            self._reread_wanted.clear()
+            try:
+                async with asyncio.timeout(max(0, remaining_ms) / 1000):
+                    await self._reread_wanted.wait()
+            except TimeoutError:
+                return
+            _log.info('hosts_read_again', known=self.host_count)
+            await self._read_rows()
 
     @property
     def _renew_ms(self) -> int:
@@ -488,7 +564,7 @@
     async def _read_rows(self) -> None:
         feed = await self._store.read(HOSTS_TABLE)
         now = self._clock.now()
-        if now - self._last_read_ms > JOB_HOST_RENEW_MS * MAX_MISSED_RENEWALS:
+        if now - self._last_read_ms > self._renew_ms * MAX_MISSED_RENEWALS:
             # The store was unavailable, so no host could renew its row.
             self._seen_versions_by_id.clear()
         self._last_read_ms = now
@@ -510,10 +586,26 @@
                 continue
             if is_new:
                 hellos.append(_hello_from_row(row.key, model))
+        self._remove_deleted({row.key for row in feed.rows})
         self.add_hosts(hellos)
         if self._first_read_ms is None:
             self._first_read_ms = now
 
+    def _remove_deleted(self, present_ids: set[str]) -> None:
+        """Remove hosts whose row another host has deleted."""
+        removed_ids = [
+            host_id
+            for host_id in self._seen_versions_by_id.keys() - present_ids
+            if not self._is_reachable(host_id)
+        ]
+        for host_id in removed_ids:
+            del self._seen_versions_by_id[host_id]
+            if self._hosts_by_id.pop(host_id, None) is not None:
+                _log.info('host_removed', peer=host_id)
+            self._close_link(host_id)
+        if removed_ids:
+            self._choose_job_hosts()
+
     def _is_reachable(self, host_id: str) -> bool:
         link = self._links_by_id.get(host_id)
         return host_id == self.local.host_id or (
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -109,6 +109,7 @@
                 self._members.is_draining,
                 self._catalog.current.version,
                 self._members.reaches_store,
+                self._members.fleet_digest,
             )
         )
 
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -1,5 +1,6 @@
 """Follows the operators' configuration and the targets in the store."""
 
+import asyncio
 import collections.abc
 import dataclasses
 
@@ -10,7 +11,14 @@
 from samphirestand.platform import records
 from samphirestand.platform import store as store_module
 
-__all__ = ['CatalogWatch', 'Departure', 'TargetWatch']
+__all__ = [
+    'RELAXED_TARGETS_INTERVAL_MS',
+    'TARGETS_INTERVAL_MS',
+    'URGENT_TARGETS_INTERVAL_MS',
+    'CatalogWatch',
+    'Departure',
+    'TargetWatch',
+]
 
 # How long a poll of the feed waits for a change. A configuration must be in
 # force within 3 s of its acknowledgement, and a feed whose connection has gone
@@ -24,14 +32,15 @@
 # Interval between reads of the registry. Registrations change with each
 # heartbeat, so a poll that waits for a change would return at once. A leaving
 # target must be known within 7 s.
-TARGETS_INTERVAL_MS = 1_000
+TARGETS_INTERVAL_MS = 2_000
+
+# Interval while a target doesn't answer or a service has no primary: whether
+# its registration has lapsed decides what happens next.
+URGENT_TARGETS_INTERVAL_MS = 500
 
 # Interval between reads on hosts that are the gateway of no service.
 RELAXED_TARGETS_INTERVAL_MS = 3_000
 
-# How often a host that doesn't use the registry checks whether it has to.
-NEEDED_CHECK_INTERVAL_MS = 250
-
 # Delay between attempts to read while the store can't be reached.
 STORE_RETRY_MS = 400
 
@@ -150,13 +159,29 @@
         self._missing_since_ms_by_id: dict[str, int] = {}
         self._departures: list[Departure] = []
         self._removal_paused_until_ms = 0
-        # Set from outside: ``is_relaxed`` if this host is the gateway of no
-        # service, so that reads may be less frequent, and ``is_needed`` if
-        # this host uses the registry.
-        self.is_relaxed = False
-        self.is_needed = True
+        self._interval_ms = TARGETS_INTERVAL_MS
+        self._interval_shortened = asyncio.Event()
+        self._needed = asyncio.Event()
         self.has_read = False
 
+    @property
+    def is_needed(self) -> bool:
+        """Tell whether this host uses the registry; set from outside."""
+        return self._needed.is_set()
+
+    @is_needed.setter
+    def is_needed(self, value: bool) -> None:
+        if value:
+            self._needed.set()
+        else:
+            self._needed.clear()
+
+    def set_interval(self, interval_ms: int) -> None:
+        """Set the interval between reads; a shorter one takes effect now."""
+        if interval_ms < self._interval_ms:
+            self._interval_shortened.set()
+        self._interval_ms = interval_ms
+
     def of_service(self, service: str) -> list[catalog_module.Target]:
         """Return the targets of a service, draining ones included."""
         return [
@@ -209,9 +234,7 @@
         version: int | None = None
         has_failed = False
         while True:
-            if not self.is_needed:
-                await self._clock.sleep(NEEDED_CHECK_INTERVAL_MS)
-                continue
+            await self._needed.wait()
             try:
                 version = await self._read_registry(version)
             except exceptions.PlatformError as error:
@@ -230,11 +253,20 @@
             has_failed = False
             self.has_read = True
             self._remove_missing(now)
-            await self._clock.sleep(
-                RELAXED_TARGETS_INTERVAL_MS
-                if self.is_relaxed
-                else TARGETS_INTERVAL_MS
-            )
+            await self._wait_until_due(now)
+
+    async def _wait_until_due(self, read_ms: int) -> None:
+        """Wait until the interval since the last read has passed."""
+        while True:
+            remaining_ms = read_ms + self._interval_ms - self._clock.now()
+            if remaining_ms <= 0:
+                return
+            self._interval_shortened.clear()
+            try:
+                async with asyncio.timeout(remaining_ms / 1000):
+                    await self._interval_shortened.wait()
+            except TimeoutError:
+                pass
 
     async def _read_registry(self, version: int | None) -> int | None:
         table = records.TARGETS_TABLE
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -233,13 +233,25 @@
                 if not is_owner and self._is_unused(gateway):
                     self._close_gateway(gateway)
             self._announce_claims(frames.Claims(zones_by_service))
-            self._targets.is_relaxed = not self._gateways_by_service
+            self._targets.set_interval(self._registry_interval_ms())
             await self._clock.sleep(
-                IDLE_HOST_MAINTENANCE_INTERVAL_MS
-                if self._targets.is_relaxed
-                else MAINTENANCE_INTERVAL_MS
+                MAINTENANCE_INTERVAL_MS
+                if self._gateways_by_service
+                else IDLE_HOST_MAINTENANCE_INTERVAL_MS
             )
 
+    def _registry_interval_ms(self) -> int:
+        """Return how often the registry is read, by what depends on it."""
+        if not self._gateways_by_service:
+            return watch.RELAXED_TARGETS_INTERVAL_MS
+        for gateway in self._gateways_by_service.values():
+            group = gateway.group
+            if group.primary is None or any(
+                pool.needs_probe for pool in group.pools_by_id.values()
+            ):
+                return watch.URGENT_TARGETS_INTERVAL_MS
+        return watch.TARGETS_INTERVAL_MS
+
     def _is_unused(self, gateway: gateway_module.ServiceGateway) -> bool:
         unused_ms = self._clock.now() - gateway.last_used_ms
         return gateway.is_idle and unused_ms > UNUSED_GATEWAY_MS
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -167,8 +167,9 @@
         while not (
             self.members.is_settled
             and self.catalog.current.version > 0
-            and self.targets.has_read
+            and (self.targets.has_read or not self._uses_registry)
         ):
+            self._adjust_store_reads()
             await self._clock.sleep(START_CHECK_INTERVAL_MS)
         # Pings carry rate tokens: this one brings the first tokens to the
         # hosts that hand them out.
@@ -191,11 +192,17 @@
 
     def _adjust_store_reads(self) -> None:
         """Reduce reads of the store to what this host's jobs need."""
-        is_settled = self.members.is_settled
-        does_jobs = self.members.is_job_host
-        self.catalog.is_relaxed = is_settled and not does_jobs
-        self.targets.is_needed = (
-            does_jobs or not is_settled or self.gateways.has_gateways
+        members = self.members
+        self.catalog.is_relaxed = (
+            members.is_settled and not members.is_catalog_reader
+        )
+        self.targets.is_needed = self._uses_registry
+
+    @property
+    def _uses_registry(self) -> bool:
+        """Tell whether this host has a job that needs the registry."""
+        return self.members.knows_fleet and (
+            self.members.is_job_host or self.gateways.has_gateways
         )
 
     def _start_ping_round(
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -24,6 +24,10 @@
         self.last_used_ms = now
         self.claims = frames.Claims({})
         self.claims_received_ms = 0
+        self.fleet_digest = 0
+
+    def stop(self):
+        self.is_up = False
 
 
 @pytest.fixture
@@ -209,3 +213,78 @@
     assert not members.is_settled
     clock.set(clock.now() + 300)
     assert members.is_settled
+
+
+def test_rows_are_read_again_when_a_job_host_knows_other_job_hosts(
+    members, clock
+):
+    """Fails if a host learns of a new gateway host only at its renewal."""
+    members._links_by_id['s0'].fleet_digest = members.fleet_digest + 1
+    clock.set(clock.now() + members_module.MIN_REREAD_INTERVAL_MS)
+    members._compare_digests()
+    assert not members._reread_wanted.is_set()
+    clock.set(clock.now() + members_module.DIFFERENCE_KEPT_MS)
+    members._compare_digests()
+    assert members._reread_wanted.is_set()
+
+
+def test_rows_are_read_less_often_while_a_difference_stays(members, clock):
+    """Fails if hosts that disagree for long load the store."""
+    members._links_by_id['s0'].fleet_digest = members.fleet_digest + 1
+    reads = 0
+    for _ in range(600):
+        clock.set(clock.now() + 100)
+        members._compare_digests()
+        if members._reread_wanted.is_set():
+            members._reread_wanted.clear()
+            members._last_read_ms = clock.now()
+            reads += 1
+    assert reads <= 6
+
+
+@pytest.mark.parametrize('digest', [0, None])
+def test_rows_are_not_read_again_while_job_hosts_agree(members, clock, digest):
+    """Fails if hosts of an earlier version, without a digest, cause reads."""
+    for link in members._links_by_id.values():
+        link.fleet_digest = members.fleet_digest if digest is None else digest
+    clock.set(clock.now() + 60_000)
+    members._compare_digests()
+    assert not members._reread_wanted.is_set()
+
+
+def test_host_whose_row_was_deleted_is_forgotten(members):
+    """Fails if a host that left stays a candidate for jobs."""
+    members._seen_versions_by_id = {'s0': (1, 0), 's1': (2, 0), 'n1': (3, 0)}
+    for host_id in ('s0', 's1'):
+        members._tasks_by_id[host_id] = unittest.mock.Mock()
+    members._links_by_id['s0'].is_up = False
+    members._remove_deleted({'n1'})
+    assert 's0' not in members._hosts_by_id
+    assert 's0' not in members._job_host_ids
+    assert 's1' in members._hosts_by_id  # it still answers
+
+
+def test_one_job_host_of_a_zone_follows_the_configuration(clock):
+    """Fails if no host of a zone follows it, or all of them do."""
+    readers = []
+    for own_id in ('n0', 'n1', 'n2'):
+        local = frames.Hello(own_id, 'north', '127.0.0.1', 1, 1)
+        created = members_module.Members(local, clock, None, lambda: None)
+        for peer_id in {'n0', 'n1', 'n2', 's0'} - {own_id}:
+            zone = 'south' if peer_id == 's0' else 'north'
+            link = FakeLink(peer_id, zone, clock.now())
+            created._links_by_id[peer_id] = link
+            created._hosts_by_id[peer_id] = link.peer
+        created._choose_job_hosts()
+        if created.is_catalog_reader:
+            readers.append(own_id)
+    assert len(readers) == 1
+
+
+def test_another_host_follows_the_configuration_when_the_reader_fails(
+    members,
+):
+    """Fails if a zone hears of changes only while one host is up."""
+    for link in links_in_zones(members, ['north']):
+        link.is_up = False
+    assert members.is_catalog_reader
