gateway: Send the steps before a statement together

Ruled out: sending a statement together with BEGIN or SET. If BEGIN fails, the statement would run outside its transaction, on a replica that may lack its position or with other values. Writes wait for their preparation too: on a connection that the target has closed, they would be in doubt.

Change: PARSE goes with the read that needs it, and with BEGIN; within a transaction all steps go with the statement, since the target refuses what follows a failed step.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -255,8 +255,8 @@
 
     def preparation(
         self, work: work_module.Work
-    ) -> list[connection_module.TargetStatement]:
-        return []
+    ) -> connection_module.Preparation:
+        return connection_module.Preparation([], sets_values=False)
 
     def text(self, work: work_module.Work) -> str:
         return work.text
--- a/samphirestand/gateway/connection.py
+++ b/samphirestand/gateway/connection.py
@@ -10,7 +10,13 @@
 from samphirestand import types
 from samphirestand import work as work_module
 
-__all__ = ['Reply', 'TargetConnection', 'TargetStatement', 'open_connection']
+__all__ = [
+    'Preparation',
+    'Reply',
+    'TargetConnection',
+    'TargetStatement',
+    'open_connection',
+]
 
 # Prepared statements kept on one connection. More are rare; beyond this number
 # DISCARD drops all of them.
@@ -25,6 +31,19 @@
     text: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Preparation:
+    """The steps that a connection needs before a statement can run on it.
+
+    If one fails that sets the session's values, a statement sent together
+    with it would run with wrong values. A prepared statement that is missing
+    can't run at all.
+    """
+
+    steps: list[TargetStatement]
+    sets_values: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class Reply:
     """A target's complete answer to one statement."""
@@ -64,7 +83,7 @@
         """
         return not self._connection.is_closed and not self._connection.has_line
 
-    def preparation(self, work: work_module.Work) -> list[TargetStatement]:
+    def preparation(self, work: work_module.Work) -> Preparation:
         """Return the steps that prepare the connection for ``work``.
 
         They set session values and prepare the statement. The connection
@@ -86,15 +105,16 @@
                     )
                 )
                 self.session_values[name] = value
+        sets_values = bool(steps)
         if work.mode is None or (work.mode, work.shape) in (
             self._prepared_names_by_shape
         ):
-            return steps
+            return Preparation(steps, sets_values)
         name = f'p{next(self._prepared_name_numbers)}'
         self._prepared_names_by_shape[work.mode, work.shape] = name
         text = wire.prepare_text(name, work.mode, work.shape)
         steps.append(TargetStatement(wire.PROXY_REQUEST_ID, text))
-        return steps
+        return Preparation(steps, sets_values)
 
     def count_missing_steps(self, work: work_module.Work) -> int:
         """Return roughly how many setup steps ``work`` needs here."""
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -441,29 +441,28 @@
             pool.avoid_until_ms = self._clock.now() + FAILED_TARGET_PAUSE_MS
             return Retry(str(error))
 
-        # Session values and the prepared statement must be in place on the
-        # connection before the statement runs.
-        has_begun = False
+        preparation = connection.preparation(work)
+        begin_step = _begin_step(slot_request)
+        first_steps = preparation.steps
         try:
-            code = await replies.prepare_connection(
-                pool,
-                connection,
-                work,
-                slot_request.remaining_ms(self._clock.now()),
-            )
-            if code is not None:
-                pool.discard(connection)
-                return Retry(f'prepare: {code}')
-            begin_step = _begin_step(slot_request)
-            if begin_step is not None:
-                refusal = await self._begin_transaction(
-                    pool, connection, slot_request, begin_step
+            if (
+                begin_step is not None
+                or preparation.sets_values
+                or (first_steps and work.writes)
+            ):
+                retry = await self._run_first_steps(
+                    pool, connection, slot_request, first_steps, begin_step
                 )
-                if refusal is not None:
-                    return refusal
-                has_begun = True
+                if retry is not None:
+                    return retry
+                first_steps = []
             return await self._run_statement(
-                entry_host, pool, connection, slot_request, has_begun
+                entry_host,
+                pool,
+                connection,
+                slot_request,
+                first_steps,
+                has_begun=begin_step is not None,
             )
         except exceptions.AnswerLost as error:
             pool.discard(connection)
@@ -471,25 +470,40 @@
                 pool, slot_request, error, is_sent=False
             )
 
-    async def _begin_transaction(
+    async def _run_first_steps(
         self,
         pool: pool_module.TargetPool,
         connection: connection_module.TargetConnection,
         slot_request: slot_queue.SlotRequest,
-        step: connection_module.TargetStatement,
+        steps: list[connection_module.TargetStatement],
+        begin_step: connection_module.TargetStatement | None,
     ) -> Retry | work_module.Outcome | None:
+        """Prepare the connection and begin a transaction, if one is needed.
+
+        The statement is sent only after these steps: outside its transaction
+        it could run on a replica that lacks its position, with other session
+        values, or, as a write, on a connection that the target has closed.
+        """
         sent_ms = self._clock.now()
-        [reply] = await pool.run(
-            connection, [step], slot_request.remaining_ms(self._clock.now())
+        begin_steps = [] if begin_step is None else [begin_step]
+        step_replies = await pool.run(
+            connection,
+            [*steps, *begin_steps],
+            slot_request.remaining_ms(sent_ms),
         )
-        if reply.error is None:
-            if step.text == wire.BEGIN and reply.position is not None:
-                self.group.record_primary_position(
-                    pool, sent_ms, reply.position
-                )
+        code = replies.first_error(step_replies[: len(steps)])
+        if code is not None:
+            pool.discard(connection)
+            return Retry(f'prepare: {code}')
+        if begin_step is None:
             return None
-        pool.checkin(connection)
-        return self._handle_error(pool, slot_request, reply)
+        reply = step_replies[-1]
+        if reply.error is not None:
+            pool.checkin(connection)
+            return self._handle_error(pool, slot_request, reply)
+        if begin_step.text == wire.BEGIN and reply.position is not None:
+            self.group.record_primary_position(pool, sent_ms, reply.position)
+        return None
 
     async def _run_statement(
         self,
@@ -497,14 +511,20 @@
         pool: pool_module.TargetPool,
         connection: connection_module.TargetConnection,
         slot_request: slot_queue.SlotRequest,
+        first_steps: list[connection_module.TargetStatement],
+        *,
         has_begun: bool,
     ) -> work_module.Outcome | Retry:
+        """Run the statement, together with ``first_steps`` that prepare it."""
         work = slot_request.work
         is_transaction = work.stage is work_module.Stage.OPEN
         text = connection.text(work)
         if not has_begun and not work.writes:
             text = wire.wait_for(slot_request.minimum_position, text)
-        steps = [connection_module.TargetStatement(work.request_id, text)]
+        steps = [
+            *first_steps,
+            connection_module.TargetStatement(work.request_id, text),
+        ]
         if has_begun and not is_transaction:
             steps.append(
                 connection_module.TargetStatement(
@@ -527,7 +547,12 @@
             return self._handle_lost_answer(
                 pool, slot_request, error, is_sent=True
             )
-        reply = step_replies[0]
+        code = replies.first_error(step_replies[: len(first_steps)])
+        if code is not None:
+            # The statement was not run, since its name is unknown there.
+            pool.discard(connection)
+            return Retry(f'prepare: {code}')
+        reply = step_replies[len(first_steps)]
         if is_transaction:
             transaction.is_running = False
             if work.commits or reply.state == wire.STATE_IDLE:
--- a/samphirestand/gateway/replies.py
+++ b/samphirestand/gateway/replies.py
@@ -1,5 +1,7 @@
 """Steps that single statements and open transactions share."""
 
+import collections.abc
+
 from samphirestand import exceptions
 from samphirestand.gateway import connection as connection_module
 from samphirestand.gateway import pool as pool_module
@@ -10,32 +12,22 @@
 __all__ = [
     'answered_outcome',
     'failed_outcome',
+    'first_error',
     'log_lost_answer',
-    'prepare_connection',
     'return_connection',
 ]
 
 _log = log.get_logger(__name__)
 
 
-async def prepare_connection(
-    pool: pool_module.TargetPool,
-    connection: connection_module.TargetConnection,
-    work: work_module.Work,
-    timeout_ms: int,
+def first_error(
+    step_replies: collections.abc.Iterable[connection_module.Reply],
 ) -> str | None:
-    """Run the setup steps that ``work`` needs on a connection.
-
-    Returns the code of the first error, None if all steps succeed. Raises
-    ``AnswerLost``.
-    """
-    steps = connection.preparation(work)
-    if not steps:
-        return None
-    for reply in await pool.run(connection, steps, timeout_ms):
-        if reply.error is not None:
-            return reply.error.code
-    return None
+    """Return the code of the first error, None if all steps succeeded."""
+    return next(
+        (each.error.code for each in step_replies if each.error is not None),
+        None,
+    )
 
 
 def return_connection(
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -98,25 +98,23 @@
         sent_ms = self._clock.now()
         is_sent = False
         try:
-            code = await replies.prepare_connection(
-                pool,
+            # Sent together: if a step fails, the target refuses all further
+            # statements of the transaction.
+            steps = connection.preparation(work).steps
+            statement = connection_module.TargetStatement(
+                work.request_id, connection.text(work)
+            )
+            is_sent = True
+            *step_replies, reply = await pool.run(
                 connection,
-                slot_request.work,
+                [*steps, statement],
                 slot_request.remaining_ms(self._clock.now()),
             )
+            code = replies.first_error(step_replies)
             if code is not None:
                 self.remove(entry_host, work.transaction)
                 pool.discard(connection)
                 return work_module.Refused('ABORTED', f'prepare: {code}')
-            is_sent = True
-            step = connection_module.TargetStatement(
-                work.request_id, connection.text(work)
-            )
-            [reply] = await pool.run(
-                connection,
-                [step],
-                slot_request.remaining_ms(self._clock.now()),
-            )
         except exceptions.AnswerLost as error:
             self.remove(entry_host, work.transaction)
             pool.discard(connection)
