fleet, gateway: Survive unexpected errors, reconnections and stale peers

Looked for what operators of similar systems reported:

- One unexpected error ended a job of the process for good (ping rounds, maintenance of gateways, following the store), while the process went on.
Such jobs are now logged and started again.
- A host that had been silent reconnected; the late end of its earlier connection then rolled back the transactions that it ran on the new one, since both have the same owner.
They now go on.
A transaction that its entry host gave up while its message was lost is rolled back when it has been idle for longer than entry hosts allow.
- A host that starts while it can't read the store fetched the configuration from the first host with a newer version, not from the one with the newest, which could bring back a withdrawn key for a moment.

Ruled out by reading: a malformed frame or line ends its connection only.

--- a/samphirestand/fleet/catalog_exchange.py
+++ b/samphirestand/fleet/catalog_exchange.py
@@ -77,7 +77,15 @@
         if now - self._behind_since_ms < PULL_AFTER_MS:
             return
         if self._fetch_task is None or self._fetch_task.done():
-            self._fetch_task = asyncio.create_task(self._fetch_from(link))
+            # After a restart, an older version than the newest could bring
+            # back a key that was withdrawn before.
+            newest_link = max(
+                [link, *self._members.up_links()],
+                key=lambda each: each.catalog_version,
+            )
+            self._fetch_task = asyncio.create_task(
+                self._fetch_from(newest_link)
+            )
 
     async def _fetch_from(self, link: links.Link) -> None:
         answer = await link.request(
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -89,9 +89,15 @@
 
     def handle_disconnect(self, connection: links.FrameConnection) -> None:
         self._inbound_connections.discard(connection)
-        self._background.spawn(
-            self._gateways.abandon_all(_owner_id(connection))
-        )
+        owner_id = _owner_id(connection)
+        if any(
+            _owner_id(each) == owner_id for each in self._inbound_connections
+        ):
+            # The host has connected again already, and its transactions go
+            # on there. Those that it has given up are rolled back when they
+            # have been idle for too long.
+            return
+        self._background.spawn(self._gateways.abandon_all(owner_id))
 
     async def _run_work(
         self, connection: links.FrameConnection, frame: frames.WorkFrame
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -116,6 +116,10 @@
         """Roll back a transaction whose caller has disconnected."""
         await self._transactions.roll_back_abandoned(entry_host, number)
 
+    async def roll_back_idle(self, max_idle_ms: int) -> None:
+        """Roll back transactions that their entry host has given up."""
+        await self._transactions.roll_back_idle(max_idle_ms)
+
     async def roll_back_all_abandoned(self, entry_host: str) -> None:
         """Roll back all transactions of an entry host that disconnected."""
         await self._transactions.roll_back_all_abandoned(entry_host)
@@ -555,6 +559,7 @@
         reply = step_replies[len(first_steps)]
         if is_transaction:
             transaction.is_running = False
+            transaction.last_used_ms = self._clock.now()
             if work.commits or reply.state == wire.STATE_IDLE:
                 self._transactions.remove(entry_host, work.transaction)
                 replies.return_connection(pool, connection, reply)
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -54,6 +54,10 @@
 MAX_LAGGING_READS = 5
 PAUSED_REPLICA_CHECK_INTERVAL_MS = 2_000
 
+# How much longer than operators allow a transaction may be idle here before it
+# counts as given up: the entry host ends it first unless it is cut off.
+ORPHAN_MARGIN_MS = 3_000
+
 # How often a former primary is told that there is a later one, until it
 # registers as a replica.
 STEP_DOWN_INTERVAL_MS = 1_000
@@ -288,6 +292,12 @@
                 )
             elif self._members.is_zone_silent(pool.target.zone):
                 pool.record_failure()
+        self._start_unless_running(
+            f'roll_back_idle/{service.name}',
+            gateway.roll_back_idle(
+                self._catalog().idle_transaction_ms + ORPHAN_MARGIN_MS
+            ),
+        )
         if not is_owner:
             return
         gateway.review_waiting()
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -25,6 +25,7 @@
 
     pool: pool_module.TargetPool
     connection: connection_module.TargetConnection
+    last_used_ms: int
     is_running: bool = True
 
 
@@ -59,7 +60,7 @@
 
         It can then be rolled back if the caller disconnects meanwhile.
         """
-        transaction = Transaction(pool, connection)
+        transaction = Transaction(pool, connection, self._clock.now())
         pool.pinned_count += 1
         self._open_by_key[entry_host, number] = transaction
         return transaction
@@ -126,6 +127,7 @@
             if needs_slot:
                 self._queue.release_slot(pool)
         transaction.is_running = False
+        transaction.last_used_ms = self._clock.now()
         if is_end or reply.state == wire.STATE_IDLE:
             self.remove(entry_host, work.transaction)
             replies.return_connection(pool, connection, reply)
@@ -164,3 +166,24 @@
         for each, number in list(self._open_by_key):
             if each == entry_host:
                 await self.roll_back_abandoned(each, number)
+
+    async def roll_back_idle(self, max_idle_ms: int) -> None:
+        """Roll back transactions that were idle for longer than a limit.
+
+        The entry host ends a transaction before that. It has given up the
+        ones that are left, but the message was lost.
+        """
+        used_before_ms = self._clock.now() - max_idle_ms
+        for key, transaction in list(self._open_by_key.items()):
+            if (
+                not transaction.is_running
+                and transaction.last_used_ms < used_before_ms
+            ):
+                entry_host, number = key
+                _log.info(
+                    'orphaned_transaction',
+                    owner=entry_host,
+                    number=number,
+                    target=transaction.pool.target.target_id,
+                )
+                await self.roll_back_abandoned(entry_host, number)
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -137,14 +137,14 @@
         settings = self.settings
         await self.peers.start(settings.peers.address, settings.peers.port)
         for job in (
-            self.catalog.run(),
-            self.targets.run(),
-            self.members.register_forever(),
-            self.members.ping_forever(self._start_ping_round),
-            self.gateways.maintain_forever(),
-            self._close_sessions_while_isolated(),
+            self.catalog.run,
+            self.targets.run,
+            self.members.register_forever,
+            self._ping_forever,
+            self.gateways.maintain_forever,
+            self._close_sessions_while_isolated,
         ):
-            self._background.spawn(job)
+            self._background.keep_running(job, self._clock)
         self._background.spawn(self._listen_for_callers())
         readiness_application = web.Application(
             [('/-/ready', _ReadyHandler, {'node': self})],
@@ -158,6 +158,9 @@
         self._start_http_server(metrics, settings.metrics)
         _log.info('started', zone=settings.zone, callers=str(settings.callers))
 
+    async def _ping_forever(self) -> None:
+        await self.members.ping_forever(self._start_ping_round)
+
     async def _listen_for_callers(self) -> None:
         """Listen for callers once their statements can reach a gateway.
 
--- a/tests/fleet/test_catalog_exchange.py
+++ b/tests/fleet/test_catalog_exchange.py
@@ -12,10 +12,16 @@
 
 
 class FakeMembers:
-    """Tells whether this host is a job host."""
+    """Tells whether this host is a job host, and holds its links."""
 
     is_job_host = True
 
+    def __init__(self):
+        self.links = []
+
+    def up_links(self):
+        return self.links
+
 
 class FakeCatalog:
     """Holds a configuration and adopts any newer version."""
@@ -110,3 +116,15 @@
     link.catalog_version = 7
     review_links(exchange, [link], 2_000)
     assert link.sent_frames == []
+
+
+def test_newest_version_is_fetched_where_hosts_have_several(exchange):
+    """Fails if a restarted host adopts a key that was withdrawn before.
+
+    Hosts that can't read the store may still have an older version.
+    """
+    links = [FakeLink('host-1', 8), FakeLink('host-2', 9)]
+    exchange._members.links = links
+    review_links(exchange, links, 1_000)
+    assert exchange._catalog.current.version == 9
+    assert exchange._catalog.sources == ['host-2']
