targets: Keep a cancellation that comes together with an answer

Cause: asyncio.wait_for of Python 3.11 returns the result of an inner task that has just ended instead of the cancellation.

Ruled out: context.wait_for, which uses asyncio.wait and keeps cancellations.

Before: the new test fails at three of four moments. After: it passes.

--- a/samphirestand/targets/connection.py
+++ b/samphirestand/targets/connection.py
@@ -111,9 +111,10 @@
         self._has_pending_call = True
         has_answer = False
         try:
-            answer = await asyncio.wait_for(
-                self._send_and_receive(call_id, text), timeout_ms / 1000
-            )
+            # Not asyncio.wait_for: that of Python 3.11 returns the answer
+            # instead of a cancellation that comes at the same moment.
+            async with asyncio.timeout(timeout_ms / 1000):
+                answer = await self._send_and_receive(call_id, text)
             has_answer = True
         except TimeoutError as error:
             raise self._call_error(
--- a/tests/targets/test_connection.py
+++ b/tests/targets/test_connection.py
@@ -234,3 +234,33 @@
                 assert answer.state.server == 'a'
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize('turns', [0, 1, 2, 3])
+def test_cancellation_is_kept_when_an_answer_comes_at_that_moment(
+    connector, turns
+):
+    """Guards against a gateway whose stop never ends.
+
+    Its probe went on after it had been cancelled, and the stop waits for it.
+    """
+
+    async def main():
+        async with servers.database_server() as server:
+            session = await connector.connect(server.url, 'host-1', 5_000)
+            answer = asyncio.get_running_loop().create_future()
+
+            async def receive(call_id, text):
+                return await answer
+
+            session._send_and_receive = receive
+            call = asyncio.create_task(session.call(messages.Status(), 5_000))
+            await asyncio.sleep(0.01)
+            answer.set_result(None)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            if call.cancel():
+                await asyncio.wait([call])
+                assert call.cancelled()
+
+    asyncio.run(main())
