platform: Withdraw an order that got no answer from the network

Cause, by reading: an order that timed out was closed, not reset, so the kernel went on sending what a partition had held up. Where the platform doesn't compare tokens, it could arrive after a later holder's order and promote a replica that lacks commits.

Ruled out: a shorter timeout (the bytes stay in the kernel whatever it is), TCP_USER_TIMEOUT (a partition may end just before it).

Change: connections for orders are reset when they are closed. Calls to the store don't need it: their writes carry the row's version.

--- a/samphirestand/platform/promotion.py
+++ b/samphirestand/platform/promotion.py
@@ -6,8 +6,12 @@
 from typing import Any
 
 from tornado import httpclient
+from tornado import iostream
+from tornado import simple_httpclient
+from tornado import tcpclient
 
 from samphirestand import node_settings
+from samphirestand import sockets
 
 __all__ = ['PromotionAnswer', 'PromotionClient']
 
@@ -29,12 +33,27 @@
     """The body of a request was not sent."""
 
 
+class _ResettingTCPClient(tcpclient.TCPClient):
+    """Opens connections that are reset when they are closed."""
+
+    async def connect(self, *args: Any, **kwargs: Any) -> iostream.IOStream:
+        stream = await super().connect(*args, **kwargs)
+        sockets.discard_unsent_on_close(stream.socket)
+        return stream
+
+
 class PromotionClient:
     """Orders the platform to promote replicas, with a fencing token."""
 
     def __init__(self, endpoint: node_settings.Endpoint) -> None:
         self._url = f'http://{endpoint}/promotion'
-        self._client = httpclient.AsyncHTTPClient(force_instance=True)
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True
+        )
+        # An order that timed out must not arrive after a later one.
+        self._client.tcp_client = _ResettingTCPClient(
+            resolver=self._client.resolver
+        )
 
     async def order(
         self,
--- a/samphirestand/sockets.py
+++ b/samphirestand/sockets.py
@@ -1,8 +1,9 @@
-"""TCP socket options with which the kernel detects unresponsive peers."""
+"""TCP socket options for peers that stop responding."""
 
 import socket
+import struct
 
-__all__ = ['set_timeouts']
+__all__ = ['discard_unsent_on_close', 'set_timeouts']
 
 # Time without an acknowledgement after which the kernel drops a connection.
 # Below the 3 s after which a target drops a silent connection by itself.
@@ -22,3 +23,14 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_MS
     )
+
+
+def discard_unsent_on_close(sock: socket.socket) -> None:
+    """Reset the connection when it is closed.
+
+    Otherwise the kernel goes on sending what a network partition has held up,
+    for minutes after the close.
+    """
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
