--- a/tests/platform/test_promotion.py
+++ b/tests/platform/test_promotion.py
@@ -59,9 +59,8 @@
     async def scenario():
         async def respond(reader, writer):
             await reader.readuntil(b'}')
-            writer.write(
-                f'HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}'.encode()
-            )
+            head = f'HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n'
+            writer.write(head.encode() + b'{}')
 
         server = await asyncio.start_server(respond, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
