fleet: Notice in all hosts of a zone soon that it is cut off

Cause, by reading: hosts without jobs pinged links without requests once a second, all in the same round, and counted a link as down after four unanswered pings. In a zone that is cut off, hosts with little traffic thus stayed ready for more than four seconds, and the balancer goes on using a zone while one of its hosts is ready. At 195 hosts most links are idle.

Also: where more than half of the job hosts had lost power, the remaining hosts counted themselves as isolated, although they reached every zone.

Change: idle links are pinged in turn, so that each round shows whether other zones answer; after 350 ms without an answer all links are pinged. A host is isolated when all hosts of most other zones have left a ping unanswered for 500 ms. An isolated host refuses work for gateways that are silent, instead of holding it to its end. Gateways mark targets of a silent zone down as early.

Ruled out: pings of all links each 250 ms (four times the pings of 195 hosts), isolation told by other hosts of the zone (needs one that has noticed).

Tests: test_members.py, test_links.py.

--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -172,6 +172,16 @@
             <= MAX_UNANSWERED_PINGS
         )
 
+    def is_silent_for(self, limit_ms: int) -> bool:
+        """Tell whether the host hasn't answered a ping for ``limit_ms``.
+
+        Also true while it neither answers nor refuses connections.
+        """
+        oldest_sent_ms = min(self._sent_ms_by_sequence.values(), default=None)
+        if oldest_sent_ms is None:
+            return self.is_silent
+        return self._clock.now() - oldest_sent_ms >= limit_ms
+
     async def run(self) -> None:
         """Connect, and reconnect when the connection ends, until cancelled."""
         retry_ms = MIN_RETRY_MS
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import json
+import zlib
 
 import pydantic
 
@@ -29,9 +30,18 @@
 # fails, which marks it as unreachable.
 PING_INTERVAL_MS = 250
 
-# Links without recent requests are pinged once in this many rounds.
+# Links without recent requests are pinged once in this many rounds, a part of
+# them in each round: each round thus shows whether other zones are reached.
 ROUNDS_PER_IDLE_PING = 4
 
+# When no host of another zone has answered for this long, all of them are
+# pinged in each round.
+CUT_OFF_SUSPECTED_MS = 350
+
+# Hosts of a zone that have left a ping unanswered for this long are cut off.
+# Most answer within 50 ms.
+SILENT_ZONE_MS = 500
+
 # A link is in use if a request was sent on it within this time.
 LINK_IN_USE_MS = 2_000
 
@@ -76,8 +86,9 @@
 # up for this long: hosts that start together come up at shorter intervals.
 SETTLE_QUIET_MS = 200
 
-# A host is isolated when no host of another zone has answered for this long.
-# Hosts that were killed answer again within about a second.
+# A host is also isolated when hosts of other zones have only refused
+# connections for this long. Hosts that were killed answer again within about a
+# second.
 ISOLATED_AFTER_MS = 1_300
 
 # How long a host leaves jobs to other hosts after it failed to reach the store
@@ -308,40 +319,53 @@
     def is_isolated(self) -> bool:
         """Tell whether this host is cut off from the fleet.
 
-        It is if most hosts have gone silent, or if no host of another zone
-        has answered for ``ISOLATED_AFTER_MS``. Hosts whose process has ended
-        refuse connections and count only in the second case: after many hosts
-        were killed the remaining ones must continue to serve callers.
+        It is if all hosts in most of the other zones are silent, or if no
+        host of another zone has answered for ``ISOLATED_AFTER_MS``. Hosts
+        whose process has ended refuse connections and count only in the
+        second case: after many hosts were killed the remaining ones must
+        continue to serve callers. All hosts of a zone must come to the same
+        answer soon: the load balancer uses unready hosts while a host of
+        their zone is ready.
         """
-        down_links = [
-            each for each in self._links_by_id.values() if not each.is_up
-        ]
-        linked_host_count = len(self._links_by_id) + 1
-        if 2 * sum(each.is_silent for each in down_links) > linked_host_count:
+        links_by_zone = self._links_by_other_zone()
+        if not links_by_zone:
+            # All hosts are in one zone.
+            silent_count = sum(
+                each.is_silent and not each.is_up
+                for each in self._links_by_id.values()
+            )
+            return 2 * silent_count > len(self._links_by_id) + 1
+        silent_zone_count = sum(
+            _are_silent(zone_links) for zone_links in links_by_zone.values()
+        )
+        if 2 * silent_zone_count > len(links_by_zone):
             return True
         cutoff_ms = self._clock.now() - ISOLATED_AFTER_MS
-        other_zone_links = [
-            each
-            for each in self._links_by_id.values()
-            if each.peer.zone != self.local.zone
-        ]
-        return bool(other_zone_links) and all(
+        return all(
             not each.is_up and each.last_answer_ms < cutoff_ms
-            for each in other_zone_links
+            for zone_links in links_by_zone.values()
+            for each in zone_links
         )
 
+    def is_cut_off_from(self, link: links.Link) -> bool:
+        """Tell whether work sent over ``link`` would only wait for its end.
+
+        A single silent host may just be slow, so that alone doesn't count.
+        """
+        return link.is_silent_for(SILENT_ZONE_MS) and self.is_isolated
+
+    def _links_by_other_zone(self) -> dict[str, list[links.Link]]:
+        """Return the links to hosts of other zones, by zone."""
+        links_by_zone: dict[str, list[links.Link]] = {}
+        for each in self._links_by_id.values():
+            if each.peer.zone != self.local.zone:
+                links_by_zone.setdefault(each.peer.zone, []).append(each)
+        return links_by_zone
+
     def is_zone_silent(self, zone: str) -> bool:
         """Tell whether all hosts of another zone have gone silent."""
-        zone_links = [
-            each
-            for each in self._links_by_id.values()
-            if each.peer.zone == zone
-        ]
-        return (
-            zone != self.local.zone
-            and bool(zone_links)
-            and all(each.is_silent and not each.is_up for each in zone_links)
-        )
+        zone_links = self._links_by_other_zone().get(zone, [])
+        return bool(zone_links) and _are_silent(zone_links)
 
     def add_host(self, hello: frames.Hello) -> None:
         """Add a new host, or replace the record of one that has changed."""
@@ -484,23 +508,40 @@
         """Start a round and ping the hosts whose ping is due in it."""
         build_ping = start_round()
         self._ping_round += 1
+        suspects_cut = self._suspects_cut()
         for link in list(self._links_by_id.values()):
-            if not self._is_ping_due(link):
+            if not suspects_cut and not self._is_ping_due(link):
                 continue
             was_up = link.is_up
             link.ping(build_ping(link))
             if was_up and not link.is_up:
                 self._handle_link_change()
 
+    def _suspects_cut(self) -> bool:
+        """Tell whether no host of another zone has answered lately."""
+        last_answer_ms = max(
+            (
+                each.last_answer_ms
+                for each in self._links_by_id.values()
+                if each.peer.zone != self.local.zone
+            ),
+            default=None,
+        )
+        return (
+            last_answer_ms is not None
+            and self._clock.now() - last_answer_ms > CUT_OFF_SUSPECTED_MS
+        )
+
     def _is_ping_due(self, link: links.Link) -> bool:
         """Tell whether a link is pinged in this round.
 
         Job hosts ping every link in every round, because they choose by the
         answers which host runs which job.
         """
+        turn = zlib.crc32(link.peer.host_id.encode()) + self._ping_round
         return (
             self.is_job_host
-            or self._ping_round % ROUNDS_PER_IDLE_PING == 0
+            or turn % ROUNDS_PER_IDLE_PING == 0
             or not link.is_up
             or self._clock.now() - link.last_used_ms < LINK_IN_USE_MS
         )
@@ -628,6 +669,10 @@
             task.cancel()
 
 
+def _are_silent(zone_links: collections.abc.Iterable[links.Link]) -> bool:
+    return all(each.is_silent_for(SILENT_ZONE_MS) for each in zone_links)
+
+
 def gateway_job(service: str) -> str:
     """Return the name of the job of being the gateway of a service."""
     return f'gateway/{service}'
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -166,7 +166,7 @@
         if host_id == self._members.local.host_id:
             return await self._gateways.run(LOCAL_OWNER, work)
         link = self._members.link_to(host_id)
-        if link is None:
+        if link is None or self._members.is_cut_off_from(link):
             return links.outcome_without_answer(links.NOT_SENT)
         answer = await link.request(
             lambda call_id: frames.WorkFrame(call_id, work),
--- /dev/null
+++ b/tests/fleet/test_links.py
@@ -0,0 +1,54 @@
+"""Silence of a peer, as seen by the pings of its link."""
+
+from samphirestand import clock as clock_module
+from samphirestand.fleet import frames
+from samphirestand.fleet import links
+
+
+class FakeConnection:
+    is_closed = False
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, frame):
+        self.sent.append(frame)
+
+
+def create_link(clock):
+    peer = frames.Hello('s0', 'south', '127.0.0.1', 1, 1)
+    local = frames.Hello('n0', 'north', '127.0.0.1', 1, 1)
+    link = links.Link(peer, local, clock, lambda: None)
+    link._connection = FakeConnection()
+    return link
+
+
+def test_silence_is_counted_from_the_oldest_unanswered_ping():
+    """Guards against a cut that is noticed only when the link is closed."""
+    clock = clock_module.ManualClock()
+    link = create_link(clock)
+    link.ping(frames.Ping(0, False, 0))
+    clock.set(clock.now() + 300)
+    link.ping(frames.Ping(0, False, 0))
+    clock.set(clock.now() + 300)
+    assert link.is_silent_for(600)
+    assert not link.is_silent_for(601)
+
+
+def test_answer_ends_the_silence():
+    clock = clock_module.ManualClock()
+    link = create_link(clock)
+    link.ping(frames.Ping(0, False, 0))
+    clock.set(clock.now() + 5_000)
+    link.handle_frame(link._connection, frames.Pong(1, False, 0, True, 0))
+    assert not link.is_silent_for(0)
+
+
+def test_host_that_refuses_connections_is_not_silent():
+    """Guards against ended processes that look like a cut-off zone."""
+    clock = clock_module.ManualClock()
+    link = create_link(clock)
+    link.ping(frames.Ping(0, False, 0))
+    link.handle_disconnect(link._connection)
+    clock.set(clock.now() + 5_000)
+    assert not link.is_silent_for(0)
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -25,6 +25,14 @@
         self.claims = frames.Claims({})
         self.claims_received_ms = 0
         self.fleet_digest = 0
+        self.silent_ms = 0
+        self.pings = 0
+
+    def is_silent_for(self, limit_ms):
+        return self.is_silent or self.silent_ms >= limit_ms
+
+    def ping(self, ping):
+        self.pings += 1
 
     def stop(self):
         self.is_up = False
@@ -88,6 +96,72 @@
     assert not members.is_isolated
 
 
+def test_host_of_a_cut_off_zone_notices_within_a_few_pings(members):
+    """Guards against hosts that stay ready while their zone is cut off.
+
+    The load balancer goes on using the zone while one of its hosts is ready.
+    """
+    for link in links_in_zones(members, ['south', 'east']):
+        link.silent_ms = members_module.SILENT_ZONE_MS
+    assert members.is_isolated
+    assert members.is_cut_off_from(members.link_to('s0'))
+    assert not members.is_cut_off_from(members.link_to('n1'))
+
+
+def test_slow_host_is_not_taken_for_a_cut(members):
+    """Guards against work refused because its gateway is slow."""
+    link = members.link_to('s0')
+    link.silent_ms = 5_000
+    assert not members.is_isolated
+    assert not members.is_cut_off_from(link)
+
+
+def test_loss_of_power_in_most_hosts_does_not_isolate_the_others(members):
+    """Guards against unready hosts when most hosts, but no zone, are lost."""
+    for host_id in ('n1', 'n2', 's0', 's1', 'e1', 'e2'):
+        link = members.link_to(host_id)
+        link.is_up = False
+        link.is_silent = True
+    assert not members.is_isolated
+
+
+def pings_in_round(members):
+    before = {key: each.pings for key, each in members._links_by_id.items()}
+    members.ping_once(lambda: lambda link: None)
+    return [
+        key
+        for key, each in members._links_by_id.items()
+        if each.pings > before[key]
+    ]
+
+
+def make_idle(members, clock):
+    """Make this a host without jobs whose links carry no requests."""
+    members._job_host_ids -= {'n0'}
+    clock.set(clock.now() + members_module.LINK_IN_USE_MS)
+    for link in members._links_by_id.values():
+        link.last_answer_ms = clock.now()
+
+
+def test_idle_links_are_pinged_in_turn(members, clock):
+    """Guards against rounds that show nothing about other zones."""
+    make_idle(members, clock)
+    rounds = [
+        pings_in_round(members)
+        for _ in range(members_module.ROUNDS_PER_IDLE_PING)
+    ]
+    assert sorted(sum(rounds, [])) == sorted(members._links_by_id)
+    assert max(map(len, rounds)) < len(members._links_by_id)
+
+
+def test_all_links_are_pinged_when_no_other_zone_answers(members, clock):
+    """Guards against idle hosts that notice a cut after four seconds."""
+    make_idle(members, clock)
+    clock.set(clock.now() + members_module.CUT_OFF_SUSPECTED_MS + 1)
+    members.link_to('n1').last_answer_ms = clock.now()
+    assert sorted(pings_in_round(members)) == sorted(members._links_by_id)
+
+
 def test_job_moves_to_a_host_that_reaches_the_store(members, clock):
     """Fails if a host that can't reach the store keeps a promotion."""
     chosen_id = members.host_for('gateway/a', 'south')
