--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -286,10 +286,10 @@
             surplus_millitokens = bucket.surplus_millitokens(
                 self._local_capacity(account)
             )
-            if surplus_millitokens <= 0:
+            host_id = self._members.host_for(_pool_job(account.name))
+            if surplus_millitokens <= 0 or not host_id:
                 continue
             bucket.millitokens -= surplus_millitokens
-            host_id = self._members.host_for(_pool_job(account.name))
             deposits.setdefault(host_id, []).append(
                 frames.Deposit(account.name, surplus_millitokens)
             )
--- a/tests/fleet/test_allowance.py
+++ b/tests/fleet/test_allowance.py
@@ -183,3 +183,14 @@
         return await asyncio.gather(*tasks)
 
     assert not any(asyncio.run(scenario()))
+
+
+def test_surplus_is_kept_while_no_host_can_hold_the_pool():
+    """Fails if tokens are lost while no job host answers."""
+    fleet = FakeFleet([catalog.Account('a', 100, 10)])
+    host = fleet.hosts[0]
+    host.host_for = lambda job, zone=None: ''
+    fleet.clock.set(fleet.clock.now() + 400)
+    assert host.rate_limiter.deposits_by_host() == {}
+    bucket = host.rate_limiter._buckets_by_account['a']
+    assert bucket.millitokens > 0
