gateway, fleet: Find out sooner that a target or its zone is cut off

A probe waited 500 ms for an answer although a server without power doesn't even accept a connection, and a host waited for each link of the silent zone.

Also found: a target that answered BUSY to the probe counted as silent, so a primary under load could be replaced.

Change: a probe without an answer after 120 ms is repeated on a new connection; if that isn't accepted within 250 ms the probe has failed, and the next one starts at once. Any answer shows that the target is reachable. How long a target may be silent before it is probed follows from its statement time (200 to 400 ms). Hosts of a zone in which several hosts are all silent get no jobs.

Ruled out: fewer failed probes (a primary that is just slow would be replaced), a shorter delay of promotions (it is what evidence lasts).

--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -157,6 +157,11 @@
         self._last_read_ms = clock.now()
         self._last_link_up_ms = clock.now()
         self._ping_round = 0
+        # When the zones that are cut off were last computed, and the result.
+        self._cut_off_zones_memo: tuple[int | None, frozenset[str]] = (
+            None,
+            frozenset(),
+        )
         self.fleet_digest = 0
         self._differs_since_ms: int | None = None
         self._reread_interval_ms = MIN_REREAD_INTERVAL_MS
@@ -266,10 +271,13 @@
         hosts. This host is chosen while it drains only if no other host can
         run the job, and other hosts are never chosen while they drain.
         """
+        cut_off_zones = self._cut_off_zones()
         usable_links = [
             each
             for each in self.up_links()
-            if not each.is_draining and each.peer.host_id in self._job_host_ids
+            if not each.is_draining
+            and each.peer.host_id in self._job_host_ids
+            and each.peer.zone not in cut_off_zones
         ]
         candidates = [
             (each.peer.host_id, each.peer.zone, each.reaches_store)
@@ -295,8 +303,9 @@
     def gateway_for(self, service: str) -> str:
         """Return the id of the host that last claimed a service's gateway.
 
-        While that host doesn't answer or is draining, returns the host that
-        will take over, which the job hosts choose by the same rule.
+        While that host doesn't answer, is draining or in a zone that is cut
+        off, returns the host that will take over, which the job hosts choose
+        by the same rule.
         """
         claiming_links = [
             each
@@ -310,7 +319,11 @@
         )
         if newest_link is None:
             return self.host_for(gateway_job(service))
-        if newest_link.is_up and not newest_link.is_draining:
+        if (
+            newest_link.is_up
+            and not newest_link.is_draining
+            and newest_link.peer.zone not in self._cut_off_zones()
+        ):
             return newest_link.peer.host_id
         zone = newest_link.claims.zones_by_service[service]
         return self.host_for(gateway_job(service), zone)
@@ -354,6 +367,24 @@
         """
         return link.is_silent_for(SILENT_ZONE_MS) and self.is_isolated
 
+    def _cut_off_zones(self) -> frozenset[str]:
+        """Return the other zones in which several hosts are all silent.
+
+        That shows a cut sooner than the state of each link does. A single
+        host may just be slow. Kept for one millisecond, since a ping round
+        asks once for each account.
+        """
+        now = self._clock.now()
+        computed_ms, zones = self._cut_off_zones_memo
+        if computed_ms != now:
+            zones = frozenset(
+                zone
+                for zone, zone_links in self._links_by_other_zone().items()
+                if len(zone_links) > 1 and _are_silent(zone_links)
+            )
+            self._cut_off_zones_memo = (now, zones)
+        return zones
+
     def _links_by_other_zone(self) -> dict[str, list[links.Link]]:
         """Return the links to hosts of other zones, by zone."""
         links_by_zone: dict[str, list[links.Link]] = {}
--- a/samphirestand/gateway/connection.py
+++ b/samphirestand/gateway/connection.py
@@ -205,13 +205,20 @@
 
 
 async def open_connection(
-    target: catalog.Target, account: str, timeout_ms: int, now_ms: int
+    target: catalog.Target,
+    account: str,
+    timeout_ms: int,
+    now_ms: int,
+    accept_timeout_ms: int | None = None,
 ) -> TargetConnection:
     """Open a session with a target for ``account``.
 
-    Raises ``TargetRefused`` or ``TargetConnectError``.
+    ``accept_timeout_ms`` limits the time until the connection is accepted,
+    ``timeout_ms`` if None. Raises ``TargetRefused`` or ``TargetConnectError``.
     """
-    connection = await wire.connect(target.address, target.port, timeout_ms)
+    connection = await wire.connect(
+        target.address, target.port, accept_timeout_ms or timeout_ms
+    )
     connection.write(
         wire.encode_startup(target.service, account, target.target_id)
     )
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -284,14 +284,13 @@
             max_idle_ms = 0
         for target_id, pool in gateway.group.pools_by_id.items():
             pool.close_idle_connections(max_idle_ms)
+            is_zone_silent = self._members.is_zone_silent(pool.target.zone)
+            if is_zone_silent:
+                pool.record_failure()
             if pool.needs_probe:
-                zone = pool.target.zone
-                is_zone_silent = self._members.is_zone_silent(zone)
                 self._start_unless_running(
                     f'probe/{target_id}', pool.probe(is_zone_silent)
                 )
-            elif self._members.is_zone_silent(pool.target.zone):
-                pool.record_failure()
         self._start_unless_running(
             f'roll_back_idle/{service.name}',
             gateway.roll_back_idle(
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -25,13 +25,25 @@
 
 PROBE_TIMEOUT_MS = 500
 
+# A probe without an answer for this long is repeated on a connection of its
+# own: the first connection may be dead although the target is reachable.
+PROBE_RETRY_MS = 120
+
+# The kernel of a reachable target accepts a connection within a round trip,
+# however busy the target is.
+ACCEPT_TIMEOUT_MS = 250
+
 # A target is down after this many unanswered probes in a row.
 MAX_FAILED_PROBES = 2
 
-# A target is probed when it has answered nothing for this long while a
-# statement is running on it. It counts as unused when no statement on it ended
-# for this long.
-SILENCE_LIMIT_MS = 400
+# A target is probed when it has answered nothing for this multiple of its
+# statement time, within these bounds, while a statement is running on it.
+SILENCE_STATEMENTS = 12
+MIN_SILENCE_MS = 200
+MAX_SILENCE_MS = 400
+
+# A target counts as unused when no statement on it ended for this long.
+UNUSED_AFTER_MS = 400
 
 # A target that became unreachable this often within the window is flapping.
 FLAPPING_FAILURES = 2
@@ -96,6 +108,7 @@
         self._failing_since_ms: int | None = None
         self._sent_ms_by_run: dict[object, int] = {}
         self._last_reply_ms = clock.now()
+        self._reply_count = 0
         self.round_trip_ms = 1.0
         self._command_connection: connection_module.TargetConnection | None = (
             None
@@ -247,6 +260,7 @@
 
     def record_reply(self) -> None:
         """Record that the target answered."""
+        self._reply_count += 1
         self._last_reply_ms = self._clock.now()
         self._failing_since_ms = None
         self.failed_probes = 0
@@ -282,7 +296,7 @@
 
     def decay_estimates(self, typical_ms: float) -> None:
         """Move the estimates of an unused target towards ``typical_ms``."""
-        if self._clock.now() - self._last_used_ms < SILENCE_LIMIT_MS:
+        if self._clock.now() - self._last_used_ms < UNUSED_AFTER_MS:
             return
         self.statement_ms += ESTIMATE_DECAY * (
             UNUSED_STATEMENT_SHARE * typical_ms - self.statement_ms
@@ -312,21 +326,52 @@
         if oldest_sent_ms is None:
             return False
         silent_since_ms = max(oldest_sent_ms, self._last_reply_ms)
-        return self._clock.now() - silent_since_ms > SILENCE_LIMIT_MS
+        limit_ms = min(
+            max(SILENCE_STATEMENTS * self.statement_ms, MIN_SILENCE_MS),
+            MAX_SILENCE_MS,
+        )
+        return self._clock.now() - silent_since_ms > limit_ms
 
     async def probe(self, is_zone_silent: bool) -> None:
-        """Request the target's status and mark it down if it fails to answer.
+        """Check whether the target answers and mark it down if it doesn't.
 
         With ``is_zone_silent``, nothing in the target's availability zone
         answers, and one failed probe is enough to mark it down.
         """
-        status = await self.run_command(wire.STATUS, PROBE_TIMEOUT_MS)
-        if not isinstance(status, exceptions.Sentinel):
-            self.record_reply()
-            return
-        self.failed_probes += 1
-        if is_zone_silent or self.failed_probes >= MAX_FAILED_PROBES:
-            self.is_down = True
+        while not await self._answers_probe():
+            self.failed_probes += 1
+            if is_zone_silent or self.failed_probes >= MAX_FAILED_PROBES:
+                self.is_down = True
+                return
+
+    async def _answers_probe(self) -> bool:
+        """Ask for the status; return whether the target answered anything."""
+        reply_count = self._reply_count
+        command = asyncio.create_task(
+            self.run_command(wire.STATUS, PROBE_TIMEOUT_MS)
+        )
+        tasks = [command]
+        try:
+            await asyncio.wait(tasks, timeout=PROBE_RETRY_MS / 1000)
+            if command.done():
+                return self._reply_count > reply_count
+            retry = asyncio.create_task(
+                self.run_command_on_new_connection(
+                    wire.STATUS, PROBE_TIMEOUT_MS, ACCEPT_TIMEOUT_MS
+                )
+            )
+            tasks.append(retry)
+            # A target that accepts no connection won't answer the first
+            # command either, so the end of the second one is waited for.
+            while not retry.done() and self._reply_count == reply_count:
+                await asyncio.wait(
+                    [each for each in tasks if not each.done()],
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+        finally:
+            for each in tasks:
+                each.cancel()
+        return self._reply_count > reply_count
 
     async def run_command(
         self, text: str, timeout_ms: int
@@ -357,15 +402,18 @@
                 raise
 
     async def run_command_on_new_connection(
-        self, text: str, timeout_ms: int
+        self, text: str, timeout_ms: int, accept_timeout_ms: int | None = None
     ) -> wire.Status | exceptions.Sentinel:
         """Send a command without waiting for earlier commands to finish.
 
         Earlier commands may be waiting on a connection that a partition has
-        cut.
+        cut. ``accept_timeout_ms`` limits the time until the target accepts
+        the connection.
         """
         try:
-            opened = await self._open_command_connection(timeout_ms)
+            opened = await self._open_command_connection(
+                timeout_ms, accept_timeout_ms
+            )
         except exceptions.TargetError as error:
             return exceptions.Sentinel(str(error))
         try:
@@ -376,10 +424,14 @@
             opened.close()
 
     async def _open_command_connection(
-        self, timeout_ms: int
+        self, timeout_ms: int, accept_timeout_ms: int | None = None
     ) -> connection_module.TargetConnection:
         return await connection_module.open_connection(
-            self.target, PROXY_ACCOUNT, timeout_ms, self._clock.now()
+            self.target,
+            PROXY_ACCOUNT,
+            timeout_ms,
+            self._clock.now(),
+            accept_timeout_ms,
         )
 
     async def _send_command(
@@ -391,6 +443,9 @@
         sent_ms = self._clock.now()
         step = connection_module.TargetStatement(wire.PROXY_REQUEST_ID, text)
         [reply] = await connection.run([step], timeout_ms)
+        # A target that refuses the command, as it does when it is busy, is
+        # reachable.
+        self.record_reply()
         self.round_trip_ms += SMOOTHING * (
             self._clock.now() - sent_ms - self.round_trip_ms
         )
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -125,6 +125,26 @@
     assert not members.is_isolated
 
 
+def test_gateway_in_a_cut_off_zone_is_left_at_once(members, clock):
+    """Guards against waiting for each link where a whole zone is silent."""
+    gateway_id = members.host_for('gateway/a', 'south')
+    claim_gateway(members, gateway_id, 'a', 'south', clock.now())
+    for link in links_in_zones(members, ['south']):
+        link.silent_ms = members_module.SILENT_ZONE_MS
+    clock.set(clock.now() + 1)
+    assert not members.host_for('gateway/a', 'south').startswith('s')
+    assert not members.gateway_for('a').startswith('s')
+
+
+def test_single_silent_host_keeps_its_gateways(members, clock):
+    """Guards against moving work because one host is slow to answer."""
+    for host_id in ('s1', 's2'):
+        members._links_by_id.pop(host_id)
+    members.link_to('s0').silent_ms = members_module.SILENT_ZONE_MS
+    clock.set(clock.now() + 1)
+    assert members.host_for('gateway/a', 'south') == 's0'
+
+
 def pings_in_round(members):
     before = {key: each.pings for key, each in members._links_by_id.items()}
     members.ping_once(lambda: lambda link: None)
