fleet: Remember a replica whose registration becomes unreadable

Cause, by reading: a row that can't be read removed its target without a record of the departure. If another writer overwrites the row of the only replica that has received an acknowledged commit, and the primary fails, a gateway that hasn't seen the commit promoted a replica without it.

Ruled out: keeping the target (the row names no server to use).

--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -309,7 +309,7 @@
                 target=row.key,
                 reason=target.reason,
             )
-            return self._targets_by_id.pop(row.key, None) is not None
+            return self._remove_target(row.key)
         previous = self._targets_by_id.get(row.key)
         if target == previous:
             return False
@@ -334,10 +334,14 @@
             return
         for target_id in list(self._missing_since_ms_by_id):
             del self._missing_since_ms_by_id[target_id]
-            target = self._targets_by_id.pop(target_id, None)
-            if target is not None:
-                self._departures.append(Departure(target, now))
-                _log.info(
-                    'target_removed', target=target_id, service=target.service
-                )
+            if self._remove_target(target_id):
                 self._on_change()
+
+    def _remove_target(self, target_id: str) -> bool:
+        """Remove a target and remember it; return whether it was known."""
+        target = self._targets_by_id.pop(target_id, None)
+        if target is None:
+            return False
+        self._departures.append(Departure(target, self._clock.now()))
+        _log.info('target_removed', target=target_id, service=target.service)
+        return True
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -290,6 +290,33 @@
     run_scenario(scenario, hosts=1)
 
 
+def test_no_promotion_when_an_unreadable_row_hides_a_replica():
+    """Guards against a promotion without a replica that may hold a commit.
+
+    Another writer overwrote the registration of the only replica that had
+    received it.
+    """
+
+    async def scenario(fleet):
+        primary, hidden, lagging = fleet.group.servers.values()
+        lagging.is_deaf = True
+        await write_until_served(fleet, fleet.nodes[0], 'kept')
+        fleet.store.put('servers', hidden.server_id, b'\xff{')
+        node = fleet.nodes[0]
+        await fleet.until(
+            lambda: len(node.targets.of_service(nodes.SERVICE)) == 2
+        )
+        group = node.gateways._get_or_open_gateway(nodes.SERVICE).group
+        assert group.unconfirmed_departures() == [hidden.server_id]
+        group.acknowledged_position = None
+        group.acknowledged_sent_ms = 0
+        primary.crash()
+        await asyncio.sleep(3)
+        assert fleet.store.promotions == []
+
+    run_scenario(scenario, hosts=1)
+
+
 def test_replica_that_left_before_later_commits_is_not_waited_for():
     """Guards against a long time without a primary after a planned change."""
 
