gateway: Resume replicas only under the fencing token

Cause, by reading: RESUME doesn't say which pause it ends. Three callers sent it without holding the token: a host that found another primary, one that found a lagging replica (it had read that the token was free, but not taken it), and a holder whose token had expired while it waited for its promotion or was suspended. Each could undo the pauses of the next holder, after which the old primary acknowledges commits that the candidate lacks. A RESUME held up by a partition could do so seconds later, since closed connections went on sending.

Change: a replica is resumed under the token only, not after it may have expired, checked when the connection is open; within a process one task a service. Connections for commands are reset when they are closed. A status that shows a pause leads to a check. A status whose term goes back, or that is malformed, is logged and nothing is concluded from it.

Ruled out: comparing the pause's term before RESUME (another pause may come in between).

test_write_waits_while_the_primary_is_being_replaced paused replicas without a holder, which now is a case of replicas left behind; it now sets a holder, with the same checks.

--- a/samphirestand/gateway/connection.py
+++ b/samphirestand/gateway/connection.py
@@ -199,6 +199,10 @@
                         peer=self.target.target_id,
                     )
 
+    def discard_unsent_on_close(self) -> None:
+        """Withdraw what the target hasn't received when this is closed."""
+        self._connection.discard_unsent_on_close()
+
     def close(self) -> None:
         """Close the connection; the target rolls back an open transaction."""
         self._connection.abort()
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -47,10 +47,10 @@
 PRIMARY_POSITION_MAX_AGE_MS = 600
 RECENT_READ_MS = 2_000
 
-# After this many reads that a replica could not serve, the gateway checks
-# whether an unfinished promotion left the replica paused, and not again for
-# this interval: lagging replicas are common when targets have problems, paused
-# ones are rare.
+# After this many reads that a replica could not serve, or after a status that
+# shows a pause, the gateway checks whether an unfinished promotion left the
+# replica paused, and not again for this interval: lagging replicas are common
+# when targets have problems, paused ones are rare.
 MAX_LAGGING_READS = 5
 PAUSED_REPLICA_CHECK_INTERVAL_MS = 2_000
 
@@ -309,7 +309,9 @@
             )
             return
         for target_id, pool in gateway.group.pools_by_id.items():
-            if pool.lagging_count >= MAX_LAGGING_READS and self._succession:
+            if self._succession is not None and (
+                pool.is_paused or pool.lagging_count >= MAX_LAGGING_READS
+            ):
                 self._start_unless_running(
                     f'resume/{target_id}',
                     self._resume_paused_replica(gateway, pool),
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import collections
+import collections.abc
 
 from samphirestand import catalog
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.gateway import connection as connection_module
+from samphirestand import log
 from samphirestand.platform import wire
 from samphirestand import types
 from samphirestand import work as work_module
@@ -75,6 +77,8 @@
 INITIAL_STATEMENT_MS = 15.0
 STATEMENT_SMOOTHING = 0.05
 
+_log = log.get_logger(__name__)
+
 
 class TargetPool:
     """The connections of one gateway to one target, within their limit."""
@@ -105,6 +109,8 @@
         self._lacked_position: types.Position | None = None
         self._lacked_position_ms = 0
         self.lagging_count = 0  # reads refused since the last check
+        self.is_paused = False  # by its last status
+        self._newest_term = 0  # of its statuses
         self._failing_since_ms: int | None = None
         self._sent_ms_by_run: dict[object, int] = {}
         self._last_reply_ms = clock.now()
@@ -374,11 +380,15 @@
         return self._reply_count > reply_count
 
     async def run_command(
-        self, text: str, timeout_ms: int
+        self,
+        text: str,
+        timeout_ms: int,
+        may_send: collections.abc.Callable[[], bool] | None = None,
     ) -> wire.Status | exceptions.Sentinel:
         """Send a command of the proxy itself; return the target's status.
 
-        Returns a sentinel with the reason if the command failed. Opens a new
+        Returns a sentinel with the reason if the command failed, or if
+        ``may_send`` forbids it when the connection is ready. Opens a new
         connection after a failure, since the old one may be dead although
         the target is reachable.
         """
@@ -391,6 +401,8 @@
                     self._command_connection = (
                         await self._open_command_connection(timeout_ms)
                     )
+                if may_send is not None and not may_send():
+                    return exceptions.Sentinel('the token may have expired')
                 return await self._send_command(
                     self._command_connection, text, timeout_ms
                 )
@@ -426,13 +438,17 @@
     async def _open_command_connection(
         self, timeout_ms: int, accept_timeout_ms: int | None = None
     ) -> connection_module.TargetConnection:
-        return await connection_module.open_connection(
+        opened = await connection_module.open_connection(
             self.target,
             PROXY_ACCOUNT,
             timeout_ms,
             self._clock.now(),
             accept_timeout_ms,
         )
+        # A command that a partition held up must not take effect after it
+        # was given up: RESUME would undo another host's pause.
+        opened.discard_unsent_on_close()
+        return opened
 
     async def _send_command(
         self,
@@ -453,9 +469,25 @@
             return exceptions.Sentinel(reply.error.code)
         status = wire.decode_status(reply.rows[0]) if reply.rows else None
         if status is None:
-            return exceptions.Sentinel('malformed status')
+            return self._reject_status('malformed status', reply.rows)
+        if status.term < self._newest_term:
+            return self._reject_status('the term went back', reply.rows)
+        self._newest_term = status.term
+        self.is_paused = not status.is_primary and status.held > status.term
         return status
 
+    def _reject_status(
+        self, reason: str, rows: tuple[str, ...]
+    ) -> exceptions.Sentinel:
+        """Log a status from which nothing can be concluded."""
+        _log.warning(
+            'status_rejected',
+            target=self.target.target_id,
+            reason=reason,
+            rows=rows,
+        )
+        return exceptions.Sentinel(reason)
+
     def _close_command_connection(self) -> None:
         if self._command_connection is not None:
             self._command_connection.close()
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -1,6 +1,8 @@
 """Failover: replaces a primary that has failed or is draining."""
 
 import asyncio
+import collections
+import collections.abc
 
 import pydantic
 
@@ -24,6 +26,9 @@
 # The timeout of a command; a replica answers within two round trips.
 COMMAND_TIMEOUT_MS = 500
 
+# A command that failed is sent once more, on another connection.
+MAX_COMMAND_ATTEMPTS = 2
+
 # How long a promotion is expected to take: about a second.
 PROMOTION_MS = 1_000
 
@@ -40,6 +45,10 @@
 # another holder may have begun before the order arrives.
 MAX_ORDER_DELAY_MS = 3_000
 
+# Replicas are resumed no later than this after the token was taken: the next
+# holder may have paused them, and RESUME doesn't say which pause it ends.
+MAX_RESUME_DELAY_MS = TOKEN_HOLD_MS - COMMAND_TIMEOUT_MS
+
 # The delay after an unfinished attempt.
 RETRY_MS = 400
 
@@ -78,6 +87,11 @@
         self._store = store
         self._promotions = promotions
         self._versions_by_service: dict[str, int] = {}
+        # Held while this host may hold the token of a service, which the
+        # store lets it take a second time.
+        self._locks_by_service: collections.defaultdict[str, asyncio.Lock] = (
+            collections.defaultdict(asyncio.Lock)
+        )
 
     async def replace_primary(
         self,
@@ -89,6 +103,15 @@
 
         Raises ``PlatformError`` while the store can't be reached.
         """
+        async with self._locks_by_service[service.name]:
+            return await self._replace_primary(gateway, service, reason)
+
+    async def _replace_primary(
+        self,
+        gateway: gateway_module.ServiceGateway,
+        service: catalog_module.Service,
+        reason: str,
+    ) -> bool:
         old_primary_id = gateway.group.primary_id
         pools = {
             target_id: pool
@@ -130,7 +153,7 @@
             return False
         # The store's clock runs from before the write, so this does too.
         token_taken_ms = self._clock.now()
-        token = await self._acquire_token(service.name)
+        token = await self._acquire_token(service.name, may_renew=True)
         if token is None:
             return False
 
@@ -168,7 +191,9 @@
                 'succession_waits', service=service.name, reason=wait_reason
             )
             group.primary_expected_ms = None
-            await self._send_to_all(pools, wire.RESUME)
+            await self._send_to_all(
+                pools, wire.RESUME, self._may_resume(token_taken_ms)
+            )
             await self._release_token(service.name, token)
             return False
         is_stepped_down = (
@@ -195,7 +220,9 @@
         )
         if promoted_term is None:
             return False
-        await self._resume_followers(pools, promoted_term)
+        await self._resume_followers(
+            pools, promoted_term, self._may_resume(token_taken_ms)
+        )
         await self._release_token(service.name, token)
         if old_primary is not None and not is_stepped_down:
             await gateway.step_down(old_primary, promoted_term)
@@ -217,14 +244,52 @@
                 continue
             if status.term == newest_term:
                 gateway.group.set_primary(target_id, 'status', status.term)
-                await self._resume_followers(pools, status.term)
+                paused_pools = {
+                    each: pools[each]
+                    for each, state in states.items()
+                    if _is_left_paused(state, status.term)
+                }
+                if paused_pools:
+                    await self._resume_under_token(
+                        gateway.service, paused_pools, status.term
+                    )
                 return True
             # Only a replica can be paused.
             await gateway.step_down(pools[target_id], newest_term)
         return False
 
+    def _may_resume(
+        self, token_taken_ms: int
+    ) -> collections.abc.Callable[[], bool]:
+        """Return what tells whether the token is still certain to be held."""
+        until_ms = token_taken_ms + MAX_RESUME_DELAY_MS
+        return lambda: self._clock.now() < until_ms
+
+    async def _resume_under_token(
+        self,
+        service: str,
+        pools: dict[str, pool_module.TargetPool],
+        term: int,
+    ) -> None:
+        """Resume replicas that an earlier token holder left paused.
+
+        Does nothing while a host holds the token, this one included: its
+        order may still be carried out.
+        """
+        token_taken_ms = self._clock.now()
+        token = await self._acquire_token(service, may_renew=False)
+        if token is None:
+            return
+        await self._resume_followers(
+            pools, term, self._may_resume(token_taken_ms)
+        )
+        await self._release_token(service, token)
+
     async def _resume_followers(
-        self, pools: dict[str, pool_module.TargetPool], term: int
+        self,
+        pools: dict[str, pool_module.TargetPool],
+        term: int,
+        may_resume: collections.abc.Callable[[], bool],
     ) -> None:
         """Resume the replicas that follow the primary of ``term``.
 
@@ -239,21 +304,26 @@
                 if not status.is_primary and status.term >= term
             }
             if follower_pools:
-                await self._send_to_all(follower_pools, wire.RESUME)
+                await self._send_to_all(
+                    follower_pools, wire.RESUME, may_resume
+                )
                 return
             await self._clock.sleep(PROMOTION_POLL_INTERVAL_MS)
 
     async def _send_to_all(
-        self, pools: dict[str, pool_module.TargetPool], text: str
+        self,
+        pools: dict[str, pool_module.TargetPool],
+        text: str,
+        may_send: collections.abc.Callable[[], bool] | None = None,
     ) -> tuple[dict[str, wire.Status], list[str]]:
-        """Send a command to all ``pools`` at once.
+        """Send a command to all ``pools`` at once, if ``may_send`` allows it.
 
         Returns the answers by target id, and the ids that didn't answer.
         """
         answers = {}
         unanswered = []
         statuses = await asyncio.gather(
-            *(_send_command(pool, text) for pool in pools.values())
+            *(_send_command(pool, text, may_send) for pool in pools.values())
         )
         for target_id, status in zip(pools, statuses, strict=True):
             if isinstance(status, exceptions.Sentinel):
@@ -292,20 +362,23 @@
             return exceptions.Sentinel('the duty row is unreadable')
         return duty, row.version, feed.now_ms
 
-    async def _acquire_token(self, service: str) -> int | None:
-        """Take a service's fencing token; None if another host holds it.
+    async def _acquire_token(
+        self, service: str, *, may_renew: bool
+    ) -> int | None:
+        """Take a service's fencing token; None if it is held.
 
         Raises the token in the store. Another host's token is not taken
         before it expires by the store's clock: two holders at once would
-        choose different replicas.
+        choose different replicas. This host's own is, with ``may_renew``.
         """
         found = await self._read_duty(service)
         if isinstance(found, exceptions.Sentinel):
             return None
         duty, version, now_ms = found
-        if duty.holder != self._host_id and now_ms < duty.until_ms:
+        is_renewal = may_renew and duty.holder == self._host_id
+        if not is_renewal and now_ms < duty.until_ms:
             _log.info(
-                'succession_held_by_other',
+                'succession_token_held',
                 service=service,
                 peer=duty.holder,
                 token=duty.token,
@@ -348,24 +421,21 @@
         doesn't know of that one yet stays paused. Raises ``PlatformError``
         while the store can't be reached.
         """
-        found = await self._read_duty(service)
-        if isinstance(found, exceptions.Sentinel):
-            return
-        duty, _, now_ms = found
-        if now_ms < duty.until_ms:
-            return
-        status = await pool.run_command(wire.STATUS, COMMAND_TIMEOUT_MS)
-        if isinstance(status, exceptions.Sentinel) or (
-            status.held <= status.term or status.term < primary_term
-        ):
-            return
-        _log.info(
-            'replica_resumed',
-            service=service,
-            target=pool.target.target_id,
-            held=status.held,
-        )
-        await pool.run_command(wire.RESUME, COMMAND_TIMEOUT_MS)
+        async with self._locks_by_service[service]:
+            status = await pool.run_command(wire.STATUS, COMMAND_TIMEOUT_MS)
+            if isinstance(status, exceptions.Sentinel) or (
+                not _is_left_paused(status, primary_term)
+            ):
+                return
+            _log.info(
+                'replica_left_paused',
+                service=service,
+                target=pool.target.target_id,
+                held=status.held,
+            )
+            await self._resume_under_token(
+                service, {pool.target.target_id: pool}, primary_term
+            )
 
     async def _promote_replica(
         self,
@@ -438,18 +508,30 @@
 
 
 async def _send_command(
-    pool: pool_module.TargetPool, text: str
+    pool: pool_module.TargetPool,
+    text: str,
+    may_send: collections.abc.Callable[[], bool] | None,
 ) -> wire.Status | exceptions.Sentinel:
     """Send a command, and once more if it failed.
 
     A connection that failed is replaced first.
     """
-    status = await pool.run_command(text, COMMAND_TIMEOUT_MS)
-    if isinstance(status, exceptions.Sentinel):
-        return await pool.run_command(text, COMMAND_TIMEOUT_MS)
+    for _ in range(MAX_COMMAND_ATTEMPTS):
+        status = await pool.run_command(text, COMMAND_TIMEOUT_MS, may_send)
+        if not isinstance(status, exceptions.Sentinel):
+            break
     return status
 
 
+def _is_left_paused(status: wire.Status, primary_term: int) -> bool:
+    """Tell whether a replica that follows the primary is paused."""
+    return (
+        not status.is_primary
+        and status.held > 0
+        and status.term >= primary_term
+    )
+
+
 async def _answers_as_primary(pool: pool_module.TargetPool) -> bool:
     """Tell whether a target that didn't answer now says it is primary."""
     status = await pool.run_command_on_new_connection(
--- a/samphirestand/platform/wire.py
+++ b/samphirestand/platform/wire.py
@@ -417,6 +417,13 @@
         if self._transport is not None:
             self._transport.close()
 
+    def discard_unsent_on_close(self) -> None:
+        """Reset the connection when it is closed."""
+        if self._transport is not None:
+            sockets.discard_unsent_on_close(
+                self._transport.get_extra_info('socket')
+            )
+
     def abort(self) -> None:
         """Close the connection at once; unsent data is dropped."""
         self.is_closed = True
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import hypothesis
 from hypothesis import stateful
@@ -388,6 +389,12 @@
             node = fleet.nodes[0]
             await write_until_served(node, 'WRITE x 1')
             gateway = node.gateways._get_or_open_gateway(nodes.SERVICE)
+            duty = {
+                'token': 7,
+                'holder': 'another',
+                'until_ms': int(time.monotonic() * 1000) + 60_000,
+            }
+            fleet.store.put('duties', f'promotion/{nodes.SERVICE}', duty)
             for server in fleet.group.servers.values():
                 if not server.is_primary:
                     server.paused_term = 2
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -7,7 +7,9 @@
 
 from samphirestand import catalog
 from samphirestand import clock as clock_module
+from samphirestand import exceptions
 from samphirestand.gateway import pool as pool_module
+from samphirestand.platform import wire
 
 STATUS_ANSWER = (
     b'DATAROW primary 1 1.3 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.3\r\n'
@@ -135,3 +137,31 @@
     assert not pool.needs_probe
     clock.set(clock.now() + 1)
     assert pool.needs_probe
+
+
+def test_command_without_answer_is_withdrawn_from_the_network():
+    """Guards against a RESUME that a partition delays past a later pause."""
+
+    async def scenario():
+        ended = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            await reader.readline()
+            writer.write(b'READY I 1.3\r\n')
+            try:
+                await reader.read()
+            except ConnectionResetError as error:
+                ended.set_result(error)
+            else:
+                ended.set_result('end of stream')
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        pool = create_pool(server.sockets[0].getsockname()[1])
+        answer = await pool.run_command(wire.RESUME, 50)
+        assert isinstance(answer, exceptions.Sentinel)
+        async with asyncio.timeout(5):
+            assert isinstance(await ended, ConnectionResetError)
+        server.close()
+
+    asyncio.run(scenario())
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from samphirestand import exceptions
 from samphirestand.gateway import policy
+from samphirestand.gateway import succession
 from samphirestand.platform import wire
 from samphirestand import types
 from tests import nodes
@@ -208,6 +210,53 @@
     run_scenario(scenario, hosts=1)
 
 
+def test_paused_replica_that_serves_no_reads_is_resumed():
+    """Guards against a paused replica that nothing but its status shows."""
+
+    async def scenario(fleet):
+        replica = list(fleet.group.servers.values())[1]
+        replica.paused_term = 9
+        gateway = fleet.nodes[0].gateways._get_or_open_gateway(nodes.SERVICE)
+        pool = gateway.group.pools_by_id[replica.server_id]
+        await pool.run_command(wire.STATUS, 500)
+        await fleet.until(lambda: not replica.paused_term)
+
+    run_scenario(scenario, hosts=1)
+
+
+@pytest.mark.parametrize(
+    'row',
+    [
+        'leader 3 3.1 0 0 0 1',
+        'replica 3 3.1 0 0 0',
+        'replica -3 3.1 0 0 0 1',
+        'replica 3 x 0 0 0 1',
+        'replica 3 3.1 none 0 0 1',
+        'replica 1 3.1 0 0 0 1',
+        '',
+    ],
+)
+def test_nothing_is_concluded_from_a_wrong_status(row):
+    """Guards against unknown roles, broken rows and terms that go back."""
+
+    async def scenario(fleet):
+        gateway = fleet.nodes[0].gateways._get_or_open_gateway(nodes.SERVICE)
+        replica = list(fleet.group.servers.values())[1]
+        pool = gateway.group.pools_by_id[replica.server_id]
+        replica.term = 2
+        known = await pool.run_command(wire.STATUS, 500)
+        assert known.term == 2
+        replica._run_control_command = lambda command, text: (
+            f'DATAROW {row}\r\nCOMPLETE -\r\n'
+        )
+        for text in (wire.STATUS, wire.step_down_text(9), wire.pause_text(9)):
+            answer = await pool.run_command(text, 500)
+            assert isinstance(answer, exceptions.Sentinel)
+        assert not pool.is_paused
+
+    run_scenario(scenario, hosts=1)
+
+
 def test_primary_that_answers_again_is_not_replaced():
     """Guards against a promotion after a probe failed in a partition."""
 
@@ -317,6 +366,77 @@
     run_scenario(scenario, hosts=1)
 
 
+def test_replica_is_not_resumed_while_another_host_holds_the_token():
+    """Guards against a resumption that undoes another host's pause.
+
+    The other host takes the token and pauses the replica while this host's
+    question to the replica is under way.
+    """
+
+    async def scenario(fleet):
+        node = fleet.nodes[0]
+        gateway = node.gateways._get_or_open_gateway(nodes.SERVICE)
+        primary, replica, _ = fleet.group.servers.values()
+        pool = gateway.group.pools_by_id[replica.server_id]
+        replica.paused_term = 2
+        send = pool.run_command
+
+        async def send_after_hand_over(text, *arguments):
+            if text == wire.STATUS and replica.paused_term == 2:
+                duty = {
+                    'token': 90,
+                    'holder': 'another',
+                    'until_ms': int(time.monotonic() * 1000) + 60_000,
+                }
+                fleet.store.put('duties', f'promotion/{nodes.SERVICE}', duty)
+                replica.paused_term = 3
+            return await send(text, *arguments)
+
+        pool.run_command = send_after_hand_over
+        await node.gateways._succession.resume_replica(
+            nodes.SERVICE, pool, primary.term
+        )
+        assert replica.paused_term == 3
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_replicas_are_not_resumed_after_the_token_may_have_expired():
+    """Guards against a holder that slept and resumes what another paused."""
+
+    async def scenario(fleet):
+        node = fleet.nodes[0]
+        gateway = node.gateways._get_or_open_gateway(nodes.SERVICE)
+        replica = list(fleet.group.servers.values())[1]
+        pool = gateway.group.pools_by_id[replica.server_id]
+        replica.paused_term = 2
+        succession_module = node.gateways._succession
+        clock = succession_module._clock
+        send = pool.run_command
+        slept_ms = 0
+
+        class SuspendedClock:
+            def now(self):
+                return clock.now() + slept_ms
+
+            async def sleep(self, duration_ms):
+                await clock.sleep(duration_ms)
+
+        succession_module._clock = SuspendedClock()
+
+        async def send_then_sleep(text, *arguments):
+            nonlocal slept_ms
+            answer = await send(text, *arguments)
+            slept_ms += succession.TOKEN_HOLD_MS
+            return answer
+
+        pool.run_command = send_then_sleep
+        await succession_module.resume_replica(nodes.SERVICE, pool, 1)
+        assert replica.paused_term == 2
+
+    run_scenario(scenario, hosts=1)
+
+
 def test_replica_that_left_before_later_commits_is_not_waited_for():
     """Guards against a long time without a primary after a planned change."""
 
