--- a/bench/replay.py
+++ b/bench/replay.py
@@ -300,7 +300,10 @@
         return replies
 
     async def run_command(
-        self, text: str, timeout_ms: int
+        self,
+        text: str,
+        timeout_ms: int,
+        may_send: collections.abc.Callable[[], bool] | None = None,
     ) -> wire.Status | exceptions.Sentinel:
         step = connection_module.TargetStatement(wire.PROXY_REQUEST_ID, text)
         try:
