gateway, fleet: Replace no primary after a cut has healed; share settled departures

Ruled out: a shorter memory of departures (it protects the only copy of a commit).

Change: an isolated host begins no replacement. A primary that was down and answers during the delay before the order isn't replaced, before only an answer until the pause counted. Gateway hosts announce the departures after which they saw a commit acknowledged; other hosts remember these by the server's start.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -356,6 +356,11 @@
     def departed_replicas(self, service: str) -> list[watch.Departure]:
         return []
 
+    def settle_departures(
+        self, starts: collections.abc.Collection[catalog.TargetStart]
+    ) -> None:
+        """Ignored, since no target departs."""
+
     def claim_version(self, target_id: str) -> int:
         return 1
 
--- a/samphirestand/catalog.py
+++ b/samphirestand/catalog.py
@@ -10,6 +10,7 @@
     'Route',
     'Service',
     'Target',
+    'TargetStart',
 ]
 
 
@@ -74,6 +75,14 @@
     startup_timeout_ms: int = 3_000
 
 
+@dataclasses.dataclass(frozen=True, order=True)
+class TargetStart:
+    """One start of a target: a server that restarts may keep its id."""
+
+    target_id: str
+    started_ms: int  # server's wall clock
+
+
 @dataclasses.dataclass(frozen=True)
 class Target:
     """A database server, as it registers itself in the store."""
@@ -87,3 +96,7 @@
     is_draining: bool
     claims_primary: bool
     started_ms: int  # server's wall clock; distinguishes its restarts
+
+    @property
+    def start(self) -> TargetStart:
+        return TargetStart(self.target_id, self.started_ms)
--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -117,8 +117,14 @@
   zone @1 :Text;  # the zone of the service's primary
 }
 
+struct Departure {
+  targetId @0 :Text;
+  startedMs @1 :UInt64;
+}
+
 struct Claims {
   claims @0 :List(Claim);
+  settledDepartures @1 :List(Departure);
 }
 
 struct Call {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -157,10 +157,12 @@
 class Claims:
     """The complete list of services whose gateway the sender is.
 
-    The value is the zone of the service's primary.
+    The value is the zone of the service's primary. The departures are those
+    of targets of these services that promotions need not wait for.
     """
 
     zones_by_service: dict[str, str]
+    settled_departures: frozenset[catalog.TargetStart] = frozenset()
 
 
 Frame = (
@@ -223,12 +225,18 @@
             message.init('abandon').call = frame.transaction
         case Claims():
             zones = frame.zones_by_service
-            claims = message.init('claims').init('claims', len(zones))
+            builder = message.init('claims')
+            claims = builder.init('claims', len(zones))
             for claim, (service, zone) in zip(
                 claims, zones.items(), strict=True
             ):
                 claim.service = service
                 claim.zone = zone
+            starts = sorted(frame.settled_departures)
+            departures = builder.init('settledDepartures', len(starts))
+            for departure, start in zip(departures, starts, strict=True):
+                departure.targetId = start.target_id
+                departure.startedMs = start.started_ms
         case Hello():
             builder = message.init('hello')
             builder.hostId = frame.host_id
@@ -319,8 +327,13 @@
         case 'abandon':
             return Abandon(message.abandon.call)
         case 'claims':
+            reader = message.claims
             return Claims(
-                {each.service: each.zone for each in message.claims.claims}
+                {each.service: each.zone for each in reader.claims},
+                frozenset(
+                    catalog.TargetStart(each.targetId, each.startedMs)
+                    for each in reader.settledDepartures
+                ),
             )
         case 'hello':
             reader = message.hello
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -11,6 +11,7 @@
 
 import pydantic
 
+from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.fleet import frames
@@ -328,6 +329,14 @@
         zone = newest_link.claims.zones_by_service[service]
         return self.host_for(gateway_job(service), zone)
 
+    def settled_departures(self) -> set[catalog_module.TargetStart]:
+        """Return the departures of targets that gateway hosts call settled."""
+        return {
+            start
+            for link in self._links_by_id.values()
+            for start in link.claims.settled_departures
+        }
+
     @property
     def is_isolated(self) -> bool:
         """Tell whether this host is cut off from the fleet.
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -53,6 +53,10 @@
 # confirmed commits that no other replica has received yet.
 DEPARTURE_KEPT_MS = 20_000
 
+# How long it is remembered that a departure is settled: a host may hear of it
+# before it notices the departure, and forgets the departure later.
+SETTLEMENT_KEPT_MS = 2 * DEPARTURE_KEPT_MS
+
 _log = log.get_logger(__name__)
 
 
@@ -158,6 +162,9 @@
         self._claim_versions_by_id: dict[str, int] = {}
         self._missing_since_ms_by_id: dict[str, int] = {}
         self._departures: list[Departure] = []
+        self._settled_until_ms_by_start: dict[
+            catalog_module.TargetStart, int
+        ] = {}
         self._removal_paused_until_ms = 0
         self._interval_ms = TARGETS_INTERVAL_MS
         self._interval_shortened = asyncio.Event()
@@ -205,7 +212,8 @@
         """Return recently departed replicas of a service without a successor.
 
         A server that starts at the address of one that was due to leave has
-        that server's log, so it counts as the successor.
+        that server's log, so it counts as the successor. Settled departures
+        are left out.
         """
         since_ms = self._clock.now() - DEPARTURE_KEPT_MS
         self._departures = [
@@ -219,9 +227,36 @@
             for each in self._departures
             if each.target.service == service
             and not each.target.claims_primary
+            and each.target.start not in self._settled_until_ms_by_start
             and (each.target.address, each.target.port) not in addresses_in_use
         ]
 
+    def settle_departures(
+        self, starts: collections.abc.Collection[catalog_module.TargetStart]
+    ) -> None:
+        """Record departures after which a commit was acknowledged.
+
+        A remaining replica confirmed that commit, so it has all earlier ones
+        too. True for good, whichever host observed it.
+        """
+        now = self._clock.now()
+        for start in starts:
+            self._settled_until_ms_by_start[start] = now + SETTLEMENT_KEPT_MS
+        for start, until_ms in list(self._settled_until_ms_by_start.items()):
+            if until_ms <= now:
+                del self._settled_until_ms_by_start[start]
+
+    def settled_departures(
+        self, service: str
+    ) -> frozenset[catalog_module.TargetStart]:
+        """Return the recent departures of a service that are settled."""
+        return frozenset(
+            each.target.start
+            for each in self._departures
+            if each.target.service == service
+            and each.target.start in self._settled_until_ms_by_start
+        )
+
     def claim_version(self, target_id: str) -> int:
         """Return the store's version at which a target claimed to be primary.
 
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -216,9 +216,11 @@
         """Open, maintain and close gateways until cancelled."""
         while True:
             zones_by_service: dict[str, str] = {}
+            settled_departures: set[catalog_module.TargetStart] = set()
             if not self._members.is_settled:
                 await self._clock.sleep(MAINTENANCE_INTERVAL_MS)
                 continue
+            self._targets.settle_departures(self._members.settled_departures())
             for service in self._catalog().services_by_name.values():
                 is_owner = (
                     self.gateway_host_id(service.name)
@@ -234,9 +236,16 @@
                     continue
                 gateway = gateway or self._get_or_open_gateway(service.name)
                 self._maintain_gateway(gateway, service, is_owner)
+                if is_owner:
+                    gateway.group.settle_departures()
+                    settled_departures |= self._targets.settled_departures(
+                        service.name
+                    )
                 if not is_owner and self._is_unused(gateway):
                     self._close_gateway(gateway)
-            self._announce_claims(frames.Claims(zones_by_service))
+            self._announce_claims(
+                frames.Claims(zones_by_service, frozenset(settled_departures))
+            )
             self._targets.set_interval(self._registry_interval_ms())
             await self._clock.sleep(
                 MAINTENANCE_INTERVAL_MS
@@ -268,7 +277,11 @@
     def _announce_claims(self, claims: frames.Claims) -> None:
         if claims == self.claims:
             return
-        _log.info('gateways_claimed', services=claims.zones_by_service)
+        _log.info(
+            'gateways_claimed',
+            services=claims.zones_by_service,
+            settled=len(claims.settled_departures),
+        )
         self.claims = claims
         self.on_claims(claims)
 
@@ -301,7 +314,13 @@
             return
         gateway.review_waiting()
         self._step_down_former_primaries(gateway)
-        reason = self._primary_replacement_reason(gateway)
+        # A host that is cut off can't tell what failed: once it is reachable
+        # again, it would replace primaries that others use.
+        reason = (
+            None
+            if self._members.is_isolated
+            else self._primary_replacement_reason(gateway)
+        )
         if reason is not None and self._succession is not None:
             self._start_unless_running(
                 f'replace/{service.name}',
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -180,6 +180,16 @@
             self.acknowledged_position = position
             self.acknowledged_sent_ms = sent_ms
 
+    def settle_departures(self) -> None:
+        """Record departures that an acknowledged commit has settled."""
+        self._targets.settle_departures(
+            [
+                each.target.start
+                for each in self._targets.departed_replicas(self.service)
+                if each.noticed_ms < self.acknowledged_sent_ms
+            ]
+        )
+
     def unconfirmed_departures(self) -> list[str]:
         """Return the ids of departed replicas that may hold the only copy.
 
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -87,6 +87,7 @@
         self._store = store
         self._promotions = promotions
         self._versions_by_service: dict[str, int] = {}
+        self._checks: set[asyncio.Task[None]] = set()
         # Held while this host may hold the token of a service, which the
         # store lets it take a second time.
         self._locks_by_service: collections.defaultdict[str, asyncio.Lock] = (
@@ -126,15 +127,16 @@
             replicas=sorted(pools),
         )
 
-        # Ask the old primary at the same time as the replicas and check its
-        # answer before the promotion: a primary that answers again after a
-        # partition must not be replaced.
+        # Ask the old primary at the same time as the replicas. A primary that
+        # answers again after a partition must not be replaced.
         old_primary = gateway.group.primary
-        primary_check = None
-        if old_primary is not None and old_primary.is_down:
+        was_down = old_primary is not None and old_primary.is_down
+        if old_primary is not None and was_down:
             primary_check = asyncio.create_task(
-                _answers_as_primary(old_primary)
+                _check_primary(gateway, old_primary)
             )
+            self._checks.add(primary_check)
+            primary_check.add_done_callback(self._checks.discard)
 
         # Ask the replicas before taking the token: without enough answers
         # nothing may be changed.
@@ -178,12 +180,19 @@
         wait_reason = _missing_commit_reason(
             candidate, states, service, group.acknowledged_position
         )
-        if (
-            primary_check is not None
-            and primary_check.done()
-            and primary_check.result()
-        ):
-            wait_reason = f'{old_primary_id} answers again as primary'
+        is_stepped_down = (
+            wait_reason is None
+            and old_primary is not None
+            and not was_down
+            and await gateway.step_down(old_primary, term)
+        )
+        if wait_reason is None and not is_stepped_down:
+            # Other gateways may use the old primary on evidence from before
+            # the pause.
+            waited_ms = self._clock.now() - paused_ms
+            await self._clock.sleep(policy.PROMOTION_DELAY_MS - waited_ms)
+        if old_primary is not None and was_down and not old_primary.is_down:
+            wait_reason = f'{old_primary_id} answers again'
         if wait_reason is not None or isinstance(
             candidate, exceptions.Sentinel
         ):
@@ -196,16 +205,6 @@
             )
             await self._release_token(service.name, token)
             return False
-        is_stepped_down = (
-            old_primary is not None
-            and not old_primary.is_down
-            and await gateway.step_down(old_primary, term)
-        )
-        if not is_stepped_down:
-            # Other gateways may use the old primary on evidence from before
-            # the pause.
-            waited_ms = self._clock.now() - paused_ms
-            await self._clock.sleep(policy.PROMOTION_DELAY_MS - waited_ms)
 
         # From here on the replicas stay paused until the promotion is known
         # to have taken effect. An order that got no answer may still be
@@ -532,15 +531,15 @@
     )
 
 
-async def _answers_as_primary(pool: pool_module.TargetPool) -> bool:
-    """Tell whether a target that didn't answer now says it is primary."""
+async def _check_primary(
+    gateway: gateway_module.ServiceGateway, pool: pool_module.TargetPool
+) -> None:
+    """Ask a primary that is down for its status; an answer shows it is up."""
     status = await pool.run_command_on_new_connection(
         wire.STATUS, COMMAND_TIMEOUT_MS
     )
-    if isinstance(status, exceptions.Sentinel) or not status.is_primary:
-        return False
-    pool.record_reply()
-    return True
+    if not isinstance(status, exceptions.Sentinel) and not status.is_primary:
+        gateway.group.mark_not_primary(pool)
 
 
 def _duty_key(service: str) -> str:
--- a/tests/fleet/test_watch.py
+++ b/tests/fleet/test_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from samphirestand import catalog
 from samphirestand import clock as clock_module
 from samphirestand.fleet import watch
 from samphirestand.platform import store as store_module
@@ -62,6 +63,28 @@
     asyncio.run(scenario())
 
 
+def test_settled_departure_of_an_earlier_start_settles_no_later_one():
+    """Guards against ignoring a replica that left again under its id."""
+    clock = clock_module.ManualClock()
+    targets = watch.TargetWatch(FakeStore(), clock, lambda: None)
+    first, second = (
+        catalog.Target(
+            'i-1', 'svc', '127.0.0.1', 1, 'north', 2, False, False, started_ms
+        )
+        for started_ms in (1, 2)
+    )
+    # The claim may arrive before the departure is noticed.
+    targets.settle_departures({first.start})
+    for target in (first, second):
+        targets._departures.append(watch.Departure(target, clock.now()))
+    departures = targets.departed_replicas('svc')
+    assert [each.target for each in departures] == [second]
+    assert targets.settled_departures('svc') == {first.start}
+    clock.set(clock.now() + watch.SETTLEMENT_KEPT_MS)
+    targets.settle_departures(())
+    assert targets.settled_departures('svc') == set()
+
+
 def test_gateway_reads_the_registry_often_only_while_a_target_fails():
     """Guards against calls to the store that nothing depends on."""
 
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -6,6 +6,7 @@
 import pytest
 
 from samphirestand import exceptions
+from samphirestand.fleet import members
 from samphirestand.gateway import policy
 from samphirestand.gateway import succession
 from samphirestand.platform import wire
@@ -281,6 +282,62 @@
     run_scenario(scenario, hosts=1)
 
 
+def test_primary_that_answers_during_the_delay_is_not_replaced():
+    """Guards against replacing a primary as soon as a partition has healed.
+
+    The first question to it is still on its way when the replicas have been
+    paused.
+    """
+
+    async def scenario(fleet):
+        await write_until_served(fleet, fleet.nodes[0], 'before')
+        gateways = fleet.nodes[0].gateways
+        gateway = gateways._get_or_open_gateway(nodes.SERVICE)
+        pool = gateway.group.primary
+        send = pool.run_command_on_new_connection
+
+        async def send_late(*arguments):
+            await asyncio.sleep(0.2)
+            return await send(*arguments)
+
+        pool.run_command_on_new_connection = send_late
+        pool.is_down = True
+        service = fleet.nodes[0].catalog.current.services_by_name[
+            nodes.SERVICE
+        ]
+        is_done = await gateways._succession.replace_primary(
+            gateway, service, 'test'
+        )
+        assert not is_done
+        assert fleet.store.promotions == []
+        assert all(
+            not each.paused_term for each in fleet.group.servers.values()
+        )
+
+    run_scenario(scenario, hosts=1)
+
+
+@pytest.mark.parametrize('is_isolated', [True, False])
+def test_isolated_host_replaces_no_primary(monkeypatch, is_isolated):
+    """Guards against a host that was cut off and replaces primaries.
+
+    It finds all targets silent, and begins as soon as it reaches the store
+    and the replicas again.
+    """
+
+    async def scenario(fleet):
+        await write_until_served(fleet, fleet.nodes[0], 'before')
+        monkeypatch.setattr(members.Members, 'is_isolated', is_isolated)
+        fleet.group.primary.is_silent = True
+        client = await nodes.Client.connect(fleet.nodes[0])
+        client.send('QUERY q1 WRITE x after')
+        await asyncio.sleep(4)
+        assert bool(fleet.store.promotions) is not is_isolated
+        client.close()
+
+    run_scenario(scenario, hosts=1)
+
+
 def test_concurrent_commands_to_a_target_get_their_own_answers():
     """Guards against a command that reads another command's answer."""
 
@@ -451,6 +508,35 @@
     run_scenario(scenario, hosts=1)
 
 
+def test_other_hosts_learn_which_departures_are_settled():
+    """Guards against 20 s without a primary after a replica left as planned.
+
+    The gateway host has seen commits since the replica left; the host that
+    takes over has seen none.
+    """
+
+    async def scenario(fleet):
+        _, departing, remaining = fleet.group.servers.values()
+        await write_until_served(fleet, fleet.nodes[0], 'before')
+        await drain_and_stop(fleet, departing)
+        hosts_by_id = {
+            each.members.local.host_id: each for each in fleet.nodes
+        }
+        gateway_host = hosts_by_id.pop(
+            fleet.nodes[0].gateways.gateway_host_id(nodes.SERVICE)
+        )
+        [other] = hosts_by_id.values()
+        await fleet.until(
+            lambda: other.targets.departed_replicas(nodes.SERVICE)
+        )
+        await write_until_served(fleet, gateway_host, 'after')
+        group = other.gateways._get_or_open_gateway(nodes.SERVICE).group
+        assert group.acknowledged_position is None
+        await fleet.until(lambda: group.unconfirmed_departures() == [], 5)
+
+    run_scenario(scenario)
+
+
 def test_server_at_the_address_of_a_departed_replica_replaces_it():
     """Guards against waiting for a departed replica whose log is available."""
 
