tests: Use ports that outgoing connections can't take

Cause, from a test that failed once (test_session.py, malformed line, 'address already in use'): a port was asked of the kernel, released, and bound again later; meanwhile a connection of the same tests could get it as its own.

Ruled out: binding again after a failure (the settings name the port before).

--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import pathlib
-import socket
 
 from samphirestand import node as node_module
 from samphirestand import node_settings
 from standins import database_group
 from standins import store as store_module
+from tests import processes
 
 SERVICE = 'svc'
 KEY = 'key-of-a'
@@ -18,9 +18,8 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    [port] = processes.free_ports(1)
+    return port
 
 
 def configuration(version=1, **overrides):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,6 +1,9 @@
 """Helpers that start and stop processes and wait for conditions."""
 
 import asyncio
+import contextlib
+import itertools
+import os
 import socket
 import subprocess
 import sys
@@ -8,14 +11,21 @@
 from tornado import httpclient
 
 
+# Ports below those that the kernel gives to outgoing connections, which could
+# take a port between its choice and its use. Each process starts elsewhere.
+FIRST_PORT = 12_000
+PORT_COUNT = 20_000
+_port_offsets = itertools.count(os.getpid() * 97)
+
+
 def free_ports(count):
     """Return ``count`` ports that were free when they were checked."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    ports = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(_port_offsets) % PORT_COUNT
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(('127.0.0.1', port))
+            ports.append(port)
     return ports
 
 
