gateway: Serve reads from replicas while a new gateway has no primary

Ruled out: rows in the store (a write for each service each second), asking replicas for their position (it covers no commit that another one received).

Change: gateway hosts send the newest observed position with its age in pongs to hosts that may take over. The moment counts from the ping, so a late pong makes the position older, never newer.

Tests: test_gateways.py (refused before), test_links.py, test_frames.py.

--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -87,6 +87,13 @@
   catalogVersion @2 :UInt64;
   reachesStore @3 :Bool;
   fleetDigest @4 :UInt32;  # of the job hosts; 0 if the sender tells none
+  observations @5 :List(Observation);
+}
+
+struct Observation {
+  service @0 :Text;
+  position @1 :Position;
+  ageMs @2 :UInt32;
 }
 
 struct Tokens {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -18,6 +18,7 @@
     'Deposit',
     'Frame',
     'Hello',
+    'Observation',
     'OutcomeFrame',
     'Ping',
     'Pong',
@@ -94,6 +95,18 @@
     deposits: tuple[Deposit, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class Observation:
+    """A log position that covers all commits of a service until a moment.
+
+    ``age_ms`` is how long before the sending that moment was.
+    """
+
+    service: str
+    position: types.Position
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Pong:
     """The answer to the ping with the same sequence number."""
@@ -103,6 +116,7 @@
     catalog_version: int
     reaches_store: bool = True
     fleet_digest: int = 0  # of the job hosts; 0 if the sender tells none
+    observations: tuple[Observation, ...] = ()  # of the sender's gateways
 
 
 @dataclasses.dataclass(frozen=True)
@@ -204,6 +218,15 @@
             builder.catalogVersion = frame.catalog_version
             builder.reachesStore = frame.reaches_store
             builder.fleetDigest = frame.fleet_digest
+            observations = builder.init(
+                'observations', len(frame.observations)
+            )
+            for item, observation in zip(
+                observations, frame.observations, strict=True
+            ):
+                item.service = observation.service
+                item.ageMs = observation.age_ms
+                _fill_position(item.position, observation.position)
         case TokenRequest():
             builder = message.init('tokenRequest')
             builder.call = frame.call_id
@@ -307,6 +330,11 @@
                 reader.catalogVersion,
                 reader.reachesStore,
                 reader.fleetDigest,
+                tuple(
+                    Observation(each.service, position, each.ageMs)
+                    for each in reader.observations
+                    if (position := _decode_position(each.position))
+                ),
             )
         case 'tokenRequest':
             reader = message.tokenRequest
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -15,6 +15,7 @@
 from samphirestand.fleet import frames
 from samphirestand import log
 from samphirestand import sockets
+from samphirestand import types
 from samphirestand import work as work_module
 
 __all__ = ['FrameConnection', 'Handler', 'Link', 'Listener']
@@ -158,6 +159,9 @@
         self.last_answer_ms = clock.now()
         self.catalog_version = 0
         self.fleet_digest = 0
+        # For each service of which the host is the gateway, a log position
+        # and until when it covers all commits.
+        self.observed_by_service: dict[str, tuple[int, types.Position]] = {}
         self.round_trip_ms = 0
         self._is_stopped = False
 
@@ -315,6 +319,12 @@
         sent_ms = self._sent_ms_by_sequence.pop(pong.sequence, None)
         if sent_ms is not None:
             self.round_trip_ms = self._clock.now() - sent_ms
+            for each in pong.observations:
+                # The answer was sent after the ping, at a moment unknown here.
+                self.observed_by_service[each.service] = (
+                    sent_ms - each.age_ms,
+                    each.position,
+                )
         for sequence in [
             each for each in self._sent_ms_by_sequence if each < pong.sequence
         ]:
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -21,6 +21,7 @@
 from samphirestand import log
 from samphirestand import node_settings
 from samphirestand.platform import store as store_module
+from samphirestand import types
 
 __all__ = ['HOSTS_TABLE', 'PING_INTERVAL_MS', 'Members', 'gateway_job']
 
@@ -329,6 +330,22 @@
         zone = newest_link.claims.zones_by_service[service]
         return self.host_for(gateway_job(service), zone)
 
+    def observed_positions(
+        self, service: str
+    ) -> list[tuple[int, types.Position]]:
+        """Return what gateway hosts told about the log of a service.
+
+        Each position covers all commits until the moment before it.
+        """
+        return [
+            link.observed_by_service[service]
+            for link in self._links_by_id.values()
+            if service in link.observed_by_service
+        ]
+
+    def may_become_gateway_host(self, host_id: str) -> bool:
+        return host_id in self._job_host_ids
+
     def settled_departures(self) -> set[catalog_module.TargetStart]:
         """Return the departures of targets that gateway hosts call settled."""
         return {
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -116,9 +116,21 @@
                 self._catalog.current.version,
                 self._members.reaches_store,
                 self._members.fleet_digest,
+                self._observations_for(connection),
             )
         )
 
+    def _observations_for(
+        self, connection: links.FrameConnection
+    ) -> tuple[frames.Observation, ...]:
+        """Return what a host needs to take over gateways of this one."""
+        hello = connection.hello
+        if hello is None or not self._members.may_become_gateway_host(
+            hello.host_id
+        ):
+            return ()
+        return self._gateways.observations()
+
 
 def _owner_id(connection: links.FrameConnection) -> str:
     """Return the key of the sending process; '' before its ``Hello``."""
--- a/samphirestand/gateway/freshness.py
+++ b/samphirestand/gateway/freshness.py
@@ -28,6 +28,11 @@
         """Return when the request of the newest observation was sent."""
         return self._observations[-1][0] if self._observations else None
 
+    @property
+    def latest(self) -> tuple[int, types.Position] | None:
+        """Return the newest observation: when it was requested, and it."""
+        return self._observations[-1] if self._observations else None
+
     def record(self, sent_ms: int, position: types.Position) -> None:
         """Record the primary's ``position`` in answer to a request.
 
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -145,9 +145,38 @@
                 self._metrics,
             )
             self._gateways_by_service[service] = found
+            self._adopt_observations(found)
             _log.info('gateway_opened', service=service)
         return found
 
+    def _adopt_observations(
+        self, gateway: gateway_module.ServiceGateway
+    ) -> None:
+        """Adopt log positions that earlier gateway hosts observed.
+
+        Replicas can then serve reads while the primary is being replaced.
+        """
+        freshness = gateway.group.freshness
+        for moment_ms, position in sorted(
+            self._members.observed_positions(gateway.service)
+        ):
+            freshness.record(moment_ms, position)
+
+    def observations(self) -> tuple[frames.Observation, ...]:
+        """Return the newest log position of each gateway with its age."""
+        now = self._clock.now()
+        observations = []
+        for service, gateway in self._gateways_by_service.items():
+            latest = gateway.group.freshness.latest
+            if latest is not None:
+                moment_ms, position = latest
+                observations.append(
+                    frames.Observation(
+                        service, position, max(0, now - moment_ms)
+                    )
+                )
+        return tuple(observations)
+
     async def run(
         self, owner: str, work: work_module.Work
     ) -> work_module.Outcome:
@@ -312,6 +341,7 @@
         )
         if not is_owner:
             return
+        self._adopt_observations(gateway)
         gateway.review_waiting()
         self._step_down_former_primaries(gateway)
         # A host that is cut off can't tell what failed: once it is reachable
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -52,6 +52,14 @@
         frames.Claims({}, frozenset({catalog.TargetStart('i-1', 1 << 41)})),
         frames.Ping(1, True, 7, (frames.Deposit('a', 1500),)),
         frames.Pong(1, True, 7, reaches_store=False),
+        frames.Pong(
+            1,
+            False,
+            7,
+            observations=(
+                frames.Observation('svc', types.Position(3, 1 << 40), 250),
+            ),
+        ),
         frames.WorkFrame(1, WORK),
         frames.OutcomeFrame(
             2, work.Answered(('x', ''), 's', types.Position(1, 2), 'i-1')
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -3,6 +3,7 @@
 from samphirestand import clock as clock_module
 from samphirestand.fleet import frames
 from samphirestand.fleet import links
+from samphirestand import types
 
 
 class FakeConnection:
@@ -52,3 +53,19 @@
     link.handle_disconnect(link._connection)
     clock.set(clock.now() + 5_000)
     assert not link.is_silent_for(0)
+
+
+def test_observed_position_is_dated_from_the_sending_of_the_ping():
+    """Guards against reads that miss commits made while a pong was late."""
+    clock = clock_module.ManualClock()
+    link = create_link(clock)
+    sent_ms = clock.now()
+    link.ping(frames.Ping(0, False, 0))
+    clock.set(sent_ms + 700)
+    observation = frames.Observation('svc', types.Position(1, 7), 100)
+    link.handle_frame(
+        link._connection, frames.Pong(1, False, 0, observations=(observation,))
+    )
+    assert link.observed_by_service == {
+        'svc': (sent_ms - 100, types.Position(1, 7))
+    }
--- a/tests/gateway/test_gateways.py
+++ b/tests/gateway/test_gateways.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from samphirestand.fleet import members
 from samphirestand.gateway import gateways
 from tests import nodes
 
@@ -24,3 +25,35 @@
             assert result.startswith('COMPLETE')
 
     asyncio.run(scenario())
+
+
+def test_host_that_takes_over_reads_from_replicas_without_a_primary():
+    """Guards against seconds without reads while a primary is replaced.
+
+    The host that takes over has no answer of the primary, but hears from the
+    earlier gateway host which log position covers all commits.
+    """
+
+    async def scenario():
+        async with nodes.running(2) as fleet:
+            hosts_by_id = {
+                each.members.local.host_id: each for each in fleet.nodes
+            }
+            earlier = hosts_by_id.pop(
+                fleet.nodes[0].gateways.gateway_host_id(nodes.SERVICE)
+            )
+            [successor] = hosts_by_id.values()
+            client = await nodes.Client.connect(earlier)
+            await client.query('WRITE x 1')
+            await client.query('READ x')
+            await asyncio.sleep(2 * members.PING_INTERVAL_MS / 1000)
+            fleet.group.primary.is_silent = True
+            successor.gateways.gateway_host_id = lambda service: (
+                successor.members.local.host_id
+            )
+            client = await nodes.Client.connect(successor, 'mine')
+            rows, result, _ = await client.query('READ x')
+            assert result.startswith('COMPLETE')
+            assert rows == ['1']
+
+    asyncio.run(scenario())
