fleet: Stay isolated while new links are tried

After two seconds they replaced the silent job hosts of other zones by the next ones. Links that had not been tried counted as not silent, so that the hosts were ready for 0.8 s: the load balancer took the zone into use again, callers' sessions were closed at 38.6 s instead of 36.5 s, and two hosts began to replace primaries.

Ruled out: no new links while isolated (they are what ends a real isolation after hosts were replaced).

Change: such links count for neither answer. Test: test_members.py.

--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -154,6 +154,8 @@
         # Whether the host neither answers nor refuses connections. A host
         # whose process has ended refuses them.
         self.is_silent = False
+        # Whether an attempt to connect has ended, in whatever way.
+        self.has_been_tried = False
         # When the host last answered a ping; the creation time of this link
         # if it never did.
         self.last_answer_ms = clock.now()
@@ -191,6 +193,7 @@
         retry_ms = MIN_RETRY_MS
         while not self._is_stopped:
             connection = await self._connect()
+            self.has_been_tried = True
             if connection is None:
                 await self._clock.sleep(retry_ms)
                 retry_ms = min(2 * retry_ms, MAX_RETRY_MS)
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -412,10 +412,13 @@
         return zones
 
     def _links_by_other_zone(self) -> dict[str, list[links.Link]]:
-        """Return the links to hosts of other zones, by zone."""
+        """Return the links to hosts of other zones, by zone.
+
+        Without links that haven't been tried yet, of which nothing is known.
+        """
         links_by_zone: dict[str, list[links.Link]] = {}
         for each in self._links_by_id.values():
-            if each.peer.zone != self.local.zone:
+            if each.peer.zone != self.local.zone and each.has_been_tried:
                 links_by_zone.setdefault(each.peer.zone, []).append(each)
         return links_by_zone
 
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -8,6 +8,7 @@
 from samphirestand import clock as clock_module
 from samphirestand.fleet import frames
 from samphirestand.fleet import job_hosts
+from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
 
 
@@ -18,6 +19,7 @@
         self.peer = frames.Hello(host_id, zone, '127.0.0.1', 1, 1)
         self.is_up = True
         self.is_silent = False
+        self.has_been_tried = True
         self.is_draining = False
         self.reaches_store = True
         self.last_answer_ms = now
@@ -80,6 +82,24 @@
     assert members.is_isolated
 
 
+def test_new_links_do_not_end_the_isolation(members, clock):
+    """Guards against a host that looks reachable because it tries new links.
+
+    After two seconds it replaces the silent job hosts of other zones by the
+    next ones, which it has not tried to reach before.
+    """
+    for link in links_in_zones(members, ['south', 'east']):
+        link.is_up = False
+        link.is_silent = True
+    for zone in ('south', 'east'):
+        peer = frames.Hello(f'{zone}-9', zone, '127.0.0.1', 1, 1)
+        members._links_by_id[peer.host_id] = links.Link(
+            peer, members.local, clock, lambda: None
+        )
+    assert members.is_isolated
+    assert members.is_zone_silent('south')
+
+
 def test_mass_kill_does_not_isolate_the_remaining_hosts(members, clock):
     """Fails if hosts that survive a mass failure stop serving callers."""
     clock.set(clock.now() + 900)
