fleet: Ping calm links in turn, also while they carry requests

two thirds of the processor time of the hosts goes into pings and pongs. A host without jobs pinged each link that had carried a request within two seconds four times a second; at 195 hosts with ten services that is most of its 18 links.

Also found by reading: a round removed an account's surplus tokens although the ping that carries them wasn't due, so they were lost; between the moment when a draining host gives a gateway up and the claim of its successor, hosts without jobs chose a host in another zone, which opened a second gateway.

Ruled out: fewer pings by hosts that do jobs (they choose by the answers who takes over), pings of all links once in two seconds only (a cut zone would be noticed link by link).

Change: links are pinged in turn, once in eight rounds. A link that owes an answer for 100 ms is pinged in each round, as are all links to a zone of which one host is silent. Anything a host sends shows that it is alive. A host that drains says so at once. Hosts without jobs don't review gateways.

Tests: test_members.py, test_links.py.

--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -141,12 +141,15 @@
         self._connection: FrameConnection | None = None
         self._call_ids = itertools.count(1)
         self._futures_by_call_id: dict[int, asyncio.Future[_Answer]] = {}
+        # When each request without an answer was sent, the oldest first.
+        self._sent_ms_by_call_id: dict[int, int] = {}
         self._sent_sequence = 0
         self._answered_sequence = 0
         self._sent_ms_by_sequence: dict[int, int] = {}
         self.is_draining = False
         self.reaches_store = True
         self.last_used_ms = 0  # when the last request was sent
+        self.last_ping_ms = 0
         # The services for which the host claims to be the gateway, and when
         # it last said so.
         self.claims = frames.Claims({})
@@ -156,15 +159,14 @@
         self.is_silent = False
         # Whether an attempt to connect has ended, in whatever way.
         self.has_been_tried = False
-        # When the host last answered a ping; the creation time of this link
-        # if it never did.
+        # When the host last sent anything; the creation time of this link if
+        # it never did.
         self.last_answer_ms = clock.now()
         self.catalog_version = 0
         self.fleet_digest = 0
         # For each service of which the host is the gateway, a log position
         # and until when it covers all commits.
         self.observed_by_service: dict[str, tuple[int, types.Position]] = {}
-        self.round_trip_ms = 0
         self._is_stopped = False
 
     @property
@@ -188,6 +190,21 @@
             return self.is_silent
         return self._clock.now() - oldest_sent_ms >= limit_ms
 
+    def owes_answer_for(self, limit_ms: int) -> bool:
+        """Tell whether a request or ping has had no answer for ``limit_ms``.
+
+        A host that has sent anything since then is alive: the answer to a
+        request may take long.
+        """
+        if self.is_silent_for(limit_ms):
+            return True
+        oldest_sent_ms = next(iter(self._sent_ms_by_call_id.values()), None)
+        return (
+            oldest_sent_ms is not None
+            and self._clock.now() - max(oldest_sent_ms, self.last_answer_ms)
+            >= limit_ms
+        )
+
     async def run(self) -> None:
         """Connect, and reconnect when the connection ends, until cancelled."""
         retry_ms = MIN_RETRY_MS
@@ -245,7 +262,8 @@
             connection.abort()
             return
         self._sent_sequence += 1
-        self._sent_ms_by_sequence[self._sent_sequence] = self._clock.now()
+        self.last_ping_ms = self._clock.now()
+        self._sent_ms_by_sequence[self._sent_sequence] = self.last_ping_ms
         connection.send(
             dataclasses.replace(ping, sequence=self._sent_sequence)
         )
@@ -268,6 +286,7 @@
         future = asyncio.get_running_loop().create_future()
         self._futures_by_call_id[call_id] = future
         self.last_used_ms = self._clock.now()
+        self._sent_ms_by_call_id[call_id] = self.last_used_ms
         connection.send(build_frame(call_id))
         timer = asyncio.get_running_loop().call_later(
             timeout_ms / 1000, _set_timed_out, future
@@ -278,6 +297,7 @@
         finally:
             timer.cancel()
             self._futures_by_call_id.pop(call_id, None)
+            self._sent_ms_by_call_id.pop(call_id, None)
 
     def send(self, frame: frames.Frame) -> None:
         """Send a frame that has no answer."""
@@ -287,6 +307,7 @@
     def handle_frame(
         self, connection: FrameConnection, frame: frames.Frame
     ) -> None:
+        self.last_answer_ms = self._clock.now()
         match frame:
             case frames.OutcomeFrame() | frames.TokenAnswer():
                 self._complete_call(frame.call_id, frame)
@@ -316,12 +337,10 @@
         self.is_draining = pong.is_draining
         self.reaches_store = pong.reaches_store
         self.is_silent = False
-        self.last_answer_ms = self._clock.now()
         self.catalog_version = pong.catalog_version
         self.fleet_digest = pong.fleet_digest
         sent_ms = self._sent_ms_by_sequence.pop(pong.sequence, None)
         if sent_ms is not None:
-            self.round_trip_ms = self._clock.now() - sent_ms
             for each in pong.observations:
                 # The answer was sent after the ping, at a moment unknown here.
                 self.observed_by_service[each.service] = (
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import json
-import zlib
 
 import pydantic
 
@@ -17,13 +17,20 @@
 from samphirestand.fleet import frames
 from samphirestand.fleet import job_hosts
 from samphirestand.fleet import links
+from samphirestand.fleet import ping_schedule
 from samphirestand.hosts import rendezvous
 from samphirestand import log
 from samphirestand import node_settings
 from samphirestand.platform import store as store_module
 from samphirestand import types
 
-__all__ = ['HOSTS_TABLE', 'PING_INTERVAL_MS', 'Members', 'gateway_job']
+__all__ = [
+    'HOSTS_TABLE',
+    'PING_INTERVAL_MS',
+    'Members',
+    'PingRound',
+    'gateway_job',
+]
 
 # The table of the store in which hosts register and find each other.
 HOSTS_TABLE = 'hosts'
@@ -32,21 +39,10 @@
 # fails, which marks it as unreachable.
 PING_INTERVAL_MS = 250
 
-# Links without recent requests are pinged once in this many rounds, a part of
-# them in each round: each round thus shows whether other zones are reached.
-ROUNDS_PER_IDLE_PING = 4
-
-# When no host of another zone has answered for this long, all of them are
-# pinged in each round.
-CUT_OFF_SUSPECTED_MS = 350
-
 # Hosts of a zone that have left a ping unanswered for this long are cut off.
 # Most answer within 50 ms.
 SILENT_ZONE_MS = 500
 
-# A link is in use if a request was sent on it within this time.
-LINK_IN_USE_MS = 2_000
-
 # A link to a host that is no longer a job host is closed when it has been
 # unused for this long: the last transaction on it has ended by then, as
 # operators let a transaction be idle for about 3 s.
@@ -108,10 +104,21 @@
 
 _log = log.get_logger(__name__)
 
-# Called at the start of a ping round; returns what builds a link's ping.
-StartRound = collections.abc.Callable[
-    [], collections.abc.Callable[[links.Link], frames.Ping]
-]
+
+@dataclasses.dataclass(frozen=True)
+class PingRound:
+    """What a round of pings tells each host.
+
+    The hosts of ``required_host_ids`` must be pinged, because their pings
+    move something to them.
+    """
+
+    build_ping: collections.abc.Callable[[links.Link], frames.Ping]
+    required_host_ids: collections.abc.Set[str] = frozenset()
+
+
+# Called at the start of a round.
+StartRound = collections.abc.Callable[[], PingRound]
 
 
 class _RowModel(pydantic.BaseModel):
@@ -158,12 +165,13 @@
         self._first_read_ms: int | None = None
         self._last_read_ms = clock.now()
         self._last_link_up_ms = clock.now()
-        self._ping_round = 0
         # When the zones that are cut off were last computed, and the result.
         self._cut_off_zones_memo: tuple[int | None, frozenset[str]] = (
             None,
             frozenset(),
         )
+        # The zone of the primary by the last claim to be its gateway host.
+        self._claimed_zones_by_service: dict[str, str] = {}
         self.fleet_digest = 0
         self._differs_since_ms: int | None = None
         self._reread_interval_ms = MIN_REREAD_INTERVAL_MS
@@ -312,7 +320,8 @@
 
         While that host doesn't answer, is draining or in a zone that is cut
         off, returns the host that will take over, which the job hosts choose
-        by the same rule.
+        by the same rule. So does it between the moment when a host gives the
+        gateway up and the next claim.
         """
         claiming_links = [
             each
@@ -324,16 +333,18 @@
             key=lambda each: each.claims_received_ms,
             default=None,
         )
-        if newest_link is None:
-            return self.host_for(gateway_job(service))
-        if (
-            newest_link.is_up
-            and not newest_link.is_draining
-            and newest_link.peer.zone not in self._cut_off_zones()
-        ):
-            return newest_link.peer.host_id
-        zone = newest_link.claims.zones_by_service[service]
-        return self.host_for(gateway_job(service), zone)
+        if newest_link is not None:
+            zones_by_service = newest_link.claims.zones_by_service
+            self._claimed_zones_by_service[service] = zones_by_service[service]
+            if (
+                newest_link.is_up
+                and not newest_link.is_draining
+                and not self._is_in_cut_off_zone(newest_link)
+            ):
+                return newest_link.peer.host_id
+        return self.host_for(
+            gateway_job(service), self._claimed_zones_by_service.get(service)
+        )
 
     def observed_positions(
         self, service: str
@@ -401,9 +412,8 @@
     def _cut_off_zones(self) -> frozenset[str]:
         """Return the other zones in which several hosts are all silent.
 
-        That shows a cut sooner than the state of each link does. A single
-        host may just be slow. Kept for one millisecond, since a ping round
-        asks once for each account.
+        Kept for one millisecond, since a ping round asks once for each
+        account.
         """
         now = self._clock.now()
         computed_ms, zones = self._cut_off_zones_memo
@@ -411,11 +421,29 @@
             zones = frozenset(
                 zone
                 for zone, zone_links in self._links_by_other_zone().items()
-                if len(zone_links) > 1 and _are_silent(zone_links)
+                if _is_cut_off(zone_links)
             )
             self._cut_off_zones_memo = (now, zones)
         return zones
 
+    def _is_in_cut_off_zone(self, link: links.Link) -> bool:
+        """Tell whether a link's zone is one of ``_cut_off_zones``.
+
+        Compares the links to that zone only: each statement asks for this.
+        """
+        zone = link.peer.zone
+        return (
+            zone != self.local.zone
+            and link.is_silent_for(SILENT_ZONE_MS)
+            and _is_cut_off(
+                [
+                    each
+                    for each in self._links_by_id.values()
+                    if each.peer.zone == zone and each.has_been_tried
+                ]
+            )
+        )
+
     def _links_by_other_zone(self) -> dict[str, list[links.Link]]:
         """Return the links to hosts of other zones, by zone.
 
@@ -537,8 +565,7 @@
     ) -> None:
         """Ping all linked hosts until the task is cancelled.
 
-        ``start_round`` is called before each round and returns the function
-        that builds the ping for a link.
+        ``start_round`` is called before each round.
         """
         while True:
             self._update_links()
@@ -571,44 +598,27 @@
 
     def ping_once(self, start_round: StartRound) -> None:
         """Start a round and ping the hosts whose ping is due in it."""
-        build_ping = start_round()
-        self._ping_round += 1
-        suspects_cut = self._suspects_cut()
-        for link in list(self._links_by_id.values()):
-            if not suspects_cut and not self._is_ping_due(link):
-                continue
+        ping_round = start_round()
+        for link in self._links_to_ping(ping_round):
             was_up = link.is_up
-            link.ping(build_ping(link))
+            link.ping(ping_round.build_ping(link))
             if was_up and not link.is_up:
                 self._handle_link_change()
 
-    def _suspects_cut(self) -> bool:
-        """Tell whether no host of another zone has answered lately."""
-        last_answer_ms = max(
-            (
-                each.last_answer_ms
-                for each in self._links_by_id.values()
-                if each.peer.zone != self.local.zone
-            ),
-            default=None,
-        )
-        return (
-            last_answer_ms is not None
-            and self._clock.now() - last_answer_ms > CUT_OFF_SUSPECTED_MS
-        )
-
-    def _is_ping_due(self, link: links.Link) -> bool:
-        """Tell whether a link is pinged in this round.
+    def _links_to_ping(self, ping_round: PingRound) -> list[links.Link]:
+        """Return the links whose ping is due in a round.
 
         Job hosts ping every link in every round, because they choose by the
         answers which host runs which job.
         """
-        turn = zlib.crc32(link.peer.host_id.encode()) + self._ping_round
-        return (
-            self.is_job_host
-            or turn % ROUNDS_PER_IDLE_PING == 0
-            or not link.is_up
-            or self._clock.now() - link.last_used_ms < LINK_IN_USE_MS
+        all_links = self._links_by_id.values()
+        if self.is_job_host:
+            return list(all_links)
+        return ping_schedule.due_links(
+            all_links,
+            self.local.zone,
+            self._clock.now(),
+            ping_round.required_host_ids,
         )
 
     async def register_forever(self) -> None:
@@ -742,6 +752,15 @@
     )
 
 
+def _is_cut_off(zone_links: collections.abc.Collection[links.Link]) -> bool:
+    """Tell whether a zone is cut off, by the links to its hosts.
+
+    That shows a cut sooner than the state of each link does. A single host
+    may just be slow.
+    """
+    return len(zone_links) > 1 and _are_silent(zone_links)
+
+
 def _are_silent(zone_links: collections.abc.Iterable[links.Link]) -> bool:
     return all(each.is_silent_for(SILENT_ZONE_MS) for each in zone_links)
 
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -19,6 +19,9 @@
 # that the gateway's own time-out answer arrives before the link's time-out.
 ANSWER_MARGIN_MS = 250
 
+# The sequence number of a pong that answers no ping; pings count from one.
+UNSOLICITED = 0
+
 # The owner of transactions of sessions on this host.
 LOCAL_OWNER = 'local'
 
@@ -47,6 +50,14 @@
         for connection in self._inbound_connections:
             connection.send(claims)
 
+    def announce_state(self) -> None:
+        """Tell this host's state to all hosts that connected to it.
+
+        Their pings may be seconds apart.
+        """
+        for connection in self._inbound_connections:
+            connection.send(self._pong(connection, UNSOLICITED))
+
     def handle_frame(
         self, connection: links.FrameConnection, frame: frames.Frame
     ) -> None:
@@ -109,15 +120,18 @@
         self, connection: links.FrameConnection, ping: frames.Ping
     ) -> None:
         self._rate_limiter.accept_deposits(ping.deposits)
-        connection.send(
-            frames.Pong(
-                ping.sequence,
-                self._members.is_draining,
-                self._catalog.current.version,
-                self._members.reaches_store,
-                self._members.fleet_digest,
-                self._observations_for(connection),
-            )
+        connection.send(self._pong(connection, ping.sequence))
+
+    def _pong(
+        self, connection: links.FrameConnection, sequence: int
+    ) -> frames.Pong:
+        return frames.Pong(
+            sequence,
+            self._members.is_draining,
+            self._catalog.current.version,
+            self._members.reaches_store,
+            self._members.fleet_digest,
+            self._observations_for(connection),
         )
 
     def _observations_for(
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -249,6 +249,14 @@
             if not self._members.is_settled:
                 await self._clock.sleep(MAINTENANCE_INTERVAL_MS)
                 continue
+            if not (
+                self._members.is_job_host
+                or self._gateways_by_service
+                or self.claims.zones_by_service
+            ):
+                # No service can have its gateway here.
+                await self._clock.sleep(IDLE_HOST_MAINTENANCE_INTERVAL_MS)
+                continue
             self._targets.settle_departures(self._members.settled_departures())
             for service in self._catalog().services_by_name.values():
                 is_owner = (
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -208,15 +208,14 @@
             self.members.is_job_host or self.gateways.has_gateways
         )
 
-    def _start_ping_round(
-        self,
-    ) -> collections.abc.Callable[[links.Link], frames.Ping]:
-        """Return a function that builds the ping for the host of a link."""
+    def _start_ping_round(self) -> members_module.PingRound:
+        """Prepare a round of pings."""
         self._adjust_store_reads()
+        for link in self.members.up_links():
+            self._exchange.compare_versions(link)
         deposits_by_host = self.rate_limiter.deposits_by_host()
 
-        def build(link: links.Link) -> frames.Ping:
-            self._exchange.compare_versions(link)
+        def build_ping(link: links.Link) -> frames.Ping:
             return frames.Ping(
                 0,
                 self.members.is_draining,
@@ -224,7 +223,7 @@
                 deposits_by_host.get(link.peer.host_id, ()),
             )
 
-        return build
+        return members_module.PingRound(build_ping, deposits_by_host.keys())
 
     async def _close_sessions_while_isolated(self) -> None:
         """Close idle sessions while this host is isolated from the fleet.
@@ -271,6 +270,7 @@
         started_ms = self._clock.now()
         _log.info('stopping', sessions=self.sessions.session_count)
         self.members.is_draining = True
+        self.peer_service.announce_state()
         await self._clock.sleep(BALANCER_REMOVAL_MS)
         remaining_sessions = await self.sessions.drain(
             grace_ms - EXIT_MARGIN_MS - BALANCER_REMOVAL_MS
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -1,5 +1,7 @@
 """Silence of a peer, as seen by the pings of its link."""
 
+import asyncio
+
 from samphirestand import clock as clock_module
 from samphirestand.fleet import frames
 from samphirestand.fleet import links
@@ -69,3 +71,34 @@
     assert link.observed_by_service == {
         'svc': (sent_ms - 100, types.Position(1, 7))
     }
+
+
+def test_link_owes_an_answer_until_its_host_sends_anything():
+    """Guards against gateways that fail unnoticed between two pings."""
+
+    async def scenario():
+        clock = clock_module.ManualClock()
+        link = create_link(clock)
+        request = asyncio.create_task(
+            link.request(frames.SnapshotRequest, 60_000)
+        )
+        await asyncio.sleep(0)
+        clock.set(clock.now() + 100)
+        assert link.owes_answer_for(100)
+        link.handle_frame(link._connection, frames.Claims({}))
+        assert not link.owes_answer_for(100)
+        clock.set(clock.now() + 100)
+        assert link.owes_answer_for(100)
+        link.handle_frame(link._connection, frames.Snapshot(1, 1, b''))
+        await request
+        assert not link.owes_answer_for(0)
+
+    asyncio.run(scenario())
+
+
+def test_host_that_drains_is_known_without_a_ping():
+    """Guards against work for a host that is about to stop."""
+    link = create_link(clock_module.ManualClock())
+    link.handle_frame(link._connection, frames.Pong(0, True, 0))
+    assert link.is_draining
+    assert not link.is_up
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -1,6 +1,7 @@
 """Choice of hosts for jobs, links to them, and detection of isolation."""
 
 import asyncio
+import itertools
 import unittest.mock
 
 import pytest
@@ -10,6 +11,10 @@
 from samphirestand.fleet import job_hosts
 from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
+from samphirestand.fleet import ping_schedule
+
+
+_ping_times = itertools.count(1)
 
 
 class FakeLink:
@@ -28,13 +33,19 @@
         self.claims_received_ms = 0
         self.fleet_digest = 0
         self.silent_ms = 0
+        self.owed_ms = 0
+        self.last_ping_ms = 0
         self.pings = 0
 
     def is_silent_for(self, limit_ms):
         return self.is_silent or self.silent_ms >= limit_ms
 
+    def owes_answer_for(self, limit_ms):
+        return max(self.owed_ms, self.silent_ms) >= limit_ms
+
     def ping(self, ping):
         self.pings += 1
+        self.last_ping_ms = next(_ping_times)
 
     def stop(self):
         self.is_up = False
@@ -165,9 +176,10 @@
     assert members.host_for('gateway/a', 'south') == 's0'
 
 
-def pings_in_round(members):
+def pings_in_round(members, **changes):
     before = {key: each.pings for key, each in members._links_by_id.items()}
-    members.ping_once(lambda: lambda link: None)
+    ping_round = members_module.PingRound(lambda link: None, **changes)
+    members.ping_once(lambda: ping_round)
     return [
         key
         for key, each in members._links_by_id.items()
@@ -175,29 +187,60 @@
     ]
 
 
-def make_idle(members, clock):
-    """Make this a host without jobs whose links carry no requests."""
+def end_jobs(members, clock):
+    """Make this a host without jobs whose links have just been answered."""
     members._job_host_ids -= {'n0'}
-    clock.set(clock.now() + members_module.LINK_IN_USE_MS)
+    clock.set(clock.now() + 2_000)
     for link in members._links_by_id.values():
         link.last_answer_ms = clock.now()
 
 
-def test_idle_links_are_pinged_in_turn(members, clock):
-    """Guards against rounds that show nothing about other zones."""
-    make_idle(members, clock)
-    rounds = [
-        pings_in_round(members)
-        for _ in range(members_module.ROUNDS_PER_IDLE_PING)
-    ]
+def test_calm_links_are_pinged_in_turn(members, clock):
+    """Guards against rounds that show nothing, and against costly ones.
+
+    All links carry requests: at 195 hosts they were pinged in each round.
+    """
+    end_jobs(members, clock)
+    rounds = []
+    for _ in range(ping_schedule.ROUNDS_PER_IDLE_PING):
+        for link in members._links_by_id.values():
+            link.last_used_ms = clock.now()
+        rounds.append(pings_in_round(members))
+        clock.set(clock.now() + 1)
     assert sorted(sum(rounds, [])) == sorted(members._links_by_id)
-    assert max(map(len, rounds)) < len(members._links_by_id)
+    assert set(map(len, rounds)) == {1}
+
+
+def test_links_that_owe_an_answer_are_pinged(members, clock):
+    """Guards against gateways that fail unnoticed between two pings."""
+    end_jobs(members, clock)
+    members.link_to('s1').owed_ms = ping_schedule.SUSPICIOUS_MS
+    for _ in range(4):
+        assert 's1' in pings_in_round(members)
+
+
+def test_all_links_to_a_zone_are_pinged_when_one_is_silent(members, clock):
+    """Guards against a cut-off zone that is noticed link by link."""
+    end_jobs(members, clock)
+    members.link_to('s1').silent_ms = ping_schedule.SUSPICIOUS_MS
+    assert {'s0', 's1', 's2'} <= set(pings_in_round(members))
+
+
+def test_links_whose_pings_carry_tokens_are_pinged(members, clock):
+    """Guards against rate tokens that are removed and never sent."""
+    end_jobs(members, clock)
+    for _ in range(4):
+        assert 'e1' in pings_in_round(members, required_host_ids={'e1'})
+
+
+def test_job_hosts_ping_all_links(members):
+    assert sorted(pings_in_round(members)) == sorted(members._links_by_id)
 
 
 def test_all_links_are_pinged_when_no_other_zone_answers(members, clock):
     """Guards against idle hosts that notice a cut after four seconds."""
-    make_idle(members, clock)
-    clock.set(clock.now() + members_module.CUT_OFF_SUSPECTED_MS + 1)
+    end_jobs(members, clock)
+    clock.set(clock.now() + ping_schedule.CUT_OFF_SUSPECTED_MS + 1)
     members.link_to('n1').last_answer_ms = clock.now()
     assert sorted(pings_in_round(members)) == sorted(members._links_by_id)
 
@@ -308,6 +351,17 @@
     assert members.gateway_for('a') != gateway_id
 
 
+def test_successor_of_a_host_that_gave_a_gateway_up_is_known(members):
+    """Guards against a second gateway until the successor claims it."""
+    gateway_id = members.host_for(members_module.gateway_job('a'), 'south')
+    claim_gateway(members, gateway_id, 'a', 'south', 1)
+    assert members.gateway_for('a') == gateway_id
+    link = members.link_to(gateway_id)
+    link.is_draining = True
+    link.claims = frames.Claims({})
+    assert members.gateway_for('a').startswith('s')
+
+
 def test_host_settles_without_a_host_that_is_gone_for_good(members, clock):
     """Fails if hosts admit callers late after all hosts were killed."""
     members._first_read_ms = members._last_link_up_ms = clock.now()
