fleet: Skip accounts without tokens; ping one calm link a round

Ruled out: no buckets before the fleet is known (callers that return at once after a restart would find fewer tokens), removal of empty buckets (a bucket that is opened again within the first seconds would be credited again).

Change: a host that accrues no tokens reviews buckets with tokens only. Since such buckets aren't refilled, tokens accrue at the lower of the rates at both ends of the time, so a host that becomes a token source again isn't credited with the time between. Calm links are pinged in turn, one a round at 18 links.

--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -63,14 +63,22 @@
     millitokens: float = 0.0
     refilled_ms: int = 0
     demand_per_s: float = 0.0  # operations per second, smoothed
+    rate: float | None = None  # tokens per second since the last refill
 
     def refill(self, now: int, rate: float, capacity: float) -> None:
-        """Add ``rate`` tokens per second for the time since the last call."""
+        """Add tokens for the time since the last call.
+
+        They accrue at ``rate`` tokens per second, or at the rate of the last
+        call if that was lower: a host that has just become a token source
+        accrued none before.
+        """
         elapsed_ms = max(0, now - self.refilled_ms)
+        accrued_rate = rate if self.rate is None else min(rate, self.rate)
         self.refilled_ms = now
+        self.rate = rate
         self.millitokens = min(
             max(capacity, self.millitokens),
-            self.millitokens + rate * elapsed_ms,
+            self.millitokens + accrued_rate * elapsed_ms,
         )
         # The demand decays with a time constant of two seconds.
         self.demand_per_s *= max(0.0, 1 - elapsed_ms / 2_000)
@@ -119,6 +127,7 @@
         self._buckets_by_account: dict[str, Bucket] = {}
         self._pools_by_account: dict[str, TokenPool] = {}
         self._started_ms = clock.now()
+        self._was_token_source = False
         self._request_tasks_by_account: dict[str, asyncio.Task[None]] = {}
 
     async def take_token(self, account: str) -> bool:
@@ -261,19 +270,23 @@
                 # that there was no token.
                 return
 
-    def _accounts_with_tokens(self) -> list[catalog_module.Account]:
-        """Return the accounts of which this host may hold tokens.
+    def _accounts_to_review(self) -> list[catalog_module.Account]:
+        """Return the accounts of which this host may have a surplus.
 
-        Most hosts of a large fleet accrue none, and this is asked for each
-        round of pings.
+        Most hosts of a large fleet accrue no tokens, and this is asked for
+        each round of pings.
         """
         accounts_by_name = self._catalog().accounts_by_name
-        if self._members.is_token_source:
+        is_token_source = self._members.is_token_source
+        # A host that has just stopped to accrue records that in all buckets.
+        reviews_all = is_token_source or self._was_token_source
+        self._was_token_source = is_token_source
+        if reviews_all:
             return list(accounts_by_name.values())
         return [
             accounts_by_name[name]
-            for name in self._buckets_by_account
-            if name in accounts_by_name
+            for name, bucket in self._buckets_by_account.items()
+            if bucket.millitokens >= 1 and name in accounts_by_name
         ]
 
     def grant_tokens(
@@ -302,7 +315,7 @@
         The surplus whose pool is on this host goes to that pool at once.
         """
         surplus_by_account: dict[str, int] = {}
-        for account in self._accounts_with_tokens():
+        for account in self._accounts_to_review():
             surplus_millitokens = self._refilled_bucket(
                 account
             ).surplus_millitokens(self._local_capacity(account))
--- a/samphirestand/fleet/ping_schedule.py
+++ b/samphirestand/fleet/ping_schedule.py
@@ -17,9 +17,9 @@
     'due_links',
 ]
 
-# Links without a sign of trouble are pinged once in this many rounds, a part
-# of them in each round: each round thus shows whether other zones are reached.
-ROUNDS_PER_IDLE_PING = 8
+# Links without a sign of trouble are pinged once in about this many rounds, at
+# least one in each round: each round thus shows whether hosts are reached.
+ROUNDS_PER_IDLE_PING = 16
 
 # When no host of another zone has sent anything for this long, all of them
 # are pinged in each round.
@@ -62,7 +62,7 @@
         else:
             calm.append(each)
     calm.sort(key=lambda each: each.last_ping_ms)
-    turn_count = -(-len(calm) // ROUNDS_PER_IDLE_PING)
+    turn_count = max(1, len(calm) // ROUNDS_PER_IDLE_PING)
     return due + calm[:turn_count]
 
 
--- a/tests/fleet/test_allowance.py
+++ b/tests/fleet/test_allowance.py
@@ -214,6 +214,43 @@
     assert deposits == (frames.Deposit('a3', 6_000),)
 
 
+def test_host_that_accrues_no_tokens_skips_empty_buckets():
+    """Guards against a review of accounts that the host knew at its start.
+
+    Until a host knows others, it counts itself as the only token source and
+    has a bucket for each account.
+    """
+    accounts = [catalog.Account(f'a{number}', 100, 10) for number in range(50)]
+    fleet = FakeFleet(accounts)
+    host = fleet.hosts[0]
+    limiter = host.rate_limiter
+    limiter.deposits_by_host()
+    host.is_token_source = False
+    limiter.deposits_by_host()
+    limiter.deposits_by_host()
+    assert len(limiter._buckets_by_account) == 50
+    assert limiter._accounts_to_review() == []
+
+
+def test_returning_token_source_is_not_credited_with_the_time_between():
+    """Guards against tokens of a time in which other hosts accrued them."""
+    account = catalog.Account('a', 90, 10)
+    fleet = FakeFleet([account])
+    host = fleet.hosts[0]
+    limiter = host.rate_limiter
+    limiter.deposits_by_host()
+    host.is_token_source = False
+    limiter.deposits_by_host()
+    limiter._buckets_by_account['a'].millitokens = 0
+    for _ in range(40):
+        fleet.clock.set(fleet.clock.now() + 250)
+        limiter.deposits_by_host()
+    host.is_token_source = True
+    assert limiter._refilled_bucket(account).millitokens == 0
+    fleet.clock.set(fleet.clock.now() + 100)
+    assert limiter._refilled_bucket(account).millitokens > 0
+
+
 def test_new_token_source_is_not_credited_with_the_time_before():
     """Guards against tokens that appear whenever the job hosts change."""
     account = catalog.Account('a', 90, 10)
