fleet: Let job hosts confirm the configuration to hosts without jobs

By the code, each of 177 hosts without jobs polled the configuration, all of them polled again after each change, and those that the store turned away tried every 400 ms.

Ruled out: versions in pongs without their age (a host could not tell hosts that follow the store from hosts that are cut off from it, and would miss a withdrawn key), a configuration from other hosts at the start (one that is older than what the process before had adopted).

Change: pongs say since when newer versions may exist that the sender lacks, counted from the ping, so that a late pong makes it older. Readers of a zone know it from their polls; the others from pongs. A host without jobs follows the store itself only when nothing has confirmed its version for 3.5 s. What a host says counts for equal and older versions only.

--- a/samphirestand/fleet/catalog_exchange.py
+++ b/samphirestand/fleet/catalog_exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges the configuration with hosts that can't read the store."""
+"""Exchanges the configuration, and how fresh it is, with linked hosts."""
 
 import asyncio
 import random
@@ -51,7 +51,8 @@
     def compare_versions(self, link: links.Link) -> None:
         """Fetch the configuration from a host, or send it, if versions differ.
 
-        Called for each link at each round of pings.
+        If the host has no newer one, adopts what it knows about how fresh
+        its version is. Called for each link at each round of pings.
         """
         now = self._clock.now()
         own_version = self._catalog.current.version
@@ -61,6 +62,11 @@
             self._push_due_ms = (
                 now + PUSH_AFTER_MS + self._random.randrange(PUSH_SPREAD_MS)
             )
+        if (
+            link.catalog_version <= own_version
+            and link.catalog_confirmed_ms is not None
+        ):
+            self._catalog.confirm(link.catalog_confirmed_ms)
         if link.catalog_version > own_version:
             self._pull_from(link, now)
         elif (
--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -88,6 +88,8 @@
   reachesStore @3 :Bool;
   fleetDigest @4 :UInt32;  # of the job hosts; 0 if the sender tells none
   observations @5 :List(Observation);
+  isCatalogConfirmed @6 :Bool;
+  catalogAgeMs @7 :UInt32;  # no newer version was published before that
 }
 
 struct Observation {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -109,7 +109,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Pong:
-    """The answer to the ping with the same sequence number."""
+    """The answer to the ping with the same sequence number.
+
+    No version newer than ``catalog_version`` was published earlier than
+    ``catalog_age_ms`` before the sending; None if nothing is known.
+    """
 
     sequence: int
     is_draining: bool
@@ -117,6 +121,7 @@
     reaches_store: bool = True
     fleet_digest: int = 0  # of the job hosts; 0 if the sender tells none
     observations: tuple[Observation, ...] = ()  # of the sender's gateways
+    catalog_age_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -227,6 +232,9 @@
                 item.service = observation.service
                 item.ageMs = observation.age_ms
                 _fill_position(item.position, observation.position)
+            if frame.catalog_age_ms is not None:
+                builder.isCatalogConfirmed = True
+                builder.catalogAgeMs = min(frame.catalog_age_ms, UINT32_MAX)
         case TokenRequest():
             builder = message.init('tokenRequest')
             builder.call = frame.call_id
@@ -335,6 +343,7 @@
                     for each in reader.observations
                     if (position := _decode_position(each.position))
                 ),
+                reader.catalogAgeMs if reader.isCatalogConfirmed else None,
             )
         case 'tokenRequest':
             reader = message.tokenRequest
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -163,6 +163,8 @@
         # it never did.
         self.last_answer_ms = clock.now()
         self.catalog_version = 0
+        # All versions published until this moment are no newer than that one.
+        self.catalog_confirmed_ms: int | None = None
         self.fleet_digest = 0
         # For each service of which the host is the gateway, a log position
         # and until when it covers all commits.
@@ -341,8 +343,13 @@
         self.fleet_digest = pong.fleet_digest
         sent_ms = self._sent_ms_by_sequence.pop(pong.sequence, None)
         if sent_ms is not None:
+            # The answer was sent after the ping, at a moment unknown here.
+            self.catalog_confirmed_ms = (
+                None
+                if pong.catalog_age_ms is None
+                else sent_ms - pong.catalog_age_ms
+            )
             for each in pong.observations:
-                # The answer was sent after the ping, at a moment unknown here.
                 self.observed_by_service[each.service] = (
                     sent_ms - each.age_ms,
                     each.position,
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -132,6 +132,7 @@
             self._members.reaches_store,
             self._members.fleet_digest,
             self._observations_for(connection),
+            self._catalog.age_ms,
         )
 
     def _observations_for(
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -29,6 +29,16 @@
 # newer versions, so a poll waits nearly as long as the store allows.
 RELAXED_CATALOG_POLL_MS = 25_000
 
+# A host without jobs follows the store itself only when no host has confirmed
+# for this long that its configuration is the newest. Normally the hosts that
+# follow it do so every two seconds, and pings pass that on within a second.
+RELAYED_CATALOG_AGE_MS = 3_500
+
+# How often such a host checks that, and its delay between attempts to read
+# while it can't reach the store: there may be thousands of them.
+RELAY_CHECK_INTERVAL_MS = 250
+RELAYED_RETRY_MS = 1_000
+
 # Interval between reads of the registry. Registrations change with each
 # heartbeat, so a poll that waits for a change would return at once. A leaving
 # target must be known within 7 s.
@@ -57,6 +67,9 @@
 # before it notices the departure, and forgets the departure later.
 SETTLEMENT_KEPT_MS = 2 * DEPARTURE_KEPT_MS
 
+# The source of a configuration that this host has read itself, for the log.
+SOURCE_STORE = 'store'
+
 _log = log.get_logger(__name__)
 
 
@@ -83,13 +96,45 @@
         # Set from outside: True if no other host relies on this host's
         # version, so that polls may be longer.
         self.is_relaxed = False
+        # Set from outside: True if this host relies on what other hosts tell
+        # it, as long as they confirm its version.
+        self.is_relayed = False
         self.current = catalog_module.Catalog()
         self.raw = b''
+        # All versions published until this moment are no newer than the
+        # current one. Newer versions that are adopted leave that true.
+        self._confirmed_ms: int | None = None
+        self._is_newest_unreadable = False
+
+    @property
+    def age_ms(self) -> int | None:
+        """Return since how long versions may exist that this host lacks.
+
+        None if it never knew that it had the newest.
+        """
+        if self._confirmed_ms is None:
+            return None
+        return max(0, self._clock.now() - self._confirmed_ms)
+
+    def confirm(self, moment_ms: int) -> None:
+        """Record that no newer version had been published at a moment."""
+        if self._confirmed_ms is None or moment_ms > self._confirmed_ms:
+            self._confirmed_ms = moment_ms
+
+    @property
+    def needs_store(self) -> bool:
+        """Tell whether this host must follow the store itself."""
+        age_ms = self.age_ms
+        return (
+            not self.is_relayed
+            or age_ms is None
+            or age_ms > RELAYED_CATALOG_AGE_MS
+        )
 
     def adopt_if_newer(self, raw: bytes, source: str) -> None:
         """Decode a configuration and adopt it if it is newer than the current.
 
-        ``source`` is logged: 'store' or the id of the host that sent it.
+        ``source`` is logged: ``SOURCE_STORE`` or the id of a host.
         """
         try:
             catalog = records.decode_catalog(raw)
@@ -97,6 +142,7 @@
             _log.error(
                 'configuration_unreadable', source=source, reason=str(error)
             )
+            self._is_newest_unreadable |= source == SOURCE_STORE
             return
         if catalog.version <= self.current.version:
             return
@@ -108,6 +154,7 @@
         )
         self.current = catalog
         self.raw = raw
+        self._is_newest_unreadable = False
         self._on_change(catalog)
 
     async def run(self) -> None:
@@ -115,34 +162,58 @@
         version: int | None = None
         has_failed = False
         while True:
+            if not self.needs_store:
+                await self._clock.sleep(RELAY_CHECK_INTERVAL_MS)
+                continue
+            sent_ms = self._clock.now()
+            wait_ms = self._poll_ms if version is not None else 0
             try:
-                feed = await self._next_feed(version)
+                feed = await self._next_feed(version, wait_ms)
             except exceptions.PlatformError as error:
                 if not has_failed:
                     _log.warning('configuration_feed_lost', reason=str(error))
                 has_failed = True
                 version = None
-                await self._clock.sleep(STORE_RETRY_MS)
+                await self._clock.sleep(
+                    RELAYED_RETRY_MS if self.is_relayed else STORE_RETRY_MS
+                )
                 continue
             if has_failed:
                 _log.info('configuration_feed_restored')
             has_failed = False
             version = None if feed is None else feed.version
-            for row in feed.rows if feed is not None else ():
+            if feed is None:
+                continue
+            for row in feed.rows:
                 if row.key == records.CONFIGURATION_KEY:
-                    self.adopt_if_newer(row.value, 'store')
+                    self.adopt_if_newer(row.value, SOURCE_STORE)
+            if not self._is_newest_unreadable:
+                self.confirm(self._confirmed_moment(feed, sent_ms, wait_ms))
+
+    def _confirmed_moment(
+        self, feed: store_module.TableRows, sent_ms: int, wait_ms: int
+    ) -> int:
+        """Return until when an answer shows all changes.
+
+        An answer without a change is sent when the wait has passed.
+        """
+        if feed.rows or self._clock.now() - sent_ms < wait_ms:
+            return sent_ms
+        return sent_ms + wait_ms
+
+    @property
+    def _poll_ms(self) -> int:
+        if self.is_relaxed and not self.is_relayed:
+            return RELAXED_CATALOG_POLL_MS
+        return CATALOG_POLL_MS
 
     async def _next_feed(
-        self, version: int | None
+        self, version: int | None, wait_ms: int
     ) -> store_module.TableRows | None:
         table = records.CONFIGURATION_TABLE
         if version is None:
             return await self._store.read(table)
-        feed = await self._store.changes(
-            table,
-            version,
-            RELAXED_CATALOG_POLL_MS if self.is_relaxed else CATALOG_POLL_MS,
-        )
+        feed = await self._store.changes(table, version, wait_ms)
         return None if feed == 'forgotten' else feed
 
 
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -199,6 +199,9 @@
         self.catalog.is_relaxed = (
             members.is_settled and not members.is_catalog_reader
         )
+        self.catalog.is_relayed = (
+            members.is_settled and not members.is_job_host
+        )
         self.targets.is_needed = self._uses_registry
 
     @property
--- a/tests/fleet/test_catalog_exchange.py
+++ b/tests/fleet/test_catalog_exchange.py
@@ -30,6 +30,10 @@
         self.current = catalog.Catalog(version=7)
         self.raw = b'raw-7'
         self.sources = []
+        self.confirmed_ms = None
+
+    def confirm(self, moment_ms):
+        self.confirmed_ms = moment_ms
 
     def adopt_if_newer(self, raw, source):
         self.sources.append(source)
@@ -47,6 +51,7 @@
     def __init__(self, host_id, version):
         self.peer = frames.Hello(host_id, 'north', '127.0.0.1', 1, 1)
         self.catalog_version = version
+        self.catalog_confirmed_ms = None
         self.request_count = 0
         self.sent_frames = []
 
@@ -128,3 +133,19 @@
     review_links(exchange, links, 1_000)
     assert exchange._catalog.current.version == 9
     assert exchange._catalog.sources == ['host-2']
+
+
+@pytest.mark.parametrize(
+    ('version', 'confirmed_ms'), [(6, 900), (7, 900), (8, None)]
+)
+def test_freshness_is_adopted_from_hosts_without_a_newer_version(
+    exchange, version, confirmed_ms
+):
+    """Guards against old configurations that count as fresh.
+
+    A host with a newer version says nothing about this host's version.
+    """
+    link = FakeLink('n1', version)
+    link.catalog_confirmed_ms = 900
+    exchange.compare_versions(link)
+    assert exchange._catalog.confirmed_ms == confirmed_ms
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -52,6 +52,8 @@
         frames.Claims({}, frozenset({catalog.TargetStart('i-1', 1 << 41)})),
         frames.Ping(1, True, 7, (frames.Deposit('a', 1500),)),
         frames.Pong(1, True, 7, reaches_store=False),
+        frames.Pong(1, True, 7, catalog_age_ms=0),
+        frames.Pong(1, True, 7, catalog_age_ms=1_900),
         frames.Pong(
             1,
             False,
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -102,3 +102,15 @@
     link.handle_frame(link._connection, frames.Pong(0, True, 0))
     assert link.is_draining
     assert not link.is_up
+
+
+def test_confirmed_configuration_is_dated_from_the_sending_of_the_ping():
+    """Guards against changes that were published while a pong was late."""
+    clock = clock_module.ManualClock()
+    link = create_link(clock)
+    sent_ms = clock.now()
+    link.ping(frames.Ping(0, False, 0))
+    clock.set(sent_ms + 700)
+    pong = frames.Pong(1, False, 9, catalog_age_ms=40)
+    link.handle_frame(link._connection, pong)
+    assert link.catalog_confirmed_ms == sent_ms - 40
