fleet: Send the configuration only to hosts that lack it by a new pong

Change: only the answer to a ping that was sent after the delay counts. Test: test_catalog_exchange.py.

--- a/samphirestand/fleet/catalog_exchange.py
+++ b/samphirestand/fleet/catalog_exchange.py
@@ -17,9 +17,10 @@
 # that lacks the version for longer than this requests it from another host.
 PULL_AFTER_MS = 200
 
-# A host that isn't a job host sends its version to a job host that lacks it
-# after this time, and so couldn't get it from other job hosts either. A random
-# delay up to the spread keeps the hosts of a large fleet from sending at once.
+# A host that isn't a job host sends its version to a job host that still lacks
+# it after this time, and so couldn't get it from other job hosts either. A
+# random delay up to the spread keeps the hosts of a large fleet from sending at
+# once. An earlier pong says nothing: calm links are pinged seconds apart.
 PUSH_AFTER_MS = 600
 PUSH_SPREAD_MS = 800
 
@@ -73,7 +74,7 @@
             link.is_up
             and link.catalog_version < own_version
             and not self._members.is_job_host
-            and now >= self._push_due_ms
+            and link.answered_ping_ms >= self._push_due_ms
         ):
             self._push_to(link)
 
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -163,6 +163,8 @@
         # it never did.
         self.last_answer_ms = clock.now()
         self.catalog_version = 0
+        # When the ping was sent that the host last answered.
+        self.answered_ping_ms = 0
         # All versions published until this moment are no newer than that one.
         self.catalog_confirmed_ms: int | None = None
         self.fleet_digest = 0
@@ -343,6 +345,7 @@
         self.fleet_digest = pong.fleet_digest
         sent_ms = self._sent_ms_by_sequence.pop(pong.sequence, None)
         if sent_ms is not None:
+            self.answered_ping_ms = sent_ms
             # The answer was sent after the ping, at a moment unknown here.
             self.catalog_confirmed_ms = (
                 None
--- a/tests/fleet/test_catalog_exchange.py
+++ b/tests/fleet/test_catalog_exchange.py
@@ -52,6 +52,7 @@
         self.peer = frames.Hello(host_id, 'north', '127.0.0.1', 1, 1)
         self.catalog_version = version
         self.catalog_confirmed_ms = None
+        self.answered_ping_ms = 0
         self.request_count = 0
         self.sent_frames = []
 
@@ -82,6 +83,7 @@
     async def scenario():
         for _ in range(duration_ms // 250):
             for link in links:
+                link.answered_ping_ms = exchange._clock.now()
                 exchange.compare_versions(link)
             await exchange._clock.advance(250)
 
@@ -123,6 +125,20 @@
     assert link.sent_frames == []
 
 
+def test_version_is_not_sent_because_of_an_old_pong(exchange):
+    """Guards against each host sending each change to all job hosts.
+
+    Calm links are pinged seconds apart, so that most of what a host knows of
+    others is older than the change.
+    """
+    exchange._members.is_job_host = False
+    link = FakeLink('host-1', 6)
+    exchange.compare_versions(link)
+    exchange._clock.set(exchange._clock.now() + 5_000)
+    exchange.compare_versions(link)
+    assert link.sent_frames == []
+
+
 def test_newest_version_is_fetched_where_hosts_have_several(exchange):
     """Fails if a restarted host adopts a key that was withdrawn before.
 
