bench: Replay the load of many accounts on few slots

140 accounts, few of which send most, before three targets of two slots each, whose connections occupy a slot for 12 ms when they are opened.

Tests: test_replay.py plays the pattern.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -127,15 +127,69 @@
 )
 
 
+# The operations of the large feldwacht deployment at the rates of one service.
+FELDWACHT_KINDS = (
+    OperationKind(
+        'einsatz',
+        catalog.Consistency.PRIMARY,
+        rate_per_s=8.8,
+        work_ms=3,
+        objective_ms=153,
+        timeout_ms=800,
+        deadline_ms=1220,
+        credit_in_time=2,
+        credit_late=0.6,
+        write_share=0.35,
+        transaction_share=0.4,
+    ),
+    OperationKind(
+        'status',
+        catalog.Consistency.BOUNDED_STALENESS,
+        rate_per_s=8.8,
+        work_ms=15,
+        objective_ms=303,
+        timeout_ms=1200,
+        deadline_ms=3025,
+        credit_in_time=1,
+        credit_late=0.3,
+        write_share=0,
+        transaction_share=0.1,
+        max_age_ms=1500,
+        priority=2,
+    ),
+    OperationKind(
+        'abrechnung',
+        catalog.Consistency.READ_YOUR_WRITES,
+        rate_per_s=41,
+        work_ms=9,
+        objective_ms=253,
+        timeout_ms=800,
+        deadline_ms=1212,
+        credit_in_time=2,
+        credit_late=0.3,
+        write_share=0.12,
+        transaction_share=0.12,
+        max_age_ms=2500,
+        priority=2,
+    ),
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Pattern:
     """A load and a disturbance of the targets; times in milliseconds.
 
     The disturbance lasts from ``disturbance_start_ms`` to
-    ``disturbance_end_ms`` after the start of the replay.
+    ``disturbance_end_ms`` after the start of the replay. The operations are
+    spread over ``accounts``, of which few send most. A new connection of an
+    account occupies a slot of the target for ``opening_ms``.
     """
 
     name: str
+    kinds: tuple[OperationKind, ...] = OPERATION_KINDS
+    accounts: int = 1
+    max_connections: int = 60
+    opening_ms: float = 0.0
     load_factor: float = 1.0  # multiplies the rates of all kinds
     burst_factor: float = 1.0  # multiplies them again while disturbed
     lag_ms: int = 8
@@ -155,6 +209,16 @@
     Pattern('slow-replica', slowdown_factor=5.0),
     Pattern('slow-primary', slowdown_factor=12.0, slowed_target=0),
     Pattern('overload', burst_factor=2.6),
+    Pattern(
+        'many-accounts',
+        kinds=FELDWACHT_KINDS,
+        accounts=140,
+        max_connections=90,
+        opening_ms=12.0,
+        lag_ms=20,
+        slots=2,
+        burst_factor=1.5,
+    ),
 )
 
 
@@ -191,6 +255,14 @@
         )
         self._slots = asyncio.Semaphore(replay.pattern.slots)
         self._queued = 0
+        self.opened_count = 0
+
+    async def open_connection(self) -> None:
+        """Take the time that a new connection takes."""
+        self.opened_count += 1
+        await asyncio.sleep(4 * self.network_delay_ms / 1000)
+        async with self._slots:
+            await asyncio.sleep(self._replay.pattern.opening_ms / 1000)
 
     def position(self) -> types.Position:
         if self.is_primary:
@@ -250,34 +322,37 @@
 class _Connection:
     """A connection to a model target; it needs no preparing statements."""
 
-    def __init__(self) -> None:
+    is_usable = True
+
+    def __init__(self, account: str = '', opened_ms: int = 0) -> None:
         self.state = 'I'
+        self.account = account
+        self.last_used_ms = opened_ms
+        self.is_busy = True
 
     def preparation(
         self, work: work_module.Work
     ) -> connection_module.Preparation:
         return connection_module.Preparation([], sets_values=False)
 
+    def count_missing_steps(self, work: work_module.Work) -> int:
+        return 0
+
     def text(self, work: work_module.Work) -> str:
         return work.text
 
+    def close(self) -> None:
+        """Do nothing: the model keeps no state of a connection."""
+
 
 class ModelPool(pool_module.TargetPool):
     """A connection pool that runs statements on a model target."""
 
     model: ModelTarget
 
-    def has_idle(self, account: str) -> bool:
-        return True
-
-    async def checkout(self, work: Any, timeout_ms: int) -> Any:
-        return _Connection()
-
-    def checkin(self, model_connection: Any) -> None:
-        """Do nothing: each checkout returns a new connection."""
-
-    def discard(self, model_connection: Any) -> None:
-        """Do nothing: each checkout returns a new connection."""
+    async def _open(self, account: str, timeout_ms: int) -> Any:
+        await self.model.open_connection()
+        return _Connection(account, self._clock.now())
 
     async def run(
         self, model_connection: Any, steps: Any, timeout_ms: int
@@ -371,11 +446,17 @@
     def __init__(self, pattern: Pattern, seed: int) -> None:
         self.pattern = pattern
         self._random = random.Random(seed)
+        self._account_random = random.Random(seed)
         self._clock = virtual_time.LoopClock()
         self._start_ms = self._clock.now()
         self.written_position = 0
         self._write_times_ms: list[int] = []
-        self.results = {each.name: Result() for each in OPERATION_KINDS}
+        self.results = {each.name: Result() for each in pattern.kinds}
+        self.models: list[ModelTarget] = []
+        self._accounts = [f'a{number}' for number in range(pattern.accounts)]
+        self._account_weights = [
+            1 / number for number in range(1, pattern.accounts + 1)
+        ]
         self._statement_count = 0
         self._attempt_count = 0
         self._operation_tasks: list[asyncio.Task[None]] = []
@@ -415,9 +496,17 @@
 
     async def run(self) -> dict[str, Result]:
         targets = _TargetRegistry(self.pattern.slots)
-        service = catalog.Service(SERVICE, 60, is_synchronous=True)
+        pattern = self.pattern
+        service = catalog.Service(
+            SERVICE, pattern.max_connections, is_synchronous=True
+        )
         current_catalog = catalog.Catalog(
-            version=1, services_by_name={SERVICE: service}
+            version=1,
+            services_by_name={SERVICE: service},
+            accounts_by_name={
+                each: catalog.Account(each, 1_000, 1_000)
+                for each in self._accounts
+            },
         )
         gateway = gateway_module.ServiceGateway(
             SERVICE,
@@ -431,11 +520,12 @@
             model = ModelTarget(self, number)
             assert isinstance(pool, ModelPool)
             pool.model = model
+            self.models.append(model)
             pool.round_trip_ms = 2 * model.network_delay_ms
         maintenance = asyncio.create_task(self._run_maintenance(gateway))
         arrival_tasks = [
             asyncio.create_task(self._start_operations(gateway, each))
-            for each in OPERATION_KINDS
+            for each in pattern.kinds
         ]
         await asyncio.gather(*arrival_tasks)
         await asyncio.gather(*self._operation_tasks)
@@ -474,9 +564,12 @@
         is_write = self._random.random() < kind.write_share
         count = 3 if self._random.random() < kind.transaction_share else 1
         work_ms = self._random.lognormvariate(0, 0.7) * kind.work_ms / 1.28
+        [account] = self._account_random.choices(
+            self._accounts, self._account_weights
+        )
         for _ in range(1 + MAX_RETRIES):
             refusal = await self._run_attempt(
-                gateway, kind, is_write, count, work_ms, started_ms
+                gateway, kind, account, is_write, count, work_ms, started_ms
             )
             if refusal is None:
                 return
@@ -488,7 +581,7 @@
         result.unserved += 1
 
     def _attempt_statements(
-        self, kind: OperationKind, is_write: bool, count: int
+        self, kind: OperationKind, account: str, is_write: bool, count: int
     ) -> collections.abc.Iterator[work_module.Work]:
         """Return the statements of one attempt, in order.
 
@@ -505,7 +598,7 @@
                 text='COMMIT' if commits else text,
                 stage=stage,
                 service=SERVICE,
-                account='a',
+                account=account,
                 consistency=kind.consistency,
                 max_age_ms=kind.max_age_ms,
                 writes=is_write and not commits,
@@ -524,6 +617,7 @@
         self,
         gateway: gateway_module.ServiceGateway,
         kind: OperationKind,
+        account: str,
         is_write: bool,
         count: int,
         work_ms: float,
@@ -536,7 +630,7 @@
         result = self.results[kind.name]
         attempt_started_ms = self._elapsed_ms()
         await self._clock.sleep(CALLER_ROUND_TRIP_MS)
-        for work in self._attempt_statements(kind, is_write, count):
+        for work in self._attempt_statements(kind, account, is_write, count):
             _WORK_MS_BY_REQUEST_ID[work.request_id] = (
                 COMMIT_WORK_MS if work.commits else work_ms
             )
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -183,11 +183,8 @@
         self._opening_count += 1
         started_ms = self._clock.now()
         try:
-            opened = await connection_module.open_connection(
-                self.target,
-                account,
-                min(timeout_ms, OPEN_TIMEOUT_MS),
-                self._clock.now(),
+            opened = await self._open(
+                account, min(timeout_ms, OPEN_TIMEOUT_MS)
             )
         except exceptions.TargetRefused:
             self.record_reply()
@@ -205,6 +202,13 @@
         self._connections.append(opened)
         return opened
 
+    async def _open(
+        self, account: str, timeout_ms: int
+    ) -> connection_module.TargetConnection:
+        return await connection_module.open_connection(
+            self.target, account, timeout_ms, self._clock.now()
+        )
+
     def checkin(self, connection: connection_module.TargetConnection) -> None:
         """Return a connection that has no open transaction to the pool."""
         connection.is_busy = False
--- a/tests/gateway/test_replay.py
+++ b/tests/gateway/test_replay.py
@@ -30,7 +30,9 @@
     return (undisturbed_ms + served_ms) / asked
 
 
-@pytest.mark.parametrize('name', ['calm', 'burst', 'slow-replica'])
+@pytest.mark.parametrize(
+    'name', ['calm', 'burst', 'slow-replica', 'many-accounts']
+)
 def test_load_within_capacity_is_served_in_time(name):
     """Guards against giving a slow target, or one zone, too much work."""
     results = replay_module.replay(PATTERNS_BY_NAME[name], 1)
