gateway: Replace no primary with an old view of the targets

A host that had been suspended promoted a leaving server over a primary that another host had promoted meanwhile, although it had adopted the registry with that primary before its order. Also by reading: a replica that registers while the others are paused isn't paused, so it could confirm commits that the candidate lacks, or be evidence for the earlier primary.

Ruled out: the replicas' terms alone (after a restart of all hosts a primary of a later term may have left for good), an order only with a registry read after the token was taken (a host that has just lost the store would leave a service without a primary for 5 s).

Change: the registry is read before an order, within 400 ms, or was read at most 2.5 s before the token was taken. Nothing is promoted if a primary has appeared or a target has registered since the start; the replicas resume.

Tests: test_succession.py; both fail before.

--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -240,7 +240,14 @@
         self._interval_ms = TARGETS_INTERVAL_MS
         self._interval_shortened = asyncio.Event()
         self._needed = asyncio.Event()
-        self.has_read = False
+        # When the newest answer of the store was asked for; None before.
+        self._read_sent_ms: int | None = None
+        self._read_ended = asyncio.Event()
+        self._wanted_ms = 0  # the next read begins then at the latest
+
+    @property
+    def has_read(self) -> bool:
+        return self._read_sent_ms is not None
 
     @property
     def is_needed(self) -> bool:
@@ -260,6 +267,30 @@
             self._interval_shortened.set()
         self._interval_ms = interval_ms
 
+    async def read_since(self, moment_ms: int, timeout_ms: int) -> bool:
+        """Read the registry again, unless that was done since a moment.
+
+        Returns whether its state of that moment or later has been adopted
+        within ``timeout_ms``.
+        """
+        if self._has_read_since(moment_ms):
+            return True
+        self._wanted_ms = max(self._wanted_ms, moment_ms)
+        self._interval_shortened.set()
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                while not self._has_read_since(moment_ms):
+                    self._read_ended.clear()
+                    await self._read_ended.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _has_read_since(self, moment_ms: int) -> bool:
+        return self._read_sent_ms is not None and (
+            self._read_sent_ms >= moment_ms
+        )
+
     def of_service(self, service: str) -> list[catalog_module.Target]:
         """Return the targets of a service, draining ones included."""
         return [
@@ -341,6 +372,7 @@
         has_failed = False
         while True:
             await self._needed.wait()
+            sent_ms = self._clock.now()
             try:
                 version = await self._read_registry(version)
             except exceptions.PlatformError as error:
@@ -357,15 +389,18 @@
                     'registry_restored', targets=len(self._targets_by_id)
                 )
             has_failed = False
-            self.has_read = True
             self._remove_missing(now)
+            # Not complete yet if the store had forgotten the changes.
+            if version is not None:
+                self._read_sent_ms = sent_ms
+                self._read_ended.set()
             await self._wait_until_due(now)
 
     async def _wait_until_due(self, read_ms: int) -> None:
         """Wait until the interval since the last read has passed."""
         while True:
             remaining_ms = read_ms + self._interval_ms - self._clock.now()
-            if remaining_ms <= 0:
+            if remaining_ms <= 0 or not self._has_read_since(self._wanted_ms):
                 return
             self._interval_shortened.clear()
             try:
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -203,6 +203,15 @@
             if each.noticed_ms >= self.acknowledged_sent_ms
         ]
 
+    async def read_registry_since(
+        self, moment_ms: int, timeout_ms: int
+    ) -> bool:
+        """Adopt the registry's state of a moment or later.
+
+        Returns whether that was possible within ``timeout_ms``.
+        """
+        return await self._targets.read_since(moment_ms, timeout_ms)
+
     def is_primary(self, pool: pool_module.TargetPool) -> bool:
         return pool.target.target_id == self.primary_id
 
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -10,6 +10,7 @@
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.gateway import gateway as gateway_module
+from samphirestand.gateway import group as group_module
 from samphirestand.gateway import policy
 from samphirestand.gateway import pool as pool_module
 from samphirestand import log
@@ -32,6 +33,11 @@
 # How long a promotion is expected to take: about a second.
 PROMOTION_MS = 1_000
 
+# The registry is read once more before an order. If that takes longer, what
+# was read at most this long before the token was taken is enough.
+REGISTRY_TIMEOUT_MS = 400
+MAX_REGISTRY_AGE_MS = 2_500
+
 # How often the promoted target is asked whether it is the primary, and for
 # how long.
 PROMOTION_POLL_INTERVAL_MS = 100
@@ -193,6 +199,10 @@
             await self._clock.sleep(policy.PROMOTION_DELAY_MS - waited_ms)
         if old_primary is not None and was_down and not old_primary.is_down:
             wait_reason = f'{old_primary_id} answers again'
+        if wait_reason is None:
+            wait_reason = await _stale_view_reason(
+                group, old_primary_id, pools, token_taken_ms
+            )
         if wait_reason is not None or isinstance(
             candidate, exceptions.Sentinel
         ):
@@ -542,6 +552,36 @@
         gateway.group.mark_not_primary(pool)
 
 
+async def _stale_view_reason(
+    group: group_module.TargetGroup,
+    old_primary_id: str,
+    pools: dict[str, pool_module.TargetPool],
+    token_taken_ms: int,
+) -> str | None:
+    """Return why this host may have begun with an old view, or None.
+
+    ``pools`` are those of the replicas that were paused. A host that was
+    suspended may know neither the present primary nor all replicas; another
+    replica could confirm commits that the candidate lacks. A host that has
+    just lost the store goes on with what it read shortly before.
+    """
+    is_read_again = await group.read_registry_since(
+        token_taken_ms, REGISTRY_TIMEOUT_MS
+    )
+    if not is_read_again and not await group.read_registry_since(
+        token_taken_ms - MAX_REGISTRY_AGE_MS, 0
+    ):
+        return 'the registry was not read lately'
+    if group.primary_id not in ('', old_primary_id):
+        return f'{group.primary_id} is the primary now'
+    new_ids = sorted(
+        group.pools_by_id.keys() - pools.keys() - {old_primary_id}
+    )
+    if new_ids:
+        return f'registered meanwhile: {", ".join(new_ids)}'
+    return None
+
+
 def _duty_key(service: str) -> str:
     return f'promotion/{service}'
 
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -317,6 +317,84 @@
     run_scenario(scenario, hosts=1)
 
 
+async def replace_with_old_view(fleet, node, happen, *, knows_primary):
+    """Replace the primary on a host that has not read the registry since.
+
+    ``happen`` is called when the host has stopped to read. Without
+    ``knows_primary`` the primary that the host knew has stepped down.
+    """
+    await write_until_served(fleet, node, 'before')
+    gateway = node.gateways._get_or_open_gateway(nodes.SERVICE)
+    read = node.targets._read_registry
+    may_read = asyncio.Event()
+
+    async def read_later(version):
+        await may_read.wait()
+        return await read(version)
+
+    node.targets._read_registry = read_later
+    await happen()
+    acquire = node.gateways._succession._acquire_token
+
+    async def acquire_and_read(service, *, may_renew):
+        token = await acquire(service, may_renew=may_renew)
+        may_read.set()
+        return token
+
+    node.gateways._succession._acquire_token = acquire_and_read
+    if not knows_primary:
+        gateway.group.mark_not_primary(gateway.group.primary)
+    return await node.gateways._succession.replace_primary(
+        gateway,
+        node.catalog.current.services_by_name[nodes.SERVICE],
+        'test',
+    )
+
+
+def test_host_with_an_old_view_does_not_replace_the_new_primary():
+    """Guards against a host that was suspended and promotes when it wakes.
+
+    Another one had replaced the primary that was due to leave. The host knew
+    only that this one doesn't lead, and promoted it again.
+    """
+
+    async def scenario(fleet):
+        async def happen():
+            new_primary = await fleet.group.add('north', 0, is_primary=False)
+            fleet.group.promote_server(new_primary.server_id)
+            new_primary.register()
+
+        is_done = await replace_with_old_view(
+            fleet, fleet.nodes[0], happen, knows_primary=False
+        )
+        assert not is_done
+        assert fleet.store.promotions == []
+        assert all(
+            not each.paused_term for each in fleet.group.servers.values()
+        )
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_nothing_is_promoted_beside_a_replica_that_was_not_paused():
+    """Guards against a replica that registers while others are paused.
+
+    It could confirm commits that the promoted replica lacks.
+    """
+
+    async def scenario(fleet):
+        async def happen():
+            await fleet.group.add('north', 0, is_primary=False)
+
+        is_done = await replace_with_old_view(
+            fleet, fleet.nodes[0], happen, knows_primary=True
+        )
+        assert not is_done
+        assert fleet.store.promotions == []
+
+    run_scenario(scenario, hosts=1)
+
+
 @pytest.mark.parametrize('is_isolated', [True, False])
 def test_isolated_host_replaces_no_primary(monkeypatch, is_isolated):
     """Guards against a host that was cut off and replaces primaries.
