fleet: Fetch a new configuration within the zone

Ruled out: hosts without jobs that read the store after each change (calls to it are the largest price).

Change: a host that sees a newer version asks the job hosts of its zone for theirs in each round and fetches it there, after 600 ms from any host.

Tests: test_catalog_exchange.py.

--- a/samphirestand/fleet/catalog_exchange.py
+++ b/samphirestand/fleet/catalog_exchange.py
@@ -17,6 +17,11 @@
 # that lacks the version for longer than this requests it from another host.
 PULL_AFTER_MS = 200
 
+# Until this long after a newer version was seen it is requested only from a
+# host of this zone, which normally gets it meanwhile. A configuration is
+# large, and traffic between zones is expensive.
+PULL_FROM_ZONE_MS = 600
+
 # A host that isn't a job host sends its version to a job host that still lacks
 # it after this time, and so couldn't get it from other job hosts either. A
 # random delay up to the spread keeps the hosts of a large fleet from sending
@@ -84,17 +89,38 @@
             self._behind_since_ms = now
         if now - self._behind_since_ms < PULL_AFTER_MS:
             return
-        if self._fetch_task is None or self._fetch_task.done():
-            # After a restart, an older version than the newest could bring
-            # back a key that was withdrawn before.
-            newest_link = max(
-                [link, *self._members.up_links()],
-                key=lambda each: each.catalog_version,
-            )
+        if self._fetch_task is not None and not self._fetch_task.done():
+            return
+        # After a restart, an older version than the newest could bring back a
+        # key that was withdrawn before.
+        newest_link = max(
+            [link, *self._members.up_links()],
+            key=lambda each: (each.catalog_version, self._is_in_zone(each)),
+        )
+        if (
+            self._is_in_zone(newest_link)
+            or now - self._behind_since_ms >= PULL_FROM_ZONE_MS
+        ):
             self._fetch_task = asyncio.create_task(
                 self._fetch_from(newest_link)
             )
 
+    def _is_in_zone(self, link: links.Link) -> bool:
+        return link.peer.zone == self._members.local.zone
+
+    def wanted_pings(self) -> frozenset[str]:
+        """Return the hosts whose version matters now.
+
+        These are the hosts of this zone while a newer version is known.
+        """
+        if self._behind_since_ms is None:
+            return frozenset()
+        return frozenset(
+            each.peer.host_id
+            for each in self._members.up_links()
+            if self._is_in_zone(each)
+        )
+
     async def _fetch_from(self, link: links.Link) -> None:
         answer = await link.request(
             frames.SnapshotRequest, SNAPSHOT_TIMEOUT_MS
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -110,7 +110,7 @@
     """What a round of pings tells each host.
 
     The hosts of ``required_host_ids`` must be pinged, because their pings
-    move something to them.
+    move something to them or their answers are needed.
     """
 
     build_ping: collections.abc.Callable[[links.Link], frames.Ping]
--- a/samphirestand/fleet/ping_schedule.py
+++ b/samphirestand/fleet/ping_schedule.py
@@ -39,8 +39,8 @@
 ) -> list[links_module.Link]:
     """Return the links to ping in this round of a host without jobs.
 
-    ``required_host_ids`` are hosts to which the round's pings carry
-    something. Links that were pinged the longest time ago come first.
+    ``required_host_ids`` are hosts that must be pinged. Links that were pinged
+    the longest time ago come first.
     """
     if _suspects_cut(links, local_zone, now):
         return list(links)
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -229,7 +229,10 @@
                 deposits_by_host.get(link.peer.host_id, ()),
             )
 
-        return members_module.PingRound(build_ping, deposits_by_host.keys())
+        return members_module.PingRound(
+            build_ping,
+            deposits_by_host.keys() | self._exchange.wanted_pings(),
+        )
 
     async def _close_sessions_while_isolated(self) -> None:
         """Close idle sessions while this host is isolated from the fleet.
--- a/tests/fleet/test_catalog_exchange.py
+++ b/tests/fleet/test_catalog_exchange.py
@@ -15,6 +15,7 @@
     """Tells whether this host is a job host, and holds its links."""
 
     is_job_host = True
+    local = frames.Hello('local', 'north', '127.0.0.1', 1, 1)
 
     def __init__(self):
         self.links = []
@@ -48,8 +49,8 @@
 
     is_up = True
 
-    def __init__(self, host_id, version):
-        self.peer = frames.Hello(host_id, 'north', '127.0.0.1', 1, 1)
+    def __init__(self, host_id, version, zone='north'):
+        self.peer = frames.Hello(host_id, zone, '127.0.0.1', 1, 1)
         self.catalog_version = version
         self.catalog_confirmed_ms = None
         self.answered_ping_ms = 0
@@ -151,6 +152,30 @@
     assert exchange._catalog.sources == ['host-2']
 
 
+def test_version_is_fetched_within_the_zone_where_that_is_possible(exchange):
+    """Guards against hundreds of copies between zones for each change."""
+    links = [
+        FakeLink('host-1', 8, 'south'),
+        FakeLink('host-2', 8),
+        FakeLink('host-3', 8, 'south'),
+    ]
+    exchange._members.links = links
+    review_links(exchange, links, 1_000)
+    assert exchange._catalog.sources == ['host-2']
+
+
+def test_hosts_of_the_zone_are_asked_for_a_newer_version(exchange):
+    """Guards against fetching it from another zone, known seconds earlier."""
+    links = [FakeLink('host-1', 8, 'south'), FakeLink('host-2', 7)]
+    exchange._members.links = links
+    assert exchange.wanted_pings() == frozenset()
+    review_links(exchange, links, 500)
+    assert exchange.wanted_pings() == {'host-2'}
+    assert exchange._catalog.sources == []
+    review_links(exchange, links, 500)
+    assert exchange._catalog.sources == ['host-1']
+
+
 @pytest.mark.parametrize(
     ('version', 'confirmed_ms'), [(6, 900), (7, 900), (8, None)]
 )
