tests: Let new connections take time where placement depends on it

The test is about targets where a connection takes as long as several statements, but the stand-in opened one at once, so that a few milliseconds decided.

Change: the stand-in may take time for a new connection, and does in this test.

--- a/standins/database_group.py
+++ b/standins/database_group.py
@@ -159,6 +159,7 @@
         # Commands whose next answer is withheld for 60 s.
         self.lost_answers: set[str] = set()
         self.work_ms = 1
+        self.opening_ms = 0  # that a new connection takes
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
@@ -242,6 +243,7 @@
             return
         if self.is_silent:
             await asyncio.sleep(60)
+        await asyncio.sleep(self.opening_ms / 1000)
         writer.write(f'READY I {self.position}\r\n'.encode())
         session = _Session(account)
         while True:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -41,6 +41,7 @@
             ]
             for server in fleet.group.servers.values():
                 server.work_ms = 5
+                server.opening_ms = 25
             await asyncio.sleep(1)
             for number in range(ROUNDS):
                 # Send fewer statements at once than the replicas have slots,
