fleet: Owe no token of an account whose rate is zero

Found by reading the change: each gateway host would have run one operation of an account that operators have stopped. Test: test_allowance.py.

--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -161,6 +161,7 @@
                 return True
             if (
                 bucket.millitokens >= MILLIS_PER_UNIT - MAX_OWED_MILLITOKENS
+                and configured_account.rate > 0
                 and self._may_owe_tokens
             ):
                 bucket.millitokens -= MILLIS_PER_UNIT
--- a/tests/fleet/test_allowance.py
+++ b/tests/fleet/test_allowance.py
@@ -213,6 +213,12 @@
     assert not is_admitted_at_once(fleet, host)
 
 
+def test_account_without_a_rate_is_owed_no_token():
+    """Guards against operations of an account that operators have stopped."""
+    fleet = FakeFleet([catalog.Account('a', 0, 0)], rate_slack=20)
+    assert not is_admitted_at_once(fleet, host_without_pool(fleet))
+
+
 @pytest.mark.parametrize(
     ('rate_slack', 'services'), [(0, 4), (7, 4), (17, 20)]
 )
