fleet: Log when a host starts or stops to follow the configuration itself

Which source a host believes is a decision that on-call engineers need; one line for each change. Also a clearer name for the hosts whose version is asked for.

--- a/samphirestand/fleet/catalog_exchange.py
+++ b/samphirestand/fleet/catalog_exchange.py
@@ -108,10 +108,10 @@
     def _is_in_zone(self, link: links.Link) -> bool:
         return link.peer.zone == self._members.local.zone
 
-    def wanted_pings(self) -> frozenset[str]:
-        """Return the hosts whose version matters now.
+    def host_ids_to_ping(self) -> frozenset[str]:
+        """Return the hosts whose version must be known soon.
 
-        These are the hosts of this zone while a newer version is known.
+        These are the hosts of this zone while a newer version exists.
         """
         if self._behind_since_ms is None:
             return frozenset()
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -161,8 +161,18 @@
         """Follow the configuration in the store until cancelled."""
         version: int | None = None
         has_failed = False
+        follows_store = True
         while True:
-            if not self.needs_store:
+            if follows_store != self.needs_store:
+                follows_store = self.needs_store
+                _log.info(
+                    'configuration_unconfirmed'
+                    if follows_store
+                    else 'configuration_relayed',
+                    version=self.current.version,
+                    age_ms=self.age_ms,
+                )
+            if not follows_store:
                 await self._clock.sleep(RELAY_CHECK_INTERVAL_MS)
                 continue
             sent_ms = self._clock.now()
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -231,7 +231,7 @@
 
         return members_module.PingRound(
             build_ping,
-            deposits_by_host.keys() | self._exchange.wanted_pings(),
+            deposits_by_host.keys() | self._exchange.host_ids_to_ping(),
         )
 
     async def _close_sessions_while_isolated(self) -> None:
--- a/tests/fleet/test_catalog_exchange.py
+++ b/tests/fleet/test_catalog_exchange.py
@@ -168,9 +168,9 @@
     """Guards against fetching it from another zone, known seconds earlier."""
     links = [FakeLink('host-1', 8, 'south'), FakeLink('host-2', 7)]
     exchange._members.links = links
-    assert exchange.wanted_pings() == frozenset()
+    assert exchange.host_ids_to_ping() == frozenset()
     review_links(exchange, links, 500)
-    assert exchange.wanted_pings() == {'host-2'}
+    assert exchange.host_ids_to_ping() == {'host-2'}
     assert exchange._catalog.sources == []
     review_links(exchange, links, 500)
     assert exchange._catalog.sources == ['host-1']
