--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -667,8 +667,6 @@
                 await self._read_rows()
         finally:
             write.cancel()
-            # Its own failure is the same as that of the read.
-            await asyncio.gather(write, return_exceptions=True)
         if self.is_job_host:
             await self._clock.sleep(SECOND_READ_DELAY_MS)
             await self._read_rows()
