--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -45,6 +45,7 @@
         self.store = platform.Store()
         self.cloud = platform.Cloud(self.record)
         self.services = services
+        self.configuration = {}
         self.groups = {}
         self.hosts = {}
         self.results = []
@@ -61,7 +62,8 @@
         """Start the platform, the servers and all hosts."""
         await self.store.start(self.address(1), PORT)
         await self.cloud.start(self.address(2), PORT)
-        self.store.put('op', 'config', self._configuration(routes))
+        self.configuration = self._configuration(routes)
+        self.store.put('op', 'config', self.configuration)
         number = 10
         for service in self.services:
             group = database.Group(service, self.store, self.record, work_s)
