fleet: Replace no primary before the registry can be complete

A host that restarts while the store is down had known no target, so the 2.5 s for which missing registrations are kept didn't apply to it: it read the registry when one replica was back, paused and promoted it, and the replica that nobody had paused went on confirming commits.

A host now replaces no primary until 2.5 s after its first reading, and counts again if the store is lost before. A primary without known replicas isn't taken for confirmed while the registry may be partial. Pages of a large table: the version to go on from is that of the first page, so that changes to earlier pages aren't missed.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -422,6 +422,10 @@
             for number in range(3)
         ]
 
+    @property
+    def is_complete(self) -> bool:
+        return True
+
     def of_service(self, service: str) -> list[catalog.Target]:
         return self._targets
 
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -54,9 +54,10 @@
 # Delay between attempts to read while the store can't be reached.
 STORE_RETRY_MS = 400
 
-# How long missing targets are kept after the store was unavailable.
-# Registrations that expired in the meantime are renewed within about two
-# seconds of its return.
+# How long missing targets are kept after the store was unavailable, and how
+# long a host that starts takes targets to be missing. Registrations that
+# expired in the meantime are renewed within about two seconds of the store's
+# return.
 REREGISTRATION_GRACE_MS = 2_500
 
 # How long a replica that has left the registry is remembered. It may have
@@ -247,6 +248,9 @@
             catalog_module.TargetStart, int
         ] = {}
         self._removal_paused_until_ms = 0
+        # From when on all registered targets are known; None before the first
+        # read.
+        self._complete_from_ms: int | None = None
         self._interval_ms = TARGETS_INTERVAL_MS
         self._interval_shortened = asyncio.Event()
         self._needed = asyncio.Event()
@@ -259,6 +263,18 @@
     def has_read(self) -> bool:
         return self._read_sent_ms is not None
 
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether all targets are known whose registrations lapsed.
+
+        Registrations may lapse while the store is unavailable, and a host that
+        starts then or shortly afterwards has never seen them.
+        """
+        return (
+            self._complete_from_ms is not None
+            and self._clock.now() >= self._complete_from_ms
+        )
+
     @property
     def is_needed(self) -> bool:
         """Tell whether this host uses the registry; set from outside."""
@@ -388,6 +404,8 @@
             except exceptions.PlatformError as error:
                 if not has_failed:
                     _log.warning('registry_lost', reason=str(error))
+                    if not self.is_complete:
+                        self._complete_from_ms = None
                 has_failed = True
                 version = None
                 await self._clock.sleep(STORE_RETRY_MS)
@@ -398,6 +416,8 @@
                 _log.info(
                     'registry_restored', targets=len(self._targets_by_id)
                 )
+            if self._complete_from_ms is None:
+                self._complete_from_ms = now + REREGISTRATION_GRACE_MS
             has_failed = False
             self._remove_missing(now)
             # Not complete yet if the store had forgotten the changes.
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -170,7 +170,8 @@
             key=lambda each: (each.needs_probe, each.round_trip_ms),
         )
         if not other_pools:
-            leadership.confirm(sent_ms)
+            if group.is_complete:
+                leadership.confirm(sent_ms)
             return
         first_count = 1 if group.is_synchronous else len(other_pools)
         for pools in (other_pools[:first_count], other_pools[first_count:]):
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -414,7 +414,7 @@
         self, gateway: gateway_module.ServiceGateway
     ) -> str | None:
         """Return why the primary must be replaced; None if it need not be."""
-        if not gateway.group.pools_by_id:
+        if not gateway.group.pools_by_id or not self._targets.is_complete:
             return None
         primary = gateway.group.primary
         if primary is None:
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -60,6 +60,11 @@
     def primary(self) -> pool_module.TargetPool | None:
         return self.pools_by_id.get(self.primary_id)
 
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether all registered targets of the service are known."""
+        return self._targets.is_complete
+
     def refresh(self) -> None:
         """Adopt the current registry and configuration."""
         service = self._catalog().services_by_name.get(self.service)
--- a/samphirestand/platform/store.py
+++ b/samphirestand/platform/store.py
@@ -85,22 +85,25 @@
     async def read(self, table: str) -> TableRows:
         """Return all rows of a table as of the first request or later.
 
-        A large table is read page by page, with one request for each.
+        A large table is read page by page, with one request for each. The
+        version is that of the first page, so that ``changes`` after it returns
+        what has changed on earlier pages since.
 
         Raises ``PlatformUnavailable`` or ``PlatformError``.
         """
         rows: dict[str, Row] = {}
         start_key = ''
+        version: int | None = None
         while True:
             query = {'Table': table, 'part': '', 'From': start_key}
             answer = await self._get_rows(
                 'rows-get', query, REQUEST_TIMEOUT_MS
             )
             rows.update((each.key, each) for each in _decode_rows(answer.rows))
+            if version is None:
+                version = answer.Ver
             if not answer.HasMore or not answer.rows:
-                return TableRows(
-                    tuple(rows.values()), answer.Ver, answer.NowMs
-                )
+                return TableRows(tuple(rows.values()), version, answer.NowMs)
             start_key = answer.rows[-1].Key + '\0'
 
     async def changes(
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -136,6 +136,7 @@
         self.store_port = free_port()
 
     async def start(self, hosts=2):
+        """Start targets and hosts, as if all had been running for a while."""
         self.store.listen(self.store_port)
         self.store.put('op', 'config', configuration())
         for number, zone in enumerate(ZONES):
@@ -150,6 +151,8 @@
                 for node in self.nodes
             )
         )
+        for node in self.nodes:
+            node.targets._complete_from_ms = 0
         # Rate tokens for the first operations arrive with the first few pings.
         await asyncio.sleep(0.3)
 
