gateway: Record orders to promote, and fence them off before replicas resume

An order without an answer may be carried out seconds later. Replicas were resumed as soon as the token had expired in the store, but the platform had seen no higher token, so the late order still promoted its replica. Only the process that had sent the order knew of it.

The row of the token now names the targets of orders without a known outcome and is written before an order is sent. Replicas stay paused until the platform has accepted a higher token, by an order that names the current primary, and until what was accepted before must have taken effect. Gateways use no primary while the row names another target, so a replica that restarts, or the order that only shows a token, can't lose commits either. Unreadable rows of tokens no longer stop all promotions. promotion_ordered logs what was known of each replica. The tokens move from succession.py to fencing.py.

Two tests of test_succession.py used a token that no host can have written (90 at a lower version of the store, held for 60 s) and now use one that it can.

--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -263,6 +263,13 @@
     def has_read(self) -> bool:
         return self._read_sent_ms is not None
 
+    @property
+    def age_ms(self) -> int | None:
+        """Return the age of what was read last; None before."""
+        if self._read_sent_ms is None:
+            return None
+        return self._clock.now() - self._read_sent_ms
+
     @property
     def is_complete(self) -> bool:
         """Tell whether all targets are known whose registrations lapsed.
--- /dev/null
+++ b/samphirestand/gateway/fencing.py
@@ -0,0 +1,238 @@
+"""Fencing tokens for promotions, and the orders that may still take effect.
+
+One row of the store for each service holds its newest token, who holds it,
+and the targets that orders without a known outcome name. An order is recorded
+before it is sent, so that any host knows of it, whatever becomes of the one
+that sent it.
+"""
+
+import collections.abc
+import dataclasses
+
+import pydantic
+
+from samphirestand import clock as clock_module
+from samphirestand import exceptions
+from samphirestand import log
+from samphirestand.platform import store as store_module
+
+__all__ = ['DUTIES_TABLE', 'TOKEN_HOLD_MS', 'FencingTokens', 'Token']
+
+# The table of the store that holds the fencing token of each service.
+DUTIES_TABLE = 'duties'
+
+# For this long no other host may take the fencing token: its holder asks the
+# replicas, orders the promotion and waits until it takes effect.
+TOKEN_HOLD_MS = 5_000
+
+# A write whose answer was lost is tried again: the second attempt shows
+# whether it took effect, the third one follows it.
+MAX_WRITE_ATTEMPTS = 3
+
+# Stands for the targets of orders that nothing is known of. No target has
+# this id.
+UNKNOWN_TARGET = '?'
+
+_log = log.get_logger(__name__)
+
+
+class _DutyModel(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+
+    token: int = pydantic.Field(ge=0)
+    holder: str
+    until_ms: int = pydantic.Field(default=0, ge=0)  # by the store's clock
+    ordered: list[str] = pydantic.Field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Duty:
+    """The row of a service; ``version`` is 0 if there is none yet."""
+
+    token: int
+    holder: str
+    held_ms: int  # how much longer the token is held
+    ordered_ids: frozenset[str]
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Token:
+    """A fencing token that this host has taken.
+
+    ``taken_ms`` is by this host's clock, from before the store counted. An
+    order for one of ``ordered_ids`` may still be carried out.
+    """
+
+    service: str
+    number: int
+    taken_ms: int
+    until_ms: int  # by the store's clock
+    ordered_ids: frozenset[str]
+
+
+class FencingTokens:
+    """Takes, extends and releases the fencing tokens of services."""
+
+    def __init__(
+        self,
+        host_id: str,
+        clock: clock_module.Clock,
+        store: store_module.Store,
+    ) -> None:
+        self._host_id = host_id
+        self._clock = clock
+        self._store = store
+        self._versions_by_service: dict[str, int] = {}
+
+    async def acquire(self, service: str) -> Token | None:
+        """Take a service's fencing token; None if another host holds it.
+
+        Raises the token in the store. Another host's token is not taken
+        before it expires by the store's clock: two holders at once would
+        choose different replicas. Raises ``PlatformError`` while the store
+        can't be reached.
+        """
+        taken_ms = self._clock.now()
+        duty, now_ms = await self._read(service)
+        if duty.holder != self._host_id and duty.held_ms > 0:
+            _log.info(
+                'succession_token_held',
+                service=service,
+                peer=duty.holder,
+                token=duty.token,
+                remaining_ms=duty.held_ms,
+            )
+            return None
+        token = Token(
+            service,
+            duty.token + 1,
+            taken_ms,
+            now_ms + TOKEN_HOLD_MS,
+            duty.ordered_ids,
+        )
+        result = await self._write(token, duty.version)
+        if isinstance(result, store_module.Conflict):
+            _log.info('succession_taken_by_other', service=service)
+            return None
+        self._versions_by_service[service] = result
+        _log.info(
+            'fencing_token_taken',
+            service=service,
+            token=token.number,
+            ordered=sorted(token.ordered_ids),
+        )
+        return token
+
+    async def record_order(self, token: Token, target_id: str) -> bool:
+        """Record that an order for ``target_id`` is about to be sent.
+
+        Returns whether it may be sent: False if another host has taken a
+        higher token or the store didn't answer.
+        """
+        recorded = dataclasses.replace(
+            token, ordered_ids=token.ordered_ids | {target_id}
+        )
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            try:
+                result = await self._write(
+                    recorded, self._versions_by_service[token.service]
+                )
+                if not isinstance(result, store_module.Conflict):
+                    self._versions_by_service[token.service] = result
+                    return True
+                duty, _ = await self._read(token.service)
+            except exceptions.PlatformError as error:
+                _log.warning(
+                    'order_not_recorded',
+                    service=token.service,
+                    token=token.number,
+                    reason=str(error),
+                )
+                continue
+            if (duty.holder, duty.token) != (self._host_id, token.number):
+                break
+            # An earlier write of this host took effect without an answer.
+            self._versions_by_service[token.service] = duty.version
+        return False
+
+    async def release(
+        self, token: Token, ordered_ids: collections.abc.Set[str] = frozenset()
+    ) -> None:
+        """Expire a token, so that another host can take it at once.
+
+        ``ordered_ids`` are the targets of orders that may still be carried
+        out. Does nothing if another host has taken a higher token. Raises
+        ``PlatformError`` while the store can't be reached.
+        """
+        released = dataclasses.replace(
+            token, until_ms=0, ordered_ids=frozenset(ordered_ids)
+        )
+        result = await self._write(
+            released, self._versions_by_service[token.service]
+        )
+        if not isinstance(result, store_module.Conflict):
+            self._versions_by_service[token.service] = result
+
+    async def read_ordered_ids(self, service: str) -> frozenset[str]:
+        """Return the targets for which an order may still be carried out.
+
+        Raises ``PlatformError`` while the store can't be reached.
+        """
+        duty, _ = await self._read(service)
+        return duty.ordered_ids
+
+    async def _read(self, service: str) -> tuple[_Duty, int]:
+        """Return a service's duty and the store's time in milliseconds."""
+        key = _duty_key(service)
+        feed = await self._store.read(DUTIES_TABLE, key)
+        row = next((each for each in feed.rows if each.key == key), None)
+        if row is None:
+            return _Duty(0, '', 0, frozenset(), 0), feed.now_ms
+        return _decode_duty(row, feed), feed.now_ms
+
+    async def _write(
+        self, token: Token, version: int
+    ) -> int | store_module.Conflict:
+        model = _DutyModel(
+            token=token.number,
+            holder=self._host_id,
+            until_ms=token.until_ms,
+            ordered=sorted(token.ordered_ids),
+        )
+        return await self._store.put(
+            DUTIES_TABLE,
+            _duty_key(token.service),
+            model.model_dump_json().encode(),
+            version,
+        )
+
+
+def _duty_key(service: str) -> str:
+    return f'promotion/{service}'
+
+
+def _decode_duty(row: store_module.Row, feed: store_module.TableRows) -> _Duty:
+    """Decode a row; one that no host can have written is replaced.
+
+    Each token took a write, and each write raises the store's version, so no
+    token is above the version of the row. What an unreadable row held is not
+    known, so an order for any target may be under way.
+    """
+    try:
+        model = _DutyModel.model_validate_json(row.value)
+    except pydantic.ValidationError as error:
+        reason = str(error)
+    else:
+        held_ms = max(0, model.until_ms - feed.now_ms)
+        if model.token <= row.version and held_ms <= TOKEN_HOLD_MS:
+            return _Duty(
+                model.token,
+                model.holder,
+                held_ms,
+                frozenset(model.ordered),
+                row.version,
+            )
+        reason = f'token {model.token}, held for {held_ms} ms'
+    _log.error('duty_unreadable', key=row.key, reason=reason)
+    return _Duty(row.version, '', 0, frozenset({UNKNOWN_TARGET}), row.version)
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -53,6 +53,11 @@
 EVIDENCE_TIMEOUT_MS = 250
 EVIDENCE_RETRY_MS = 50
 
+# How long the store may take to tell which orders may still be carried out,
+# and how often it is asked while that isn't known to be none.
+ORDERS_TIMEOUT_MS = 250
+ORDERS_RETRY_MS = 500
+
 # Codes of errors after which the target kept no effect of the statement, so
 # that it can safely be tried again.
 RETRYABLE_CODES = frozenset(
@@ -61,6 +66,12 @@
 
 _log = log.get_logger(__name__)
 
+# Returns the targets of a service for which an order to promote them may still
+# be carried out; raises ``PlatformError``.
+OrderedIdsReader = collections.abc.Callable[
+    [str], collections.abc.Awaitable[frozenset[str]]
+]
+
 # The outcome of an attempt that may be followed by another attempt.
 Retry = exceptions.Sentinel
 
@@ -76,6 +87,7 @@
         targets: watch.TargetWatch,
         catalog: collections.abc.Callable[[], catalog_module.Catalog],
         metrics: metrics_module.Metrics,
+        read_ordered_ids: OrderedIdsReader | None = None,
     ) -> None:
         self.service = service
         self._clock = clock
@@ -88,6 +100,11 @@
         )
         self._background = background.Background()
         self._evidence_task: asyncio.Task[None] | None = None
+        self._read_ordered_ids = read_ordered_ids
+        self._orders_read_ms: int | None = None
+        self._orders_leadership: leadership_module.Leadership | None = None
+        # Set while an order may still make another target the primary.
+        self.awaits_orders = False
         self.last_used_ms = clock.now()
         self.last_bounded_read_ms = 0  # of a read that replicas may run
         self.refresh()
@@ -170,7 +187,7 @@
             key=lambda each: (each.needs_probe, each.round_trip_ms),
         )
         if not other_pools:
-            if group.is_complete:
+            if group.is_complete and await self._is_free_of_orders(leadership):
                 leadership.confirm(sent_ms)
             return
         first_count = 1 if group.is_synchronous else len(other_pools)
@@ -190,7 +207,7 @@
                 else leadership_module.judge_replica(status, leadership.term)
                 for status in statuses
             ]
-            if self._apply_verdicts(primary, pools, verdicts, sent_ms):
+            if await self._apply_verdicts(primary, pools, verdicts, sent_ms):
                 return
 
     async def _ask_for_term(
@@ -216,7 +233,7 @@
             return
         leadership.term = status.term
 
-    def _apply_verdicts(
+    async def _apply_verdicts(
         self,
         primary: pool_module.TargetPool,
         pools: list[pool_module.TargetPool],
@@ -251,10 +268,63 @@
             return False
         needed_count = 1 if self.group.is_synchronous else len(pools)
         if pools and confirmed_count >= needed_count:
-            leadership.confirm(sent_ms)
+            if await self._is_free_of_orders(leadership):
+                leadership.confirm(sent_ms)
             return True
         return False
 
+    def note_orders_settled(self) -> None:
+        """Ask the store again before the next use of the primary."""
+        self.awaits_orders = False
+        self._orders_read_ms = None
+
+    async def _is_free_of_orders(
+        self, leadership: leadership_module.Leadership
+    ) -> bool:
+        """Tell whether no order can make another target the primary.
+
+        Asks the store when a leadership is new or was suspended: whoever
+        sends an order has recorded it there before and has paused all
+        replicas, but a replica that restarts is no longer paused. Without an
+        answer of the store a primary is used unless paused replicas were seen.
+        """
+        if self._read_ordered_ids is None or leadership.is_free_of_orders:
+            return True
+        now = self._clock.now()
+        if (
+            self._orders_read_ms is not None
+            and now - self._orders_read_ms < ORDERS_RETRY_MS
+            and leadership is self._orders_leadership
+        ):
+            return not leadership.is_suspended
+        self._orders_read_ms = now
+        self._orders_leadership = leadership
+        try:
+            async with asyncio.timeout(ORDERS_TIMEOUT_MS / 1000):
+                ordered_ids = await self._read_ordered_ids(self.service)
+        except (exceptions.PlatformError, TimeoutError) as error:
+            _log.warning(
+                'orders_unknown',
+                service=self.service,
+                target=leadership.target_id,
+                suspended=leadership.is_suspended,
+                reason=str(error) or 'no answer in time',
+            )
+            return not leadership.is_suspended
+        others = ordered_ids - {leadership.target_id}
+        self.awaits_orders = bool(others)
+        if others:
+            _log.warning(
+                'primary_awaits_orders',
+                service=self.service,
+                target=leadership.target_id,
+                ordered=sorted(others),
+            )
+            leadership.suspend()
+            return False
+        leadership.is_free_of_orders = True
+        return True
+
     def _follow_later_primary(
         self,
         earlier: pool_module.TargetPool,
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -143,6 +143,9 @@
                 self._targets,
                 self._catalog,
                 self._metrics,
+                self._succession.read_ordered_ids
+                if self._succession is not None
+                else None,
             )
             self._gateways_by_service[service] = found
             self._adopt_observations(found)
@@ -365,6 +368,10 @@
                 self._replace_primary(gateway, service, reason),
             )
             return
+        if self._succession is not None and gateway.awaits_orders:
+            self._start_unless_running(
+                f'settle/{service.name}', self._settle_orders(gateway)
+            )
         for target_id, pool in gateway.group.pools_by_id.items():
             if self._succession is not None and (
                 pool.is_paused or pool.lagging_count >= MAX_LAGGING_READS
@@ -457,6 +464,19 @@
         if not is_done:
             await self._clock.sleep(succession_module.RETRY_MS)
 
+    async def _settle_orders(
+        self, gateway: gateway_module.ServiceGateway
+    ) -> None:
+        """Make sure that no earlier order replaces the primary."""
+        assert self._succession is not None
+        try:
+            await self._succession.settle_orders(gateway)
+        except exceptions.PlatformError as error:
+            _log.warning(
+                'settle_failed', service=gateway.service, reason=str(error)
+            )
+        await self._clock.sleep(succession_module.RETRY_MS)
+
     async def _resume_paused_replica(
         self,
         gateway: gateway_module.ServiceGateway,
@@ -465,9 +485,7 @@
         """Resume a lagging replica if it was left paused."""
         assert self._succession is not None
         try:
-            await self._succession.resume_replica(
-                gateway.service, pool, gateway.group.leadership.term or 0
-            )
+            await self._succession.resume_replica(gateway, pool)
         except exceptions.PlatformError as error:
             _log.info('resume_failed', reason=str(error))
         await self._clock.sleep(PAUSED_REPLICA_CHECK_INTERVAL_MS)
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -65,6 +65,11 @@
         """Tell whether all registered targets of the service are known."""
         return self._targets.is_complete
 
+    @property
+    def registry_age_ms(self) -> int | None:
+        """Return how old the registry's state is here; None if unknown."""
+        return self._targets.age_ms
+
     def refresh(self) -> None:
         """Adopt the current registry and configuration."""
         service = self._catalog().services_by_name.get(self.service)
@@ -173,9 +178,14 @@
         """Record a commit that the primary acknowledged.
 
         A replica has confirmed it, so not all replicas were paused when it
-        was sent.
+        was sent. That doesn't end a suspension: a replica that restarts is no
+        longer paused, and an order may still be carried out.
         """
-        if self.is_synchronous and self.is_primary(pool):
+        if (
+            self.is_synchronous
+            and self.is_primary(pool)
+            and self.leadership.is_confirmed
+        ):
             self.leadership.confirm(sent_ms)
         self.record_primary_position(pool, sent_ms, position)
         if (
--- a/samphirestand/gateway/leadership.py
+++ b/samphirestand/gateway/leadership.py
@@ -71,6 +71,9 @@
         self.target_id = target_id
         self.term = term  # None until the target has told it
         self.is_suspended = False
+        # Whether it is known that no order can make another target the
+        # primary without all replicas being paused before.
+        self.is_free_of_orders = False
         self._confirmed_ms: int | None = None
 
     @property
@@ -111,3 +114,4 @@
     def suspend(self) -> None:
         """Record that a promotion may have been ordered."""
         self.is_suspended = True
+        self.is_free_of_orders = False
--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -170,6 +170,7 @@
     states: collections.abc.Sequence[ReplicaState],
     unanswered: collections.abc.Collection[str],
     is_synchronous: bool,
+    ordered_ids: collections.abc.Set[str] = frozenset(),
 ) -> Candidate | exceptions.Sentinel:
     """Return the replica that is certain to have every acknowledged commit.
 
@@ -177,9 +178,10 @@
     draining. With synchronous replication an acknowledged commit is on at
     least one replica, and a replica that hasn't answered may hold the only
     copy, so all replicas must answer. The one with the newest received
-    position is chosen. Among equals one that isn't draining is preferred.
-    The id decides last, so that any two hosts choose the same replica: an
-    order of the first one may still be carried out.
+    position is chosen. Among equals one is preferred for which an earlier
+    order may still be carried out (``ordered_ids``), so that it doesn't matter
+    which order comes first, then one that isn't draining. The id decides last,
+    so that any two hosts choose the same replica.
 
     Returns a sentinel with the reason if no replica is certain.
     """
@@ -192,6 +194,7 @@
         states,
         key=lambda each: (
             each.received,
+            each.target_id in ordered_ids,
             not each.is_draining,
             each.target_id,
         ),
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -3,12 +3,14 @@
 import asyncio
 import collections
 import collections.abc
-
-import pydantic
+import dataclasses
+from typing import Any
+from typing import TypeVar
 
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
+from samphirestand.gateway import fencing
 from samphirestand.gateway import gateway as gateway_module
 from samphirestand.gateway import group as group_module
 from samphirestand.gateway import policy
@@ -19,10 +21,7 @@
 from samphirestand.platform import wire
 from samphirestand import types
 
-__all__ = ['DUTIES_TABLE', 'PrimaryFailover']
-
-# The table of the store that holds the fencing token of each service.
-DUTIES_TABLE = 'duties'
+__all__ = ['PrimaryFailover']
 
 # The timeout of a command; a replica answers within two round trips.
 COMMAND_TIMEOUT_MS = 500
@@ -43,17 +42,17 @@
 PROMOTION_POLL_INTERVAL_MS = 100
 PROMOTION_TIMEOUT_MS = 2_500
 
-# For this long no other host may take the fencing token: its holder asks the
-# replicas, orders the promotion and waits until it takes effect.
-TOKEN_HOLD_MS = 5_000
-
 # A promotion is not ordered later than this after the token was taken:
 # another holder may have begun before the order arrives.
 MAX_ORDER_DELAY_MS = 3_000
 
 # Replicas are resumed no later than this after the token was taken: the next
 # holder may have paused them, and RESUME doesn't say which pause it ends.
-MAX_RESUME_DELAY_MS = TOKEN_HOLD_MS - COMMAND_TIMEOUT_MS
+MAX_RESUME_DELAY_MS = fencing.TOKEN_HOLD_MS - COMMAND_TIMEOUT_MS
+
+# How long a promotion that the platform has accepted may take at most, until
+# it is in force or never will be.
+MAX_PROMOTION_MS = PROMOTION_TIMEOUT_MS
 
 # The delay after an unfinished attempt.
 RETRY_MS = 400
@@ -67,11 +66,39 @@
 
 _log = log.get_logger(__name__)
 
+_Result = TypeVar('_Result')
+
 
-class _Duty(pydantic.BaseModel):
-    token: int = pydantic.Field(ge=0)
-    holder: str
-    until_ms: int = 0  # by the store's clock
+@dataclasses.dataclass(frozen=True)
+class _Answers:
+    """The answers of a service's targets to one command."""
+
+    states: dict[str, wire.Status]  # by target id
+    unanswered: list[str]
+    sent_ms: int
+
+    @property
+    def newest_term(self) -> int:
+        """Return the newest term that a target knows of; 0 without answers."""
+        return max((each.term for each in self.states.values()), default=0)
+
+    def updated(self, later: '_Answers') -> '_Answers':
+        """Return these answers, replaced where there are later ones."""
+        return _Answers(
+            {**self.states, **later.states}, self.unanswered, self.sent_ms
+        )
+
+    def describe(self, now_ms: int) -> dict[str, dict[str, object]]:
+        """Return what each target confirmed, and how old that is."""
+        return {
+            target_id: {
+                'received': str(status.received),
+                'term': status.term,
+                'held': status.held,
+                'age_ms': now_ms - self.sent_ms,
+            }
+            for target_id, status in self.states.items()
+        }
 
 
 class PrimaryFailover:
@@ -90,16 +117,22 @@
     ) -> None:
         self._host_id = host_id
         self._clock = clock
-        self._store = store
+        self._tokens = fencing.FencingTokens(host_id, clock, store)
         self._promotions = promotions
-        self._versions_by_service: dict[str, int] = {}
-        self._checks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
         # Held while this host may hold the token of a service, which the
         # store lets it take a second time.
         self._locks_by_service: collections.defaultdict[str, asyncio.Lock] = (
             collections.defaultdict(asyncio.Lock)
         )
 
+    async def read_ordered_ids(self, service: str) -> frozenset[str]:
+        """Return the targets for which an order may still be carried out.
+
+        Raises ``PlatformError`` while the store can't be reached.
+        """
+        return await self._tokens.read_ordered_ids(service)
+
     async def replace_primary(
         self,
         gateway: gateway_module.ServiceGateway,
@@ -119,10 +152,11 @@
         service: catalog_module.Service,
         reason: str,
     ) -> bool:
-        old_primary_id = gateway.group.primary_id
+        group = gateway.group
+        old_primary_id = group.primary_id
         pools = {
             target_id: pool
-            for target_id, pool in gateway.group.pools_by_id.items()
+            for target_id, pool in group.pools_by_id.items()
             if target_id != old_primary_id
         }
         _log.warning(
@@ -135,23 +169,17 @@
 
         # Ask the old primary at the same time as the replicas. A primary that
         # answers again after a partition must not be replaced.
-        old_primary = gateway.group.primary
+        old_primary = group.primary
         was_down = old_primary is not None and old_primary.is_down
         if old_primary is not None and was_down:
-            primary_check = asyncio.create_task(
-                _check_primary(gateway, old_primary)
-            )
-            self._checks.add(primary_check)
-            primary_check.add_done_callback(self._checks.discard)
+            self._spawn(_check_primary(gateway, old_primary))
 
         # Ask the replicas before taking the token: without enough answers
         # nothing may be changed.
-        states, unanswered = await self._send_to_all(pools, wire.STATUS)
-        if await self._follow_existing_primary(gateway, pools, states):
+        answers = await self._send_to_all(pools, wire.STATUS)
+        if await self._follow_existing_primary(gateway, pools, answers):
             return True
-        candidate = _choose_candidate(
-            gateway, service, pools, states, unanswered
-        )
+        candidate = _choose_candidate(gateway, service, pools, answers)
         if isinstance(candidate, exceptions.Sentinel):
             _log.warning(
                 'succession_waits',
@@ -159,9 +187,7 @@
                 reason=candidate.reason,
             )
             return False
-        # The store's clock runs from before the write, so this does too.
-        token_taken_ms = self._clock.now()
-        token = await self._acquire_token(service.name, may_renew=True)
+        token = await self._tokens.acquire(service.name)
         if token is None:
             return False
 
@@ -169,23 +195,24 @@
         # gateways find no evidence for the old primary.
         term = 1 + max(
             max(each.term, each.held, each.received.term)
-            for each in states.values()
+            for each in answers.states.values()
         )
-        group = gateway.group
         group.leadership.suspend()
         group.primary_expected_ms = (
             self._clock.now() + policy.PROMOTION_DELAY_MS + PROMOTION_MS
         )
-        states, unanswered = await self._send_to_all(
-            pools, wire.pause_text(term)
-        )
-        paused_ms = self._clock.now()
+        answers = await self._send_to_all(pools, wire.pause_text(term))
         candidate = _choose_candidate(
-            gateway, service, pools, states, unanswered
+            gateway, service, pools, answers, token.ordered_ids
         )
         wait_reason = _missing_commit_reason(
-            candidate, states, service, group.acknowledged_position
+            candidate, answers, service, group.acknowledged_position
         )
+        recording = None
+        if not isinstance(candidate, exceptions.Sentinel):
+            recording = self._spawn(
+                self._tokens.record_order(token, candidate.target_id)
+            )
         is_stepped_down = (
             wait_reason is None
             and old_primary is not None
@@ -195,14 +222,23 @@
         if wait_reason is None and not is_stepped_down:
             # Other gateways may use the old primary on evidence from before
             # the pause.
-            waited_ms = self._clock.now() - paused_ms
+            waited_ms = self._clock.now() - answers.sent_ms
             await self._clock.sleep(policy.PROMOTION_DELAY_MS - waited_ms)
+            # A replica that has restarted since isn't paused any more.
+            again = await self._send_to_all(pools, wire.pause_text(term))
+            answers = answers.updated(again)
+            if candidate != _choose_candidate(
+                gateway, service, pools, answers, token.ordered_ids
+            ):
+                wait_reason = 'a replica received commits after its pause'
         if old_primary is not None and was_down and not old_primary.is_down:
             wait_reason = f'{old_primary_id} answers again'
         if wait_reason is None:
             wait_reason = await _stale_view_reason(
-                group, old_primary_id, pools, token_taken_ms
+                group, old_primary_id, pools, token.taken_ms
             )
+        if recording is not None and not await recording:
+            wait_reason = wait_reason or 'the order could not be recorded'
         if wait_reason is not None or isinstance(
             candidate, exceptions.Sentinel
         ):
@@ -210,89 +246,219 @@
                 'succession_waits', service=service.name, reason=wait_reason
             )
             group.primary_expected_ms = None
-            await self._send_to_all(
-                pools, wire.RESUME, self._may_resume(token_taken_ms)
-            )
-            await self._release_token(service.name, token)
+            if not token.ordered_ids - {old_primary_id}:
+                await self._send_to_all(
+                    pools, wire.RESUME, self._may_resume(token)
+                )
+            await self._tokens.release(token, token.ordered_ids)
             return False
 
         # From here on the replicas stay paused until the promotion is known
-        # to have taken effect. An order that got no answer may still be
-        # carried out, and until then no commit that the candidate lacks may
-        # be acknowledged.
+        # to have taken effect, or its order to have no effect any more. Until
+        # then no commit that the candidate lacks may be acknowledged.
         promoted_term = await self._promote_replica(
-            gateway,
-            service.name,
-            candidate.target_id,
-            token,
-            token_taken_ms,
+            gateway, candidate.target_id, token, answers
         )
         if promoted_term is None:
             return False
+        if old_primary is not None and not is_stepped_down:
+            self._spawn(gateway.step_down(old_primary, promoted_term))
+        if token.ordered_ids - {candidate.target_id} and not (
+            await self._outlast_promotions(gateway, promoted_term)
+        ):
+            return False
         await self._resume_followers(
-            pools, promoted_term, self._may_resume(token_taken_ms)
+            pools, promoted_term, self._may_resume(token)
         )
-        await self._release_token(service.name, token)
-        if old_primary is not None and not is_stepped_down:
-            await gateway.step_down(old_primary, promoted_term)
+        await self._tokens.release(token)
+        gateway.note_orders_settled()
         return True
 
+    def _spawn(
+        self, coroutine: collections.abc.Coroutine[object, object, _Result]
+    ) -> asyncio.Task[_Result]:
+        """Run a coroutine as a task that is kept until it ends."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
     async def _follow_existing_primary(
         self,
         gateway: gateway_module.ServiceGateway,
         pools: dict[str, pool_module.TargetPool],
-        states: dict[str, wire.Status],
+        answers: _Answers,
     ) -> bool:
         """Use a target that says it is primary; return whether there is one.
 
         A primary that was replaced may say so too, in a lower term.
         """
-        newest_term = max((each.term for each in states.values()), default=0)
-        for target_id, status in states.items():
+        newest_term = answers.newest_term
+        for target_id, status in answers.states.items():
             if not status.is_primary:
                 continue
             if status.term == newest_term:
                 gateway.group.set_primary(target_id, 'status', status.term)
                 paused_pools = {
                     each: pools[each]
-                    for each, state in states.items()
+                    for each, state in answers.states.items()
                     if _is_left_paused(state, status.term)
                 }
                 if paused_pools:
-                    await self._resume_under_token(
-                        gateway.service, paused_pools, status.term
-                    )
+                    await self._settle(gateway, paused_pools, status.term)
                 return True
             # Only a replica can be paused.
             await gateway.step_down(pools[target_id], newest_term)
         return False
 
     def _may_resume(
-        self, token_taken_ms: int
+        self, token: fencing.Token
     ) -> collections.abc.Callable[[], bool]:
         """Return what tells whether the token is still certain to be held."""
-        until_ms = token_taken_ms + MAX_RESUME_DELAY_MS
+        until_ms = token.taken_ms + MAX_RESUME_DELAY_MS
         return lambda: self._clock.now() < until_ms
 
-    async def _resume_under_token(
+    def _may_order(
+        self, token: fencing.Token
+    ) -> collections.abc.Callable[[], bool]:
+        """Return what tells whether another host can't hold a token yet."""
+        until_ms = token.taken_ms + MAX_ORDER_DELAY_MS
+        return lambda: self._clock.now() < until_ms
+
+    async def resume_replica(
         self,
-        service: str,
-        pools: dict[str, pool_module.TargetPool],
+        gateway: gateway_module.ServiceGateway,
+        pool: pool_module.TargetPool,
+    ) -> None:
+        """Resume a replica that an earlier token holder left paused.
+
+        A replica that doesn't know of the current primary yet stays paused.
+        Raises ``PlatformError`` while the store can't be reached.
+        """
+        async with self._locks_by_service[gateway.service]:
+            primary_term = gateway.group.leadership.term or 0
+            status = await pool.run_command(wire.STATUS, COMMAND_TIMEOUT_MS)
+            if isinstance(status, exceptions.Sentinel) or (
+                not _is_left_paused(status, primary_term)
+            ):
+                return
+            _log.info(
+                'replica_left_paused',
+                service=gateway.service,
+                target=pool.target.target_id,
+                held=status.held,
+            )
+            await self._settle(
+                gateway, {pool.target.target_id: pool}, primary_term
+            )
+
+    async def settle_orders(
+        self, gateway: gateway_module.ServiceGateway
+    ) -> None:
+        """Make sure that no earlier order replaces the current primary.
+
+        Raises ``PlatformError`` while the store can't be reached.
+        """
+        async with self._locks_by_service[gateway.service]:
+            await self._settle(gateway, {}, gateway.group.leadership.term or 0)
+
+    async def _settle(
+        self,
+        gateway: gateway_module.ServiceGateway,
+        paused_pools: dict[str, pool_module.TargetPool],
         term: int,
     ) -> None:
-        """Resume replicas that an earlier token holder left paused.
+        """Resume replicas once no earlier order can replace the primary.
 
-        Does nothing while a host holds the token, this one included: its
-        order may still be carried out.
+        Does nothing while another host holds the token.
         """
-        token_taken_ms = self._clock.now()
-        token = await self._acquire_token(service, may_renew=False)
+        token = await self._tokens.acquire(gateway.service)
         if token is None:
             return
-        await self._resume_followers(
-            pools, term, self._may_resume(token_taken_ms)
+        primary_id = gateway.group.primary_id
+        if token.ordered_ids - {primary_id}:
+            gateway.group.leadership.suspend()
+            gateway.group.primary_expected_ms = (
+                self._clock.now() + MAX_PROMOTION_MS
+            )
+            is_settled = await self._fence_off_orders(gateway, token)
+            gateway.group.primary_expected_ms = None
+            if not is_settled:
+                await self._tokens.release(
+                    token, token.ordered_ids | {primary_id}
+                )
+                return
+        if paused_pools:
+            await self._resume_followers(
+                paused_pools, term, self._may_resume(token)
+            )
+        await self._tokens.release(token)
+        gateway.note_orders_settled()
+
+    async def _fence_off_orders(
+        self,
+        gateway: gateway_module.ServiceGateway,
+        token: fencing.Token,
+    ) -> bool:
+        """Make the platform reject all earlier orders; return whether it does.
+
+        An order for the current primary changes nothing but shows the token.
+        It is recorded like any other: if it has no answer, it may be carried
+        out when another target has become the primary.
+        """
+        primary_id = gateway.group.primary_id
+        term = await self._ask_for_common_term(gateway)
+        if term is None or not await self._tokens.record_order(
+            token, primary_id
+        ):
+            return False
+        answer, text = await self._promotions.order(
+            gateway.service,
+            primary_id,
+            self._host_id,
+            token.number,
+            self._may_order(token),
+        )
+        _log.warning(
+            'orders_fenced_off',
+            service=gateway.service,
+            target=primary_id,
+            token=token.number,
+            ordered=sorted(token.ordered_ids),
+            term=term,
+            answer=answer.value,
+            text=text,
         )
-        await self._release_token(service, token)
+        if answer is not promotion.PromotionAnswer.ACCEPTED:
+            return False
+        return await self._outlast_promotions(gateway, term)
+
+    async def _outlast_promotions(
+        self, gateway: gateway_module.ServiceGateway, term: int
+    ) -> bool:
+        """Wait until accepted promotions have taken effect.
+
+        Returns whether the primary of ``term`` is still the newest one.
+        """
+        await self._clock.sleep(MAX_PROMOTION_MS)
+        return await self._ask_for_common_term(gateway) == term
+
+    async def _ask_for_common_term(
+        self, gateway: gateway_module.ServiceGateway
+    ) -> int | None:
+        """Return the primary's term if a replica follows it and none is later.
+
+        None if the primary doesn't answer or doesn't lead.
+        """
+        group = gateway.group
+        answers = await self._send_to_all(dict(group.pools_by_id), wire.STATUS)
+        status = answers.states.pop(group.primary_id, None)
+        if status is None or not status.is_primary:
+            return None
+        follower_terms = {each.term for each in answers.states.values()}
+        if len(group.pools_by_id) > 1 and follower_terms != {status.term}:
+            return None
+        return status.term
 
     async def _resume_followers(
         self,
@@ -306,10 +472,10 @@
         earlier one. It is resumed when it is found to be lagging.
         """
         for _ in range(MAX_RESUME_ATTEMPTS):
-            states, _ = await self._send_to_all(pools, wire.STATUS)
+            answers = await self._send_to_all(pools, wire.STATUS)
             follower_pools = {
                 target_id: pools[target_id]
-                for target_id, status in states.items()
+                for target_id, status in answers.states.items()
                 if not status.is_primary and status.term >= term
             }
             if follower_pools:
@@ -324,24 +490,20 @@
         pools: dict[str, pool_module.TargetPool],
         text: str,
         may_send: collections.abc.Callable[[], bool] | None = None,
-    ) -> tuple[dict[str, wire.Status], list[str]]:
-        """Send a command to all ``pools`` at once, if ``may_send`` allows it.
-
-        Returns the answers by target id, and the ids that didn't answer.
-        """
-        answers = {}
-        unanswered = []
+    ) -> _Answers:
+        """Send a command to all ``pools``, if ``may_send`` allows it."""
+        answers = _Answers({}, [], self._clock.now())
         statuses = await asyncio.gather(
             *(_send_command(pool, text, may_send) for pool in pools.values())
         )
         for target_id, status in zip(pools, statuses, strict=True):
             if isinstance(status, exceptions.Sentinel):
-                unanswered.append(target_id)
+                answers.unanswered.append(target_id)
                 _log.warning(
                     'replica_silent', target=target_id, reason=status.reason
                 )
                 continue
-            answers[target_id] = status
+            answers.states[target_id] = status
             _log.info(
                 'replica_answered',
                 target=target_id,
@@ -350,150 +512,65 @@
                 term=status.term,
                 held=status.held,
             )
-        return answers, unanswered
-
-    async def _read_duty(
-        self, service: str
-    ) -> tuple[_Duty, int, int] | exceptions.Sentinel:
-        """Return a service's duty, its row's version and the store's time.
-
-        A sentinel if the row is unreadable.
-        """
-        key = _duty_key(service)
-        feed = await self._store.read(DUTIES_TABLE)
-        row = next((each for each in feed.rows if each.key == key), None)
-        if row is None:
-            return _Duty(token=0, holder='', until_ms=0), 0, feed.now_ms
-        try:
-            duty = _Duty.model_validate_json(row.value)
-        except pydantic.ValidationError as error:
-            _log.error('duty_unreadable', key=key, reason=str(error))
-            return exceptions.Sentinel('the duty row is unreadable')
-        return duty, row.version, feed.now_ms
-
-    async def _acquire_token(
-        self, service: str, *, may_renew: bool
-    ) -> int | None:
-        """Take a service's fencing token; None if it is held.
-
-        Raises the token in the store. Another host's token is not taken
-        before it expires by the store's clock: two holders at once would
-        choose different replicas. This host's own is, with ``may_renew``.
-        """
-        found = await self._read_duty(service)
-        if isinstance(found, exceptions.Sentinel):
-            return None
-        duty, version, now_ms = found
-        is_renewal = may_renew and duty.holder == self._host_id
-        if not is_renewal and now_ms < duty.until_ms:
-            _log.info(
-                'succession_token_held',
-                service=service,
-                peer=duty.holder,
-                token=duty.token,
-                remaining_ms=duty.until_ms - now_ms,
-            )
-            return None
-        token = duty.token + 1
-        taken = _Duty(
-            token=token, holder=self._host_id, until_ms=now_ms + TOKEN_HOLD_MS
-        )
-        result = await self._store.put(
-            DUTIES_TABLE,
-            _duty_key(service),
-            taken.model_dump_json().encode(),
-            version,
-        )
-        if isinstance(result, store_module.Conflict):
-            _log.info('succession_taken_by_other', service=service)
-            return None
-        self._versions_by_service[service] = result
-        _log.info('fencing_token_taken', service=service, token=token)
-        return token
-
-    async def _release_token(self, service: str, token: int) -> None:
-        """Expire the token, so that another host can take it at once."""
-        duty = _Duty(token=token, holder=self._host_id, until_ms=0)
-        await self._store.put(
-            DUTIES_TABLE,
-            _duty_key(service),
-            duty.model_dump_json().encode(),
-            self._versions_by_service[service],
-        )
-
-    async def resume_replica(
-        self, service: str, pool: pool_module.TargetPool, primary_term: int
-    ) -> None:
-        """Resume a replica that an earlier token holder left paused.
-
-        ``primary_term`` is the term of the current primary; a replica that
-        doesn't know of that one yet stays paused. Raises ``PlatformError``
-        while the store can't be reached.
-        """
-        async with self._locks_by_service[service]:
-            status = await pool.run_command(wire.STATUS, COMMAND_TIMEOUT_MS)
-            if isinstance(status, exceptions.Sentinel) or (
-                not _is_left_paused(status, primary_term)
-            ):
-                return
-            _log.info(
-                'replica_left_paused',
-                service=service,
-                target=pool.target.target_id,
-                held=status.held,
-            )
-            await self._resume_under_token(
-                service, {pool.target.target_id: pool}, primary_term
-            )
+        return answers
 
     async def _promote_replica(
         self,
         gateway: gateway_module.ServiceGateway,
-        service: str,
         target_id: str,
-        token: int,
-        token_taken_ms: int,
+        token: fencing.Token,
+        answers: _Answers,
     ) -> int | None:
         """Order a promotion, repeatedly if its outcome is unknown.
 
         Orders nothing once another host may soon hold a higher token. Returns
         the term of the new primary, or None.
         """
-
-        def may_order() -> bool:
-            return self._clock.now() < token_taken_ms + MAX_ORDER_DELAY_MS
-
+        group = gateway.group
+        may_order = self._may_order(token)
         while may_order():
+            now = self._clock.now()
             answer, text = await self._promotions.order(
-                service, target_id, self._host_id, token, may_order
+                gateway.service,
+                target_id,
+                self._host_id,
+                token.number,
+                may_order,
             )
             _log.warning(
                 'promotion_ordered',
-                service=service,
+                service=gateway.service,
                 target=target_id,
-                token=token,
+                token=token.number,
                 answer=answer.value,
                 text=text,
+                replicas=answers.describe(now),
+                unanswered=answers.unanswered,
+                departed=group.unconfirmed_departures(),
+                earlier_orders=sorted(token.ordered_ids),
+                registry_age_ms=group.registry_age_ms,
+                acknowledged=str(group.acknowledged_position),
+                acknowledged_age_ms=now - group.acknowledged_sent_ms,
             )
             match answer:
                 case promotion.PromotionAnswer.ACCEPTED:
-                    gateway.group.primary_expected_ms = (
+                    group.primary_expected_ms = (
                         self._clock.now() + PROMOTION_MS
                     )
                     return await self._wait_for_promotion(
-                        gateway, target_id, token_taken_ms + TOKEN_HOLD_MS
+                        gateway, target_id, token
                     )
                 case promotion.PromotionAnswer.REJECTED:
                     return None
             await self._clock.sleep(ORDER_RETRY_MS)
-        _log.warning('succession_too_late', service=service)
+        _log.warning('succession_too_late', service=gateway.service)
         return None
 
     async def _wait_for_promotion(
         self,
         gateway: gateway_module.ServiceGateway,
         target_id: str,
-        token_held_until_ms: int,
+        token: fencing.Token,
     ) -> int | None:
         deadline = self._clock.now() + PROMOTION_TIMEOUT_MS
         while self._clock.now() < deadline:
@@ -507,8 +584,13 @@
             ):
                 group = gateway.group
                 group.set_primary(target_id, 'promotion', status.term)
-                if self._clock.now() < token_held_until_ms:
+                held_until_ms = token.taken_ms + fencing.TOKEN_HOLD_MS
+                if (
+                    self._clock.now() < held_until_ms
+                    and not token.ordered_ids - {target_id}
+                ):
                     # No other host could order another promotion.
+                    group.leadership.is_free_of_orders = True
                     group.leadership.confirm(sent_ms)
                 gateway.refresh()
                 return status.term
@@ -582,16 +664,12 @@
     return None
 
 
-def _duty_key(service: str) -> str:
-    return f'promotion/{service}'
-
-
 def _choose_candidate(
     gateway: gateway_module.ServiceGateway,
     service: catalog_module.Service,
     pools: dict[str, pool_module.TargetPool],
-    states: dict[str, wire.Status],
-    unanswered: list[str],
+    answers: _Answers,
+    ordered_ids: collections.abc.Set[str] = frozenset(),
 ) -> policy.Candidate | exceptions.Sentinel:
     return policy.choose_candidate(
         [
@@ -600,16 +678,17 @@
                 status.received,
                 pools[target_id].target.is_draining,
             )
-            for target_id, status in states.items()
+            for target_id, status in answers.states.items()
         ],
-        [*unanswered, *gateway.group.unconfirmed_departures()],
+        [*answers.unanswered, *gateway.group.unconfirmed_departures()],
         service.is_synchronous,
+        ordered_ids,
     )
 
 
 def _missing_commit_reason(
     candidate: policy.Candidate | exceptions.Sentinel,
-    states: dict[str, wire.Status],
+    answers: _Answers,
     service: catalog_module.Service,
     acknowledged_position: types.Position | None,
 ) -> str | None:
@@ -619,7 +698,8 @@
     if (
         service.is_synchronous
         and acknowledged_position is not None
-        and states[candidate.target_id].received < acknowledged_position
+        and answers.states[candidate.target_id].received
+        < acknowledged_position
     ):
         return f'{candidate.target_id} lacks commit {acknowledged_position}'
     return None
--- a/samphirestand/platform/store.py
+++ b/samphirestand/platform/store.py
@@ -28,6 +28,9 @@
 # How long after the requested wait the answer of a change feed may arrive.
 FEED_MARGIN_MS = 700
 
+# A key followed by this is the next one in the order of the store.
+FIRST_KEY_SUFFIX = '\0'
+
 _ERROR_STEP = 'store'
 
 
@@ -82,20 +85,23 @@
             force_instance=True, max_clients=16
         )
 
-    async def read(self, table: str) -> TableRows:
-        """Return all rows of a table as of the first request or later.
+    async def read(self, table: str, key: str | None = None) -> TableRows:
+        """Return the rows of a table as of the first request or later.
 
-        A large table is read page by page, with one request for each. The
-        version is that of the first page, so that ``changes`` after it returns
-        what has changed on earlier pages since.
+        With ``key``, only the row with that key is asked for. A large table is
+        read page by page, with one request for each. The version is that of
+        the first page, so that ``changes`` after it returns what has changed
+        on earlier pages since.
 
         Raises ``PlatformUnavailable`` or ``PlatformError``.
         """
         rows: dict[str, Row] = {}
-        start_key = ''
+        start_key = key or ''
         version: int | None = None
         while True:
             query = {'Table': table, 'part': '', 'From': start_key}
+            if key is not None:
+                query['To'] = key + FIRST_KEY_SUFFIX
             answer = await self._get_rows(
                 'rows-get', query, REQUEST_TIMEOUT_MS
             )
@@ -104,7 +110,7 @@
                 version = answer.Ver
             if not answer.HasMore or not answer.rows:
                 return TableRows(tuple(rows.values()), version, answer.NowMs)
-            start_key = answer.rows[-1].Key + '\0'
+            start_key = answer.rows[-1].Key + FIRST_KEY_SUFFIX
 
     async def changes(
         self, table: str, after_version: int, wait_ms: int
--- a/standins/store.py
+++ b/standins/store.py
@@ -29,7 +29,9 @@
     Faults are set by attributes: with ``is_down``, all requests get status
     503; with ``loses_answers``, a transaction is performed, but the
     connection is closed without an answer. Feeds that start before
-    ``oldest_feed_version`` get status 410.
+    ``oldest_feed_version`` get status 410. While ``orders_are_held`` is set,
+    orders to promote get no answer; ``carry_out_held_orders`` carries them
+    out, when their tokens are checked.
     """
 
     def __init__(self) -> None:
@@ -38,6 +40,8 @@
         self.loses_answers = False
         self.request_paths: list[str] = []
         self.promotions: list[tuple[str, str, int]] = []
+        self.orders_are_held = False
+        self.held_orders: list[tuple[str, str, int]] = []
         self.on_promotion: collections.abc.Callable[[str, str], bool] = (
             lambda service, target_id: False
         )
@@ -171,6 +175,12 @@
     def feed_body(self, table: str, after: int) -> dict[str, Any]:
         return self._response_body(self.encoded_rows(table, after))
 
+    def carry_out_held_orders(self) -> None:
+        """Carry out the orders that got no answer, the oldest first."""
+        held_orders, self.held_orders = self.held_orders, []
+        for service, target_id, token in held_orders:
+            self.request_promotion(service, target_id, token)
+
     def request_promotion(
         self, service: str, target_id: str, token: int
     ) -> int:
@@ -244,6 +254,10 @@
     def post(self) -> None:
         body = json.loads(self.request.body)
         token = int(self.request.headers['X-Samphirestand-Fence-Token'])
+        if self.store.orders_are_held:
+            self.store.held_orders.append((body['Service'], body['Id'], token))
+            self.detach().close()
+            return
         status = self.store.request_promotion(
             body['Service'], body['Id'], token
         )
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -7,8 +7,8 @@
 
 from samphirestand import exceptions
 from samphirestand.fleet import members
+from samphirestand.gateway import fencing
 from samphirestand.gateway import policy
-from samphirestand.gateway import succession
 from samphirestand.platform import wire
 from samphirestand import types
 from tests import nodes
@@ -184,14 +184,14 @@
 
     async def scenario(fleet):
         until_ms = int(time.monotonic() * 1000) + 4_000
-        duty = {'token': 7, 'holder': 'another', 'until_ms': until_ms}
+        duty = {'token': 4, 'holder': 'another', 'until_ms': until_ms}
         fleet.store.put('duties', f'promotion/{nodes.SERVICE}', duty)
         old_primary = fleet.group.primary
         old_primary.state = 'draining'
         old_primary.register()
         await fleet.until(lambda: fleet.store.promotions)
         assert time.monotonic() * 1000 >= until_ms
-        assert fleet.store.promotions[0][2] == 8
+        assert fleet.store.promotions[0][2] == 5
 
     run_scenario(scenario)
 
@@ -334,14 +334,14 @@
 
     node.targets._read_registry = read_later
     await happen()
-    acquire = node.gateways._succession._acquire_token
+    acquire = node.gateways._succession._tokens.acquire
 
-    async def acquire_and_read(service, *, may_renew):
-        token = await acquire(service, may_renew=may_renew)
+    async def acquire_and_read(service):
+        token = await acquire(service)
         may_read.set()
         return token
 
-    node.gateways._succession._acquire_token = acquire_and_read
+    node.gateways._succession._tokens.acquire = acquire_and_read
     if not knows_primary:
         gateway.group.mark_not_primary(gateway.group.primary)
     return await node.gateways._succession.replace_primary(
@@ -519,18 +519,17 @@
         async def send_after_hand_over(text, *arguments):
             if text == wire.STATUS and replica.paused_term == 2:
                 duty = {
-                    'token': 90,
+                    'token': 4,
                     'holder': 'another',
-                    'until_ms': int(time.monotonic() * 1000) + 60_000,
+                    'until_ms': int(time.monotonic() * 1000) + 4_900,
                 }
                 fleet.store.put('duties', f'promotion/{nodes.SERVICE}', duty)
                 replica.paused_term = 3
             return await send(text, *arguments)
 
         pool.run_command = send_after_hand_over
-        await node.gateways._succession.resume_replica(
-            nodes.SERVICE, pool, primary.term
-        )
+        gateway.group.leadership.term = primary.term
+        await node.gateways._succession.resume_replica(gateway, pool)
         assert replica.paused_term == 3
 
     run_scenario(scenario, hosts=1)
@@ -562,11 +561,12 @@
         async def send_then_sleep(text, *arguments):
             nonlocal slept_ms
             answer = await send(text, *arguments)
-            slept_ms += succession.TOKEN_HOLD_MS
+            slept_ms += fencing.TOKEN_HOLD_MS
             return answer
 
         pool.run_command = send_then_sleep
-        await succession_module.resume_replica(nodes.SERVICE, pool, 1)
+        gateway.group.leadership.term = 1
+        await succession_module.resume_replica(gateway, pool)
         assert replica.paused_term == 2
 
     run_scenario(scenario, hosts=1)
