sessions: End a busy session of a stopping host after an answer

The host closed only sessions that were idle at a look every 50 ms; others went on until the process ended and cut their last request.

A session now ends with the first answer that leaves it without a transaction. In the last second nothing more is sent to targets, and what is still without an answer at the end gets one. A host that is told to stop while it starts doesn't open its listener, and SIGHUP is ignored until it is handled.

--- a/samphirestand/__main__.py
+++ b/samphirestand/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import importlib
+import signal
 import sys
 
 
@@ -11,6 +12,8 @@
     What is imported stays until the end of the process, so that looking for
     garbage meanwhile, or in it later, only takes time.
     """
+    # SIGHUP would end the process until the host handles it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
     node = importlib.import_module('samphirestand.node')
     gc.freeze()
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -177,6 +177,9 @@
         ):
             self._adjust_store_reads()
             await self._clock.sleep(START_CHECK_INTERVAL_MS)
+        if self.members.is_draining:
+            # The host was told to stop before it had started.
+            return
         # Pings carry rate tokens: this one brings the first tokens to the
         # hosts that hand them out.
         self.members.ping_once(self._start_ping_round)
@@ -273,7 +276,8 @@
     async def stop(self) -> None:
         """Stop as planned: hand gateways over and wait for sessions to end.
 
-        Interrupts no request unless the grace period runs out.
+        Each request that has been read gets an answer. It is an error if the
+        grace period would run out before the target's answer.
         """
         grace_ms = self.settings.grace_ms
         started_ms = self._clock.now()
--- a/samphirestand/sessions/listener.py
+++ b/samphirestand/sessions/listener.py
@@ -16,6 +16,9 @@
 # Interval at which a stopping host closes sessions that have become idle.
 DRAIN_INTERVAL_MS = 50
 
+# A stopping host sends nothing more to targets for this long before it ends.
+LAST_ANSWERS_MS = 1_000
+
 _log = log.get_logger(__name__)
 
 
@@ -70,20 +73,38 @@
             session.close()
 
     async def drain(self, limit_ms: int) -> int:
-        """Close sessions as they become idle.
+        """Close sessions as soon as they have no transaction.
 
-        Returns how many are still open after ``limit_ms``.
+        Accepts connections as long as there are sessions: some balancers go
+        on sending them. After ``limit_ms`` ends those that are left, with
+        answers to their requests, and returns how many these were.
         """
+        stopping = self._context.stopping
+        stopping.closes_idle = True
         deadline = self._clock.now() + limit_ms
-        while self._sessions_by_task and self._clock.now() < deadline:
+        refuse_from_ms = deadline - LAST_ANSWERS_MS
+        while self._clock.now() < deadline:
+            if self._clock.now() >= refuse_from_ms:
+                stopping.refuses_work = True
+            if not self._sessions_by_task:
+                if not self.is_listening:
+                    return 0
+                # A connection that was accepted just before gets a session.
+                self.stop_listening()
             self.close_idle_sessions(self.session_count)
             await self._clock.sleep(DRAIN_INTERVAL_MS)
-        return self.session_count
+        self.stop_listening()
+        remaining_count = self.session_count
+        for session in list(self._sessions_by_task.values()):
+            session.end()
+        await self._clock.sleep(DRAIN_INTERVAL_MS)
+        return remaining_count
 
     def stop_listening(self) -> None:
         """Accept no more connections; open sessions continue."""
         if self._server is not None:
             self._server.close()
+            self._server = None
 
 
 class _CallerConnection(wire.Connection):
--- a/samphirestand/sessions/session.py
+++ b/samphirestand/sessions/session.py
@@ -15,7 +15,7 @@
 from samphirestand import types
 from samphirestand import work as work_module
 
-__all__ = ['Context', 'Dispatcher', 'Session']
+__all__ = ['Context', 'Dispatcher', 'Session', 'Stopping']
 
 # Limits of one session. Its values and prepared statements are held in the
 # memory of this host.
@@ -29,6 +29,8 @@
 # After how long a caller should retry while its service has no gateway.
 NO_GATEWAY_RETRY_MS = 300
 
+STOPPING_REASON = 'the host is stopping'
+
 _log = log.get_logger(__name__)
 _transaction_numbers = itertools.count(1)
 
@@ -48,6 +50,19 @@
         """Ask a host's gateway to roll back a transaction by its number."""
 
 
+@dataclasses.dataclass
+class Stopping:
+    """How far the planned stop of this host has come.
+
+    With ``closes_idle``, a session ends with the first answer that leaves it
+    without a transaction. With ``refuses_work``, nothing is sent to a target
+    any more, since its answer might come too late.
+    """
+
+    closes_idle: bool = False
+    refuses_work: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class Context:
     """Dependencies that all sessions of a host share."""
@@ -57,6 +72,7 @@
     dispatcher: Dispatcher
     metrics: metrics_module.Metrics
     transaction_numbers: collections.abc.Iterator[int] = _transaction_numbers
+    stopping: Stopping = dataclasses.field(default_factory=Stopping)
 
 
 @dataclasses.dataclass
@@ -100,6 +116,9 @@
         self._position: types.Position | None = None
         self._is_handling_message = False
         self._is_started = False
+        self._is_ending = False
+        # The task that waits for a target's answer.
+        self._waiting_task: asyncio.Task[object] | None = None
 
     @property
     def can_close(self) -> bool:
@@ -115,6 +134,18 @@
         """Close the caller's connection."""
         self._connection.close()
 
+    def end(self) -> None:
+        """End the session at once; a request in progress gets an answer.
+
+        The answer doesn't promise that nothing is kept, unless that is
+        certain.
+        """
+        self._is_ending = True
+        if self._waiting_task is None:
+            self.close()
+            return
+        self._waiting_task.cancel()
+
     async def run(self) -> None:
         """Serve until the caller or this host closes the connection."""
         try:
@@ -136,6 +167,8 @@
         self._database = startup.database
         self._key = startup.key
         admission = self._check_access()
+        if self._context.stopping.refuses_work:
+            admission = work_module.Refused('BUSY', STOPPING_REASON)
         if isinstance(admission, work_module.Refused):
             self._refuse_startup(admission.code, admission.reason)
             return False
@@ -177,9 +210,22 @@
                 ends_session = await self._handle_message(line)
             finally:
                 self._is_handling_message = False
-            if ends_session:
+            if ends_session or self._is_ending or self._is_over:
                 return
 
+    @property
+    def _is_over(self) -> bool:
+        """Tell whether the stopping host closes the session by now.
+
+        A close that follows an answer reaches the caller before its next
+        request is sent.
+        """
+        return (
+            self._context.stopping.closes_idle
+            and self._transaction is None
+            and not self._connection.has_line
+        )
+
     async def _handle_message(self, line: bytes) -> bool:
         """Handle one message; returns whether the session is over."""
         match wire.decode_request(line):
@@ -343,6 +389,8 @@
     def _admit_operation(self, query: wire.Query) -> _Admission | None:
         """Admit a new operation; None if refused, and the error is sent."""
         admission = self._check_access()
+        if self._context.stopping.refuses_work:
+            admission = work_module.Refused('BUSY', STOPPING_REASON)
         if isinstance(admission, work_module.Refused):
             self._log_refusal(query, admission)
             self._send_error(admission.code, admission.reason)
@@ -460,6 +508,9 @@
     ) -> None:
         """Run a statement on its gateway and answer the caller."""
         transaction = self._transaction
+        if transaction is not None and self._context.stopping.refuses_work:
+            self._abort_transaction(query, transaction, work)
+            return
         dispatcher = self._context.dispatcher
         if transaction is not None and transaction.is_open:
             host_id = transaction.host_id
@@ -469,7 +520,7 @@
             transaction.host_id = host_id
             transaction.is_open = True
         started_ms = self._context.clock.now()
-        outcome = await dispatcher.run(host_id, work)
+        outcome = await self._wait_for_outcome(host_id, work)
         took_ms = self._context.clock.now() - started_ms
         self._context.metrics.record('statement', took_ms * 1_000)
         ends_transaction = work.stage is work_module.Stage.END or work.commits
@@ -503,6 +554,38 @@
             version=self._context.catalog().version,
         )
 
+    async def _wait_for_outcome(
+        self, host_id: str, work: work_module.Work
+    ) -> work_module.Outcome:
+        """Run a statement; its answer is lost if the session ends before."""
+        task = asyncio.current_task()
+        self._waiting_task = task
+        try:
+            return await self._context.dispatcher.run(host_id, work)
+        except asyncio.CancelledError:
+            if not self._is_ending or task is None:
+                raise
+            task.uncancel()
+            return work_module.Lost(STOPPING_REASON)
+        finally:
+            self._waiting_task = None
+
+    def _abort_transaction(
+        self,
+        query: wire.Query,
+        transaction: _Transaction,
+        work: work_module.Work,
+    ) -> None:
+        """Roll back a transaction instead of sending its next statement."""
+        self._log_refusal(
+            query, work_module.Refused('ABORTED', STOPPING_REASON)
+        )
+        if work.stage is work_module.Stage.END or work.commits:
+            self._discard_transaction()
+        else:
+            self._fail_transaction(transaction)
+        self._send_error('ABORTED', STOPPING_REASON)
+
     def _send_answer(
         self, outcome: work_module.Answered, ends_transaction: bool
     ) -> None:
