platform: Take only complete registrations for servers

A row of another writer without some fields was taken for a replica, and each replacement waited for its answer.

A registration must have all fields with their types, names without blanks, a port in its range and numbers that fit into the messages between hosts; rows of hosts and the configuration have the same limits. A row that can't be parsed no longer hides its page.

--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import ipaddress
 import json
 
 import pydantic
@@ -54,6 +55,11 @@
 JOB_HOST_RENEW_MS = 10_000
 OTHER_HOST_RENEW_MS = 60_000
 
+# The limits of what a row may hold.
+MAX_NAME_LENGTH = 200
+MAX_INCARNATION = 2**63 - 1
+MAX_CAPACITY = 2**32 - 1
+
 # Job hosts that start together may miss each other's rows at the first read;
 # the second read after this time finds them.
 SECOND_READ_DELAY_MS = 1_500
@@ -122,13 +128,24 @@
 
 
 class _RowModel(pydantic.BaseModel):
-    zone: str
+    """The row of a host; the numbers fit into the frames between hosts."""
+
+    model_config = pydantic.ConfigDict(strict=True)
+
+    zone: str = pydantic.Field(min_length=1, max_length=MAX_NAME_LENGTH)
     address: str
-    port: int = pydantic.Field(ge=1, le=65535)
-    incarnation: int = pydantic.Field(ge=0)
-    millicores: int = pydantic.Field(default=0, ge=0)
-    link_kbps: int = pydantic.Field(default=0, ge=0)
-    renew_ms: int = pydantic.Field(default=JOB_HOST_RENEW_MS, ge=0)
+    port: int = pydantic.Field(ge=1, le=65_535)
+    incarnation: int = pydantic.Field(ge=0, le=MAX_INCARNATION)
+    millicores: int = pydantic.Field(default=0, ge=0, le=MAX_CAPACITY)
+    link_kbps: int = pydantic.Field(default=0, ge=0, le=MAX_CAPACITY)
+    renew_ms: int = pydantic.Field(
+        default=JOB_HOST_RENEW_MS, ge=0, le=OTHER_HOST_RENEW_MS
+    )
+
+    @pydantic.field_validator('address')
+    @classmethod
+    def _check_address(cls, value: str) -> str:
+        return str(ipaddress.IPv4Address(value))
 
 
 class Members:
--- a/samphirestand/platform/records.py
+++ b/samphirestand/platform/records.py
@@ -1,7 +1,7 @@
 """Decodes the rows that operators and targets write to the store."""
 
-import json
-from typing import Any
+import ipaddress
+from typing import Annotated
 
 import pydantic
 
@@ -22,38 +22,58 @@
 
 _DEFAULT_ROUTE_TIMEOUT_MS = 1_000
 
+# Hosts send each other durations and counts in 32 bits, versions and times of
+# day in 64 bits.
+MAX_COUNT = 2**32 - 1
+MAX_LONG = 2**63 - 1
+
+# The longest text of a row that is used as a name. Names are fields of lines
+# that are sent to targets, so they have no blanks.
+MAX_NAME_LENGTH = 200
+NAME_PATTERN = r'^[!-~]+$'
+
+_Number = Annotated[
+    float, pydantic.Field(ge=0, le=MAX_COUNT, allow_inf_nan=False)
+]
+_Count = Annotated[int, pydantic.Field(ge=0, le=MAX_COUNT)]
+_Long = Annotated[int, pydantic.Field(ge=0, le=MAX_LONG)]
+_Name = Annotated[
+    str, pydantic.Field(pattern=NAME_PATTERN, max_length=MAX_NAME_LENGTH)
+]
+_NAME_ADAPTER = pydantic.TypeAdapter(_Name)
+
 
 class _RouteModel(pydantic.BaseModel):
     Host: str  # the name of the database, not of a host
     RouteKind: catalog.Consistency
     Service: str
-    TimeoutMs: float = _DEFAULT_ROUTE_TIMEOUT_MS
-    TargetLatencyMs: float = _DEFAULT_ROUTE_TIMEOUT_MS
-    Priority: int = 0
-    MaxStalenessMs: float = 0
+    TimeoutMs: _Number = _DEFAULT_ROUTE_TIMEOUT_MS
+    TargetLatencyMs: _Number = _DEFAULT_ROUTE_TIMEOUT_MS
+    Priority: _Count = 0
+    MaxStalenessMs: _Number = 0
     Public: bool = False
 
 
 class _ServiceModel(pydantic.BaseModel):
     Name: str
-    MaxConns: int = pydantic.Field(ge=1)
+    MaxConns: int = pydantic.Field(ge=1, le=MAX_COUNT)
     SyncReplicas: int = 0
 
 
 class _AccountModel(pydantic.BaseModel):
     Name: str
     ApiKeys: list[str] = pydantic.Field(default_factory=list)
-    RatePerS: float
-    Burst: float
+    RatePerS: _Number
+    Burst: _Number
 
 
 class _LimitsModel(pydantic.BaseModel):
-    TxIdleMs: float = 3_000
-    HeaderTimeoutMs: float = 3_000  # until a connection's first message
+    TxIdleMs: _Number = 3_000
+    HeaderTimeoutMs: _Number = 3_000  # until a connection's first message
 
 
 class _ConfigurationModel(pydantic.BaseModel):
-    Version: int
+    Version: _Long
     Routes: list[_RouteModel] = pydantic.Field(default_factory=list)
     Services: list[_ServiceModel] = pydantic.Field(default_factory=list)
     Tenants: list[_AccountModel] = pydantic.Field(default_factory=list)
@@ -61,15 +81,20 @@
 
 
 class _TargetModel(pydantic.BaseModel):
+    """What a server registers; a row without one of the fields isn't one."""
+
     model_config = pydantic.ConfigDict(strict=True)
 
-    Service: str
-    Addr: str
-    Zone: str
-    Slots: int = pydantic.Field(ge=1)
+    Service: _Name
+    Addr: str = pydantic.Field(max_length=MAX_NAME_LENGTH)
+    Zone: _Name
+    Version: str  # of the server's software
+    Slots: int = pydantic.Field(ge=1, le=MAX_COUNT)
     State: str = pydantic.Field(pattern='^(ready|draining)$')
     DbRole: str = pydantic.Field(pattern='^(primary|replica)$')
-    born: int = 0  # start of the server process, not its installation
+    WarmLeftMs: _Number
+    Seq: _Long  # of the heartbeat
+    born: _Long = 0  # start of the server process, not its installation
 
 
 def decode_catalog(value: bytes) -> catalog.Catalog:
@@ -123,19 +148,30 @@
 ) -> catalog.Target | exceptions.Sentinel:
     """Decode a target's registration; a sentinel if it is invalid."""
     try:
-        document: Any = json.loads(value)
-        model = _TargetModel.model_validate(document)
-        address, _, port = model.Addr.rpartition(':')
-        return catalog.Target(
-            target_id=target_id,
-            service=model.Service,
-            address=address,
-            port=int(port),
-            zone=model.Zone,
-            slots=model.Slots,
-            is_draining=model.State == 'draining',
-            claims_primary=model.DbRole == 'primary',
-            started_ms=model.born,
-        )
-    except (ValueError, RecursionError) as error:
+        _NAME_ADAPTER.validate_python(target_id)
+        model = _TargetModel.model_validate_json(value)
+        address, port = _decode_address(model.Addr)
+    except ValueError as error:  # includes pydantic's ValidationError
         return exceptions.Sentinel(f'unreadable registration: {error}')
+    return catalog.Target(
+        target_id=target_id,
+        service=model.Service,
+        address=address,
+        port=port,
+        zone=model.Zone,
+        slots=model.Slots,
+        is_draining=model.State == 'draining',
+        claims_primary=model.DbRole == 'primary',
+        started_ms=model.born,
+    )
+
+
+def _decode_address(text: str) -> tuple[str, int]:
+    """Decode IPv4 address and port; raises ``ValueError``."""
+    address, _, port_text = text.rpartition(':')
+    if not (port_text.isascii() and port_text.isdecimal()):
+        raise ValueError(f'no port in {text!r}')
+    port = int(port_text)
+    if not 1 <= port <= 65_535:
+        raise ValueError(f'port {port} is out of range')
+    return str(ipaddress.IPv4Address(address)), port
--- a/samphirestand/platform/store.py
+++ b/samphirestand/platform/store.py
@@ -13,6 +13,7 @@
 from tornado import httpclient
 
 from samphirestand import exceptions
+from samphirestand import log
 from samphirestand import node_settings
 
 __all__ = ['Conflict', 'Row', 'Store', 'TableRows']
@@ -33,6 +34,8 @@
 
 _ERROR_STEP = 'store'
 
+_log = log.get_logger(__name__)
+
 
 @dataclasses.dataclass(frozen=True)
 class Row:
@@ -237,9 +240,40 @@
     try:
         return _RowsModel.model_validate_json(body)
     except pydantic.ValidationError as error:
-        raise exceptions.PlatformError(
-            f'malformed answer: {error}', step=_ERROR_STEP
-        ) from error
+        answer = _parse_readable_rows(body)
+        if answer is None:
+            raise exceptions.PlatformError(
+                f'malformed answer: {error}', step=_ERROR_STEP
+            ) from error
+        return answer
+
+
+def _parse_readable_rows(body: bytes) -> _RowsModel | None:
+    """Parse an answer without the rows that can't be read.
+
+    Another program may have written these; they don't hide the others.
+    Returns None if the answer itself is malformed.
+    """
+    try:
+        document: Any = json.loads(body)
+        rows = document.pop('rows')
+        answer = _RowsModel.model_validate(document)
+        for each in rows:
+            try:
+                # JSON, since it rejects texts that can't be encoded.
+                row = _RowModel.model_validate_json(json.dumps(each))
+                answer.rows.append(row)
+            except pydantic.ValidationError as error:
+                _log.warning('row_unreadable', reason=str(error))
+    except (
+        ValueError,  # includes pydantic's ValidationError
+        AttributeError,
+        KeyError,
+        TypeError,
+        RecursionError,
+    ):
+        return None
+    return answer
 
 
 def _decode_rows(models: collections.abc.Iterable[_RowModel]) -> list[Row]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 
+import pytest
 from tornado import httpserver
 from tornado import web
 
@@ -57,3 +58,40 @@
     found, _ = ask(answers, lambda store: store.read('t'))
     assert [each.key for each in found.rows] == ['a', 'b']
     assert found.version == 7
+
+
+@pytest.mark.parametrize(
+    'odd_row',
+    [
+        7,
+        [],
+        {'Table': 't', 'Key': 5},
+        {'Table': 't', 'Key': 'a', 'Value': 7},
+        {'Table': 't', 'Key': 'a', 'Ver': 'x'},
+        {'Table': 't', 'Key': '\ud800'},
+    ],
+)
+def test_row_that_cannot_be_read_does_not_hide_the_others(odd_row):
+    """Guards against hosts that stop following a table for one odd row."""
+    answers = [{'rows': [odd_row, row('b', 4)], 'HasMore': False, 'Ver': 7}]
+    found, _ = ask(answers, lambda store: store.read('t'))
+    assert [each.key for each in found.rows] == ['b']
+
+
+@pytest.mark.parametrize('value', ['!', 'a', '\u00e9', '=' * 9])
+def test_value_that_is_not_base64_is_empty(value):
+    """Guards against an error in place of an unreadable row."""
+    answers = [
+        {'rows': [{**row('a', 3), 'Value': value}, row('b', 4)], 'Ver': 7}
+    ]
+    found, _ = ask(answers, lambda store: store.read('t'))
+    assert [each.key for each in found.rows] == ['a', 'b']
+    assert found.rows[0].value == b''
+
+
+def test_one_row_is_asked_for_by_its_key():
+    """Guards against reading a whole table for one row."""
+    answers = [{'rows': [row('a', 3)], 'HasMore': False, 'Ver': 7}]
+    _, [query] = ask(answers, lambda store: store.read('t', 'a'))
+    assert query['From'] == [b'a']
+    assert query['To'] == [b'a\0']
