gateway: Ask replicas that have left the registry before a promotion

A replica whose registration lapses may run on and confirm commits. It wasn't paused, and a later commit was taken as proof that a remaining replica has everything, although the one that had left may have confirmed it.

Those that answer are asked, paused and resumed with the others, nothing is promoted while one of them is ahead, and a commit settles a departure only if the replica is silent.

--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -247,6 +247,7 @@
         self._settled_until_ms_by_start: dict[
             catalog_module.TargetStart, int
         ] = {}
+        self._answered_ms_by_start: dict[catalog_module.TargetStart, int] = {}
         self._removal_paused_until_ms = 0
         # From when on all registered targets are known; None before the first
         # read.
@@ -350,9 +351,32 @@
         that server's log, so it counts as the successor. Settled departures
         are left out.
         """
+        return [
+            each
+            for each in self._unreplaced_departures(service)
+            if each.target.start not in self._settled_until_ms_by_start
+        ]
+
+    def absent_replicas(self, service: str) -> list[catalog_module.Target]:
+        """Return replicas that have left the registry but may still run.
+
+        They may only be cut off from the store, and go on confirming commits.
+        Those for which ``keep_departure`` is called are remembered longer.
+        """
+        registered_ids = {each.target_id for each in self.of_service(service)}
+        return [
+            each.target
+            for each in self._unreplaced_departures(service)
+            if each.target.target_id not in registered_ids
+        ]
+
+    def _unreplaced_departures(self, service: str) -> list[Departure]:
         since_ms = self._clock.now() - DEPARTURE_KEPT_MS
         self._departures = [
-            each for each in self._departures if each.noticed_ms >= since_ms
+            each
+            for each in self._departures
+            if each.noticed_ms >= since_ms
+            or self._answered_ms_by_start.get(each.target.start, 0) >= since_ms
         ]
         addresses_in_use = {
             (each.address, each.port) for each in self.of_service(service)
@@ -362,10 +386,17 @@
             for each in self._departures
             if each.target.service == service
             and not each.target.claims_primary
-            and each.target.start not in self._settled_until_ms_by_start
             and (each.target.address, each.target.port) not in addresses_in_use
         ]
 
+    def keep_departure(self, start: catalog_module.TargetStart) -> None:
+        """Record that a departed target has answered."""
+        now = self._clock.now()
+        self._answered_ms_by_start[start] = now
+        for each, answered_ms in list(self._answered_ms_by_start.items()):
+            if answered_ms < now - DEPARTURE_KEPT_MS:
+                del self._answered_ms_by_start[each]
+
     def settle_departures(
         self, starts: collections.abc.Collection[catalog_module.TargetStart]
     ) -> None:
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -35,6 +35,11 @@
         self._catalog = catalog
         self.freshness = freshness_module.Freshness()
         self.pools_by_id: dict[str, pool_module.TargetPool] = {}
+        # Replicas that have left the registry but may still run. They are
+        # asked and paused like others, and run no statements of callers.
+        self.absent_pools_by_id: dict[str, pool_module.TargetPool] = {}
+        # Whether an absent replica answered when it was asked last.
+        self._is_answering_by_id: dict[str, bool] = {}
         self.leadership = leadership_module.Leadership()
         self.is_synchronous = True
         # Targets that are registered as primary but have answered that they
@@ -195,13 +200,58 @@
             self.acknowledged_position = position
             self.acknowledged_sent_ms = sent_ms
 
+    def refresh_absent(self) -> None:
+        """Adopt which replicas have left the registry."""
+        absent_by_id = {
+            each.target_id: each
+            for each in self._targets.absent_replicas(self.service)
+        }
+        for target_id in self.absent_pools_by_id.keys() - absent_by_id.keys():
+            self.absent_pools_by_id.pop(target_id).close()
+            self._is_answering_by_id.pop(target_id, None)
+        for target_id, target in absent_by_id.items():
+            if target_id not in self.absent_pools_by_id:
+                self.absent_pools_by_id[target_id] = pool_module.TargetPool(
+                    target, self._clock, max_connections=1
+                )
+
+    def record_absent_asked(
+        self, pool: pool_module.TargetPool, is_answering: bool
+    ) -> None:
+        """Record whether a replica that has left the registry answers."""
+        target = pool.target
+        if self._is_answering_by_id.get(target.target_id) != is_answering:
+            _log.info(
+                'absent_replica_asked',
+                service=self.service,
+                target=target.target_id,
+                answers=is_answering,
+            )
+        self._is_answering_by_id[target.target_id] = is_answering
+        if is_answering:
+            self._targets.keep_departure(target.start)
+
+    def answering_absent_pools(self) -> dict[str, pool_module.TargetPool]:
+        """Return the pools of absent replicas that answered lately."""
+        return {
+            target_id: pool
+            for target_id, pool in self.absent_pools_by_id.items()
+            if self._is_answering_by_id.get(target_id)
+        }
+
     def settle_departures(self) -> None:
-        """Record departures that an acknowledged commit has settled."""
+        """Record departures that an acknowledged commit has settled.
+
+        A replica that runs although it has left the registry may have
+        confirmed that commit, so it must have been asked and be silent.
+        """
         self._targets.settle_departures(
             [
                 each.target.start
                 for each in self._targets.departed_replicas(self.service)
                 if each.noticed_ms < self.acknowledged_sent_ms
+                and self._is_answering_by_id.get(each.target.target_id)
+                is False
             ]
         )
 
@@ -210,12 +260,17 @@
 
         These are the ones that left after the newest acknowledged commit was
         sent. A commit sent after a replica had left was confirmed by a
-        remaining replica, which thus has all earlier commits too.
+        remaining replica, which thus has all earlier commits too. Replicas
+        that still answer are left out, since they can be asked themselves.
         """
         return [
             each.target.target_id
             for each in self._targets.departed_replicas(self.service)
-            if each.noticed_ms >= self.acknowledged_sent_ms
+            if not self._is_answering_by_id.get(each.target.target_id)
+            and (
+                each.noticed_ms >= self.acknowledged_sent_ms
+                or each.target.target_id not in self._is_answering_by_id
+            )
         ]
 
     async def read_registry_since(
@@ -236,5 +291,6 @@
 
     def close(self) -> None:
         """Close all connections to the targets."""
-        for pool in self.pools_by_id.values():
-            pool.close()
+        for pools in (self.pools_by_id, self.absent_pools_by_id):
+            for pool in pools.values():
+                pool.close()
--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -157,6 +157,7 @@
     target_id: str
     received: types.Position
     is_draining: bool
+    is_registered: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -181,17 +182,20 @@
     position is chosen. Among equals one is preferred for which an earlier
     order may still be carried out (``ordered_ids``), so that it doesn't matter
     which order comes first, then one that isn't draining. The id decides last,
-    so that any two hosts choose the same replica.
+    so that any two hosts choose the same replica. A replica that runs but has
+    left the registry isn't chosen, since callers couldn't be sent to it, and
+    none is while it is ahead of all others.
 
     Returns a sentinel with the reason if no replica is certain.
     """
-    if not states:
+    candidates = [each for each in states if each.is_registered]
+    if not candidates:
         return exceptions.Sentinel('no replica answers')
     if is_synchronous and unanswered:
         names = ', '.join(sorted(unanswered))
         return exceptions.Sentinel(f'no answer from {names}')
     best = max(
-        states,
+        candidates,
         key=lambda each: (
             each.received,
             each.target_id in ordered_ids,
@@ -199,4 +203,12 @@
             each.target_id,
         ),
     )
+    ahead_ids = [
+        each.target_id for each in states if each.received > best.received
+    ]
+    if is_synchronous and ahead_ids:
+        names = ', '.join(sorted(ahead_ids))
+        return exceptions.Sentinel(
+            f'{names} left the registry with commits that others lack'
+        )
     return Candidate(best.target_id)
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -156,7 +156,9 @@
         old_primary_id = group.primary_id
         pools = {
             target_id: pool
-            for target_id, pool in group.pools_by_id.items()
+            for target_id, pool in (
+                group.answering_absent_pools() | group.pools_by_id
+            ).items()
             if target_id != old_primary_id
         }
         _log.warning(
@@ -297,6 +299,9 @@
         for target_id, status in answers.states.items():
             if not status.is_primary:
                 continue
+            if target_id not in gateway.group.pools_by_id:
+                # It has left the registry and must be replaced.
+                continue
             if status.term == newest_term:
                 gateway.group.set_primary(target_id, 'status', status.term)
                 paused_pools = {
@@ -671,16 +676,24 @@
     answers: _Answers,
     ordered_ids: collections.abc.Set[str] = frozenset(),
 ) -> policy.Candidate | exceptions.Sentinel:
+    group = gateway.group
     return policy.choose_candidate(
         [
             policy.ReplicaState(
                 target_id,
                 status.received,
                 pools[target_id].target.is_draining,
+                target_id in group.pools_by_id,
             )
             for target_id, status in answers.states.items()
+            if target_id in group.pools_by_id or not status.is_primary
+        ],
+        [
+            *answers.unanswered,
+            *group.unconfirmed_departures(),
+            # These were found to run after the attempt had begun.
+            *(group.answering_absent_pools().keys() - pools.keys()),
         ],
-        [*answers.unanswered, *gateway.group.unconfirmed_departures()],
         service.is_synchronous,
         ordered_ids,
     )
--- a/tests/gateway/test_late_orders.py
+++ b/tests/gateway/test_late_orders.py
@@ -1,7 +1,6 @@
 """Orders to promote that get no answer and are carried out later."""
 
 import asyncio
-import contextlib
 import json
 
 import pytest
@@ -10,6 +9,7 @@
 from samphirestand.gateway import fencing
 from samphirestand.gateway import policy
 from samphirestand import types
+from tests.gateway import writers as writers_module
 from tests import nodes
 
 # The host that sent an order has given it up after this time.
@@ -27,54 +27,6 @@
     asyncio.run(main())
 
 
-class Writers:
-    """Callers that write through all hosts until the end of a block."""
-
-    def __init__(self, fleet):
-        self._fleet = fleet
-        self._tasks = []
-        self.served = []
-
-    async def __aenter__(self):
-        self._tasks = [
-            asyncio.create_task(self._write(number))
-            for number in range(len(self._fleet.nodes))
-        ]
-        return self
-
-    async def __aexit__(self, *error):
-        for each in self._tasks:
-            each.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _write(self, number):
-        count = 0
-        while True:
-            count += 1
-            with contextlib.suppress(OSError):
-                client = await nodes.Client.connect(self._fleet.nodes[number])
-                data = f'{number}.{count}'
-                _, result, _ = await client.query(f'WRITE x {data}')
-                client.close()
-                if result.startswith('COMPLETE'):
-                    self.served.append(data)
-            await asyncio.sleep(0.05)
-
-    def lost(self):
-        """Return the served writes that the current primary lacks."""
-        log = {
-            data
-            for writes in self._fleet.group.primary.log
-            for _, data in writes
-        }
-        return [each for each in self.served if each not in log]
-
-    async def until_served(self, limit_s=10):
-        """Wait until one more write is served."""
-        count = len(self.served)
-        await self._fleet.until(lambda: len(self.served) > count, limit_s)
-
-
 async def order_without_answer(fleet):
     """Let the primary be silent until an order for a replica is held."""
     primary = fleet.group.primary
@@ -123,7 +75,7 @@
     """
 
     async def scenario(fleet):
-        async with Writers(fleet) as writers:
+        async with writers_module.Writers(fleet) as writers:
             await writers.until_served()
             primary, ordered = await order_without_answer(fleet)
             sender = sender_of(fleet)
@@ -152,7 +104,7 @@
     """
 
     async def scenario(fleet):
-        async with Writers(fleet) as writers:
+        async with writers_module.Writers(fleet) as writers:
             await writers.until_served()
             primary, ordered = await order_without_answer(fleet)
             [other] = [
@@ -184,7 +136,7 @@
     """
 
     async def scenario(fleet):
-        async with Writers(fleet) as writers:
+        async with writers_module.Writers(fleet) as writers:
             await writers.until_served()
             primary, ordered = await order_without_answer(fleet)
             interrupt(primary)
@@ -211,7 +163,7 @@
     """Guards against replicas that stay paused after a late order."""
 
     async def scenario(fleet):
-        async with Writers(fleet) as writers:
+        async with writers_module.Writers(fleet) as writers:
             await writers.until_served()
             primary, _ = await order_without_answer(fleet)
             interrupt(primary)
