gateway: Ask earlier primaries that have left the registry, too

A server whose registration lapsed while it was the primary was left out when the others were asked, although it may be a replica by now that confirms commits. A primary that is known to have failed no longer counts as a replica that may hold the only copy.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -432,7 +432,7 @@
     def claimed_primary(self, service: str) -> catalog.Target:
         return self._targets[0]
 
-    def absent_replicas(self, service: str) -> list[catalog.Target]:
+    def absent_targets(self, service: str) -> list[catalog.Target]:
         return []
 
     def departed_replicas(self, service: str) -> list[watch.Departure]:
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -354,14 +354,16 @@
         return [
             each
             for each in self._unreplaced_departures(service)
-            if each.target.start not in self._settled_until_ms_by_start
+            if not each.target.claims_primary
+            and each.target.start not in self._settled_until_ms_by_start
         ]
 
-    def absent_replicas(self, service: str) -> list[catalog_module.Target]:
-        """Return replicas that have left the registry but may still run.
+    def absent_targets(self, service: str) -> list[catalog_module.Target]:
+        """Return targets that have left the registry but may still run.
 
-        They may only be cut off from the store, and go on confirming commits.
-        Those for which ``keep_departure`` is called are remembered longer.
+        They may only be cut off from the store, and go on confirming commits;
+        one that was the primary may have become a replica meanwhile. Those
+        for which ``keep_departure`` is called are remembered longer.
         """
         registered_ids = {each.target_id for each in self.of_service(service)}
         return [
@@ -385,7 +387,6 @@
             each
             for each in self._departures
             if each.target.service == service
-            and not each.target.claims_primary
             and (each.target.address, each.target.port) not in addresses_in_use
         ]
 
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -58,8 +58,8 @@
 # counts as given up: the entry host ends it first unless it is cut off.
 ORPHAN_MARGIN_MS = 3_000
 
-# How often a replica that has left the registry is asked whether it runs.
-ABSENT_REPLICA_INTERVAL_MS = 1_000
+# How often a target that has left the registry is asked whether it runs.
+ABSENT_TARGET_INTERVAL_MS = 1_000
 
 # How often a former primary is told that there is a later one, until it
 # registers as a replica.
@@ -359,7 +359,7 @@
         gateway.group.refresh_absent()
         for target_id, pool in gateway.group.absent_pools_by_id.items():
             self._start_unless_running(
-                f'absent/{target_id}', self._ask_absent_replica(gateway, pool)
+                f'absent/{target_id}', self._ask_absent_target(gateway, pool)
             )
         gateway.review_waiting()
         self._step_down_former_primaries(gateway)
@@ -472,19 +472,19 @@
         if not is_done:
             await self._clock.sleep(succession_module.RETRY_MS)
 
-    async def _ask_absent_replica(
+    async def _ask_absent_target(
         self,
         gateway: gateway_module.ServiceGateway,
         pool: pool_module.TargetPool,
     ) -> None:
-        """Find out whether a replica that left the registry still runs."""
+        """Find out whether a target that left the registry still runs."""
         status = await pool.run_command(
             wire.STATUS, pool_module.PROBE_TIMEOUT_MS
         )
         gateway.group.record_absent_asked(
             pool, not isinstance(status, exceptions.Sentinel)
         )
-        await self._clock.sleep(ABSENT_REPLICA_INTERVAL_MS)
+        await self._clock.sleep(ABSENT_TARGET_INTERVAL_MS)
 
     async def _settle_orders(
         self, gateway: gateway_module.ServiceGateway
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -35,10 +35,10 @@
         self._catalog = catalog
         self.freshness = freshness_module.Freshness()
         self.pools_by_id: dict[str, pool_module.TargetPool] = {}
-        # Replicas that have left the registry but may still run. They are
+        # Targets that have left the registry but may still run. They are
         # asked and paused like others, and run no statements of callers.
         self.absent_pools_by_id: dict[str, pool_module.TargetPool] = {}
-        # Whether an absent replica answered when it was asked last.
+        # Whether an absent target answered when it was asked last.
         self._is_answering_by_id: dict[str, bool] = {}
         self.leadership = leadership_module.Leadership()
         self.is_synchronous = True
@@ -201,10 +201,10 @@
             self.acknowledged_sent_ms = sent_ms
 
     def refresh_absent(self) -> None:
-        """Adopt which replicas have left the registry."""
+        """Adopt which targets have left the registry."""
         absent_by_id = {
             each.target_id: each
-            for each in self._targets.absent_replicas(self.service)
+            for each in self._targets.absent_targets(self.service)
         }
         for target_id in self.absent_pools_by_id.keys() - absent_by_id.keys():
             self.absent_pools_by_id.pop(target_id).close()
@@ -218,11 +218,11 @@
     def record_absent_asked(
         self, pool: pool_module.TargetPool, is_answering: bool
     ) -> None:
-        """Record whether a replica that has left the registry answers."""
+        """Record whether a target that has left the registry answers."""
         target = pool.target
         if self._is_answering_by_id.get(target.target_id) != is_answering:
             _log.info(
-                'absent_replica_asked',
+                'absent_target_asked',
                 service=self.service,
                 target=target.target_id,
                 answers=is_answering,
@@ -232,7 +232,7 @@
             self._targets.keep_departure(target.start)
 
     def answering_absent_pools(self) -> dict[str, pool_module.TargetPool]:
-        """Return the pools of absent replicas that answered lately."""
+        """Return the pools of absent targets that answered lately."""
         return {
             target_id: pool
             for target_id, pool in self.absent_pools_by_id.items()
@@ -266,7 +266,8 @@
         return [
             each.target.target_id
             for each in self._targets.departed_replicas(self.service)
-            if not self._is_answering_by_id.get(each.target.target_id)
+            if each.target.target_id != self.primary_id
+            and not self._is_answering_by_id.get(each.target.target_id)
             and (
                 each.noticed_ms >= self.acknowledged_sent_ms
                 or each.target.target_id not in self._is_answering_by_id
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -154,11 +154,9 @@
     ) -> bool:
         group = gateway.group
         old_primary_id = group.primary_id
-        pools = {
+        pools = group.answering_absent_pools() | {
             target_id: pool
-            for target_id, pool in (
-                group.answering_absent_pools() | group.pools_by_id
-            ).items()
+            for target_id, pool in group.pools_by_id.items()
             if target_id != old_primary_id
         }
         _log.warning(
--- a/tests/gateway/test_absent_replicas.py
+++ b/tests/gateway/test_absent_replicas.py
@@ -84,6 +84,38 @@
     run_scenario(scenario)
 
 
+def test_earlier_primary_without_registration_is_paused_as_a_replica():
+    """Guards against commits that a primary of before confirms unseen.
+
+    Its registration lapsed while it was the primary. It follows the next one.
+    """
+
+    async def scenario(fleet):
+        absent, second, third = fleet.group.servers.values()
+        async with writers_module.Writers(fleet) as writers:
+            await writers.until_served()
+            await let_registration_lapse(fleet, absent)
+            await fleet.until(
+                lambda: fleet.group.primary not in (None, absent)
+            )
+            await writers.until_served()
+            primary = fleet.group.primary
+            deaf = second if primary is third else third
+            deaf.is_deaf = True
+            await writers.until_served()
+            await asyncio.sleep(1.5)
+            promotions = len(fleet.store.promotions)
+            primary.crash()
+            fleet.store.delete('servers', primary.server_id)
+            await asyncio.sleep(4)
+            assert len(fleet.store.promotions) == promotions
+            reach_store_again(absent)
+            await fleet.until(lambda: fleet.group.primary is absent)
+            assert writers.lost() == []
+
+    run_scenario(scenario)
+
+
 def test_replica_that_is_gone_is_not_waited_for():
     """Guards against a long time without a primary after a replica ended."""
 
