--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -299,6 +299,7 @@
             return not leadership.is_suspended
         self._orders_read_ms = now
         self._orders_leadership = leadership
+        suspension_count = leadership.suspension_count
         try:
             async with asyncio.timeout(ORDERS_TIMEOUT_MS / 1000):
                 ordered_ids = await self._read_ordered_ids(self.service)
@@ -322,6 +323,9 @@
             )
             leadership.suspend()
             return False
+        if leadership.suspension_count != suspension_count:
+            # A replacement has begun meanwhile.
+            return False
         leadership.is_free_of_orders = True
         return True
 
--- a/samphirestand/gateway/leadership.py
+++ b/samphirestand/gateway/leadership.py
@@ -71,6 +71,7 @@
         self.target_id = target_id
         self.term = term  # None until the target has told it
         self.is_suspended = False
+        self.suspension_count = 0
         # Whether it is known that no order can make another target the
         # primary without all replicas being paused before.
         self.is_free_of_orders = False
@@ -114,4 +115,5 @@
     def suspend(self) -> None:
         """Record that a promotion may have been ordered."""
         self.is_suspended = True
+        self.suspension_count += 1
         self.is_free_of_orders = False
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -458,8 +458,7 @@
         status = answers.states.pop(group.primary_id, None)
         if status is None or not status.is_primary:
             return None
-        follower_terms = {each.term for each in answers.states.values()}
-        if len(group.pools_by_id) > 1 and follower_terms != {status.term}:
+        if len(group.pools_by_id) > 1 and answers.newest_term != status.term:
             return None
         return status.term
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -157,10 +157,10 @@
         # Rate tokens for the first operations arrive with the first few pings.
         await asyncio.sleep(0.3)
 
-    async def start_node(self, zone):
+    async def start_node(self, zone, host_id=None):
         endpoint = node_settings.Endpoint
         settings = node_settings.NodeSettings(
-            host_id=f'host-{len(self.nodes)}',
+            host_id=host_id or f'host-{len(self.nodes)}',
             zone=zone,
             callers=endpoint('127.0.0.1', free_port()),
             readiness=endpoint('127.0.0.1', free_port()),
