gateway: Stop a primary that has left the registry before another is ordered

A primary that is cut off from the store goes on for hosts that still know it. If a replica restarts between its pause and the promotion, it confirms commits of that primary, and these are lost. Such a primary is now told to step down, like a registered one. The steps of a replacement up to the order are a function of their own, and the delay of 400 ms counts from the last pause again.

Evidence: test_primary_without_registration_is_stopped_before_another_leads fails on the code before.

--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -101,6 +101,18 @@
         }
 
 
+@dataclasses.dataclass(frozen=True)
+class _Plan:
+    """The replica to promote, and what the replicas answered to a pause.
+
+    ``is_stepped_down`` tells that the old primary has become a replica.
+    """
+
+    target_id: str
+    answers: _Answers
+    is_stepped_down: bool
+
+
 class PrimaryFailover:
     """Replaces primaries by replicas, under a fencing token from the store.
 
@@ -191,59 +203,16 @@
         if token is None:
             return False
 
-        # While all replicas are paused, no commit is acknowledged, and other
-        # gateways find no evidence for the old primary.
-        term = 1 + max(
-            max(each.term, each.held, each.received.term)
-            for each in answers.states.values()
-        )
         group.leadership.suspend()
         group.primary_expected_ms = (
             self._clock.now() + policy.PROMOTION_DELAY_MS + PROMOTION_MS
         )
-        answers = await self._send_to_all(pools, wire.pause_text(term))
-        candidate = _choose_candidate(
-            gateway, service, pools, answers, token.ordered_ids
-        )
-        wait_reason = _missing_commit_reason(
-            candidate, answers, service, group.acknowledged_position
-        )
-        recording = None
-        if not isinstance(candidate, exceptions.Sentinel):
-            recording = self._spawn(
-                self._tokens.record_order(token, candidate.target_id)
-            )
-        is_stepped_down = (
-            wait_reason is None
-            and old_primary is not None
-            and not was_down
-            and await gateway.step_down(old_primary, term)
+        plan = await self._prepare_order(
+            gateway, service, pools, token, answers, was_down=was_down
         )
-        if wait_reason is None and not is_stepped_down:
-            # Other gateways may use the old primary on evidence from before
-            # the pause.
-            waited_ms = self._clock.now() - answers.sent_ms
-            await self._clock.sleep(policy.PROMOTION_DELAY_MS - waited_ms)
-            # A replica that has restarted since isn't paused any more.
-            again = await self._send_to_all(pools, wire.pause_text(term))
-            answers = answers.updated(again)
-            if candidate != _choose_candidate(
-                gateway, service, pools, answers, token.ordered_ids
-            ):
-                wait_reason = 'a replica received commits after its pause'
-        if old_primary is not None and was_down and not old_primary.is_down:
-            wait_reason = f'{old_primary_id} answers again'
-        if wait_reason is None:
-            wait_reason = await _stale_view_reason(
-                group, old_primary_id, pools, token.taken_ms
-            )
-        if recording is not None and not await recording:
-            wait_reason = wait_reason or 'the order could not be recorded'
-        if wait_reason is not None or isinstance(
-            candidate, exceptions.Sentinel
-        ):
+        if isinstance(plan, exceptions.Sentinel):
             _log.warning(
-                'succession_waits', service=service.name, reason=wait_reason
+                'succession_waits', service=service.name, reason=plan.reason
             )
             group.primary_expected_ms = None
             if not token.ordered_ids - {old_primary_id}:
@@ -256,14 +225,12 @@
         # From here on the replicas stay paused until the promotion is known
         # to have taken effect, or its order to have no effect any more. Until
         # then no commit that the candidate lacks may be acknowledged.
-        promoted_term = await self._promote_replica(
-            gateway, candidate.target_id, token, answers
-        )
+        promoted_term = await self._promote_replica(gateway, token, plan)
         if promoted_term is None:
             return False
-        if old_primary is not None and not is_stepped_down:
+        if old_primary is not None and not plan.is_stepped_down:
             self._spawn(gateway.step_down(old_primary, promoted_term))
-        if token.ordered_ids - {candidate.target_id} and not (
+        if token.ordered_ids - {plan.target_id} and not (
             await self._outlast_promotions(gateway, promoted_term)
         ):
             return False
@@ -274,6 +241,89 @@
         gateway.note_orders_settled()
         return True
 
+    async def _prepare_order(
+        self,
+        gateway: gateway_module.ServiceGateway,
+        service: catalog_module.Service,
+        pools: dict[str, pool_module.TargetPool],
+        token: fencing.Token,
+        answers: _Answers,
+        *,
+        was_down: bool,
+    ) -> _Plan | exceptions.Sentinel:
+        """Pause the replicas, choose one and record the order for it.
+
+        While all replicas are paused, no commit is acknowledged, and other
+        gateways find no evidence for the old primary. ``was_down`` tells that
+        the old primary didn't answer before. Returns a sentinel with the
+        reason if nothing may be ordered.
+        """
+        group = gateway.group
+        old_primary = group.primary
+        old_primary_id = group.primary_id
+        term = 1 + max(
+            max(each.term, each.held, each.received.term)
+            for each in answers.states.values()
+        )
+        answers = await self._send_to_all(pools, wire.pause_text(term))
+        paused_ms = self._clock.now()
+        candidate = _choose_candidate(
+            gateway, service, pools, answers, token.ordered_ids
+        )
+        if isinstance(candidate, exceptions.Sentinel):
+            return candidate
+        wait_reason = _missing_commit_reason(
+            candidate, answers, service, group.acknowledged_position
+        )
+        if wait_reason is not None:
+            return exceptions.Sentinel(wait_reason)
+        recording = self._spawn(
+            self._tokens.record_order(token, candidate.target_id)
+        )
+        is_stepped_down = (
+            old_primary is not None
+            and not was_down
+            and await gateway.step_down(old_primary, term)
+        )
+        # A primary that has left the registry may still be used by others.
+        absent_primary_ids = {
+            target_id
+            for target_id, status in answers.states.items()
+            if status.is_primary and target_id not in group.pools_by_id
+        }
+        for target_id in absent_primary_ids:
+            await gateway.step_down(pools[target_id], term)
+        if not is_stepped_down:
+            # Other gateways may use the old primary on evidence from before
+            # the pause.
+            waited_ms = self._clock.now() - paused_ms
+            await self._clock.sleep(policy.PROMOTION_DELAY_MS - waited_ms)
+            # A replica that has restarted since isn't paused any more.
+            again = await self._send_to_all(
+                {
+                    target_id: pool
+                    for target_id, pool in pools.items()
+                    if target_id not in absent_primary_ids
+                },
+                wire.pause_text(term),
+            )
+            answers = answers.updated(again)
+        is_recorded = await recording
+        if candidate != _choose_candidate(
+            gateway, service, pools, answers, token.ordered_ids
+        ):
+            return exceptions.Sentinel('the replicas have changed')
+        if old_primary is not None and was_down and not old_primary.is_down:
+            return exceptions.Sentinel(f'{old_primary_id} answers again')
+        stale_reason = await _stale_view_reason(
+            group, old_primary_id, pools, token.taken_ms
+        )
+        if stale_reason is not None:
+            return exceptions.Sentinel(stale_reason)
+        if not is_recorded:
+            return exceptions.Sentinel('the order could not be recorded')
+        return _Plan(candidate.target_id, answers, is_stepped_down)
+
     def _spawn(
         self, coroutine: collections.abc.Coroutine[object, object, _Result]
     ) -> asyncio.Task[_Result]:
@@ -519,9 +569,8 @@
     async def _promote_replica(
         self,
         gateway: gateway_module.ServiceGateway,
-        target_id: str,
         token: fencing.Token,
-        answers: _Answers,
+        plan: _Plan,
     ) -> int | None:
         """Order a promotion, repeatedly if its outcome is unknown.
 
@@ -534,7 +583,7 @@
             now = self._clock.now()
             answer, text = await self._promotions.order(
                 gateway.service,
-                target_id,
+                plan.target_id,
                 self._host_id,
                 token.number,
                 may_order,
@@ -542,12 +591,12 @@
             _log.warning(
                 'promotion_ordered',
                 service=gateway.service,
-                target=target_id,
+                target=plan.target_id,
                 token=token.number,
                 answer=answer.value,
                 text=text,
-                replicas=answers.describe(now),
-                unanswered=answers.unanswered,
+                replicas=plan.answers.describe(now),
+                unanswered=plan.answers.unanswered,
                 departed=group.unconfirmed_departures(),
                 earlier_orders=sorted(token.ordered_ids),
                 registry_age_ms=group.registry_age_ms,
@@ -560,7 +609,7 @@
                         self._clock.now() + PROMOTION_MS
                     )
                     return await self._wait_for_promotion(
-                        gateway, target_id, token
+                        gateway, plan.target_id, token
                     )
                 case promotion.PromotionAnswer.REJECTED:
                     return None
--- a/tests/gateway/test_absent_replicas.py
+++ b/tests/gateway/test_absent_replicas.py
@@ -116,6 +116,29 @@
     run_scenario(scenario)
 
 
+def test_primary_without_registration_is_stopped_before_another_leads():
+    """Guards against commits on it while another is being promoted.
+
+    Hosts that still know it use it, and a replica that restarts confirms.
+    """
+
+    async def scenario(fleet):
+        absent = fleet.group.primary
+        order = fleet.store.on_promotion
+        was_primary = []
+
+        def record_order(service, server_id):
+            was_primary.append(absent.is_primary)
+            return order(service, server_id)
+
+        fleet.store.on_promotion = record_order
+        await let_registration_lapse(fleet, absent)
+        await fleet.until(lambda: fleet.group.primary not in (None, absent))
+        assert was_primary[0] is False
+
+    run_scenario(scenario)
+
+
 def test_replica_that_is_gone_is_not_waited_for():
     """Guards against a long time without a primary after a replica ended."""
 
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -58,11 +58,18 @@
             }
             missing = [each for each in self.writers.served if each not in log]
             if missing:
-                self.lost.append((server_id, missing, list(self.events)))
+                self.lost.append((server_id, missing, self.events[-12:]))
             promote(server_id)
 
         self.fleet.group.promote_server = promote_and_check
 
+    def describe_losses(self):
+        return '; '.join(
+            f'{server_id} lacked {len(missing)} writes ({missing[0]} to '
+            f'{missing[-1]}) after {", ".join(events)}'
+            for server_id, missing, events in self.lost
+        )
+
     async def beat(self):
         """Register servers as their heartbeats do, and let others lapse."""
         loop = asyncio.get_running_loop()
@@ -102,7 +109,9 @@
         ]
         while loop.time() < end_s:
             fault = self.random.choice(faults)
-            self.events.append(fault.__name__)
+            self.events.append(
+                f'{fault.__name__} {loop.time() - end_s + duration_s:.1f} s'
+            )
             self.spawn(fault())
             await asyncio.sleep(self.random.uniform(0.1, 1.2))
         while self._tasks:
@@ -218,7 +227,7 @@
                 await soak.run(duration_s)
                 await writers.until_served(30)
                 beating.cancel()
-                assert soak.lost == []
+                assert soak.lost == [], soak.describe_losses()
                 assert writers.lost() == []
 
     asyncio.run(scenario())
