--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -210,6 +210,18 @@
         self.fleet.nodes.remove(earlier)
 
 
+@contextlib.asynccontextmanager
+async def report_tasks_after(limit_s):
+    """Fail after a time, and print what all tasks are waiting for."""
+    try:
+        async with asyncio.timeout(limit_s):
+            yield
+    except TimeoutError:
+        for task in asyncio.all_tasks():
+            task.print_stack()
+        raise
+
+
 @pytest.mark.parametrize('seed', soak_seeds())
 def test_no_acknowledged_commit_is_lost(seed):
     """Guards against faults that lose commits only when they overlap."""
@@ -224,7 +236,8 @@
                 soak = Soak(fleet, writers, seed)
                 soak.watch_promotions()
                 beating = asyncio.create_task(soak.beat())
-                await soak.run(duration_s)
+                async with report_tasks_after(duration_s + CALM_S):
+                    await soak.run(duration_s)
                 await writers.until_served(30)
                 beating.cancel()
                 assert soak.lost == [], soak.describe_losses()
