tests: Close clients with their event loop; standins: Ignore an old PAUSE

The error is Python 3.11's: a connection that was left open by an earlier test was collected while a test was rewritten, and its report entered the parser again. The test fleet now closes all its clients.

--- a/standins/database_group.py
+++ b/standins/database_group.py
@@ -354,7 +354,7 @@
         return f'COMPLETE {signature}\r\n'
 
     def _run_control_command(self, command: str, argument_text: str) -> str:
-        if command == 'PAUSE':
+        if command == 'PAUSE' and int(argument_text) > self.term:
             self.paused_term = int(argument_text)
         if command == 'RESUME':
             self.paused_term = 0
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import pathlib
+import weakref
 
 from samphirestand import node as node_module
 from samphirestand import node_settings
@@ -16,6 +17,10 @@
 ZONES = ('north', 'south', 'east')
 TIMEOUT_S = 10
 
+# The connections of all clients. A writer that is still open when its event
+# loop has ended reports an error at some later moment.
+_client_writers = weakref.WeakSet()
+
 
 def free_port():
     [port] = processes.free_ports(1)
@@ -78,6 +83,7 @@
     def __init__(self, reader, writer):
         self._reader = reader
         self._writer = writer
+        _client_writers.add(writer)
         self._request_numbers = iter(range(1, 1_000_000))
         self.last_request_id = ''
 
@@ -190,6 +196,8 @@
         self.store.close()
         for server in self.group.servers.values():
             server.crash()
+        for writer in list(_client_writers):
+            writer.transport.abort()
         await asyncio.sleep(0)
 
 
