fleet: Use the limits of rows that records.py has

members.py had its own copies of three limits. Their values and the checks are unchanged; make check, tests/platform/test_records.py and tests/fleet/test_members.py pass.

--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -22,6 +22,7 @@
 from samphirestand.hosts import rendezvous
 from samphirestand import log
 from samphirestand import node_settings
+from samphirestand.platform import records
 from samphirestand.platform import store as store_module
 from samphirestand import types
 
@@ -55,11 +56,6 @@
 JOB_HOST_RENEW_MS = 10_000
 OTHER_HOST_RENEW_MS = 60_000
 
-# The limits of what a row may hold.
-MAX_NAME_LENGTH = 200
-MAX_INCARNATION = 2**63 - 1
-MAX_CAPACITY = 2**32 - 1
-
 # Job hosts that start together may miss each other's rows at the first read;
 # the second read after this time finds them.
 SECOND_READ_DELAY_MS = 1_500
@@ -132,12 +128,14 @@
 
     model_config = pydantic.ConfigDict(strict=True)
 
-    zone: str = pydantic.Field(min_length=1, max_length=MAX_NAME_LENGTH)
+    zone: str = pydantic.Field(
+        min_length=1, max_length=records.MAX_NAME_LENGTH
+    )
     address: str
     port: int = pydantic.Field(ge=1, le=65_535)
-    incarnation: int = pydantic.Field(ge=0, le=MAX_INCARNATION)
-    millicores: int = pydantic.Field(default=0, ge=0, le=MAX_CAPACITY)
-    link_kbps: int = pydantic.Field(default=0, ge=0, le=MAX_CAPACITY)
+    incarnation: int = pydantic.Field(ge=0, le=records.MAX_LONG)
+    millicores: int = pydantic.Field(default=0, ge=0, le=records.MAX_COUNT)
+    link_kbps: int = pydantic.Field(default=0, ge=0, le=records.MAX_COUNT)
     renew_ms: int = pydantic.Field(
         default=JOB_HOST_RENEW_MS, ge=0, le=OTHER_HOST_RENEW_MS
     )
--- a/samphirestand/platform/records.py
+++ b/samphirestand/platform/records.py
@@ -11,6 +11,9 @@
 __all__ = [
     'CONFIGURATION_KEY',
     'CONFIGURATION_TABLE',
+    'MAX_COUNT',
+    'MAX_LONG',
+    'MAX_NAME_LENGTH',
     'TARGETS_TABLE',
     'decode_catalog',
     'decode_target',
