sessions: End open transactions whose key was withdrawn or moved

Cause: only the start of a session, single statements and BEGIN checked the key. Statements within a transaction used the account that BEGIN had found. The host had the new configuration all the time: it refused new sessions. So neither the store nor the spread of configurations plays a part.

Each change of the configuration now reviews the open transactions of the host's sessions. A transaction whose key has lost its account is rolled back at its target; its next statement gets DENIED, which ends the session. A key that belongs to another account now gets ABORTED, since the connection to the target was opened for the earlier account. Nothing of the transaction can be sent later, because the check runs when the configuration is adopted and again after a statement that was under way.

--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -64,7 +64,7 @@
         self.metrics = metrics_module.Metrics()
         self.store = store_module.Store(settings.store)
         self.catalog = watch.CatalogWatch(
-            self.store, self._clock, lambda catalog: self._refresh_gateways()
+            self.store, self._clock, lambda catalog: self._on_configuration()
         )
         self.targets = watch.TargetWatch(
             self.store, self._clock, self._refresh_gateways
@@ -132,6 +132,10 @@
     def _refresh_gateways(self) -> None:
         self.gateways.refresh()
 
+    def _on_configuration(self) -> None:
+        self.sessions.review_access()
+        self._refresh_gateways()
+
     async def start(self) -> None:
         """Join the fleet, follow the store and start listening.
 
--- a/samphirestand/sessions/listener.py
+++ b/samphirestand/sessions/listener.py
@@ -64,6 +64,14 @@
         if not task.cancelled() and task.exception() is not None:
             _log.error('session_failed', reason=repr(task.exception()))
 
+    def review_access(self) -> None:
+        """Roll back transactions whose key has lost its account.
+
+        Called whenever the configuration has changed.
+        """
+        for session in self._sessions_by_task.values():
+            session.review_access()
+
     def close_idle_sessions(self, max_count: int) -> None:
         """Close up to ``max_count`` sessions without a request in progress."""
         idle = [
--- a/samphirestand/sessions/session.py
+++ b/samphirestand/sessions/session.py
@@ -30,6 +30,8 @@
 NO_GATEWAY_RETRY_MS = 300
 
 STOPPING_REASON = 'the host is stopping'
+KEY_WITHDRAWN_REASON = 'the key was withdrawn'
+KEY_MOVED_REASON = 'the key belongs to another account now'
 
 _log = log.get_logger(__name__)
 _transaction_numbers = itertools.count(1)
@@ -92,6 +94,9 @@
     is_open: bool = False  # a target has it open, or may have
     has_failed: bool = False
     has_written: bool = False
+    # Why the proxy ended it after a configuration change, until the caller
+    # has been told.
+    access_refusal: work_module.Refused | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -146,6 +151,49 @@
             return
         self._waiting_task.cancel()
 
+    def review_access(self) -> None:
+        """Roll back the transaction if its key has lost the account.
+
+        A statement in progress was sent before the configuration changed, so
+        its answer is waited for.
+        """
+        transaction = self._transaction
+        if (
+            transaction is None
+            or transaction.has_failed
+            or self._is_handling_message
+        ):
+            return
+        refusal = self._transaction_refusal(transaction)
+        if refusal is None:
+            return
+        transaction.access_refusal = refusal
+        _log.info(
+            'transaction_access_ended',
+            request=transaction.begin_query.request_id,
+            account=transaction.account,
+            code=refusal.code,
+            reason=refusal.reason,
+            version=self._context.catalog().version,
+        )
+        self._context.metrics.count('transactions_access_ended')
+        self._fail_transaction(transaction)
+
+    def _transaction_refusal(
+        self, transaction: _Transaction
+    ) -> work_module.Refused | None:
+        """Return why a transaction may not go on; None if it may.
+
+        Its connection to the target was opened for its account. A change of
+        its route takes effect with the next transaction.
+        """
+        account = self._context.catalog().account_names_by_key.get(self._key)
+        if account is None and transaction.route.needs_key:
+            return work_module.Refused('DENIED', KEY_WITHDRAWN_REASON)
+        if (account or '') != transaction.account:
+            return work_module.Refused('ABORTED', KEY_MOVED_REASON)
+        return None
+
     async def run(self) -> None:
         """Serve until the caller or this host closes the connection."""
         try:
@@ -212,6 +260,8 @@
                 self._is_handling_message = False
             if ends_session or self._is_ending or self._is_over:
                 return
+            # The configuration may have changed while a target was waited for.
+            self.review_access()
 
     @property
     def _is_over(self) -> bool:
@@ -232,8 +282,7 @@
             case wire.Terminate():
                 return True
             case wire.Query() as query:
-                await self._handle_query(query)
-                return False
+                return await self._handle_query(query)
             case wire.Malformed() as malformed:
                 self._send_error('MALFORMED', malformed.reason)
                 return False
@@ -297,12 +346,15 @@
             return work_module.Refused('DENIED', 'unknown key')
         return _Admission(route, account or '')
 
-    async def _handle_query(self, query: wire.Query) -> None:
+    async def _handle_query(self, query: wire.Query) -> bool:
+        """Handle a statement; returns whether the session is over."""
         statement = wire.decode_statement(query.text)
         transaction = self._transaction
+        if transaction is not None and transaction.access_refusal is not None:
+            return self._refuse_access(query, statement, transaction)
         if transaction is not None and transaction.has_failed:
             self._handle_in_failed_transaction(statement)
-            return
+            return False
         match statement:
             case None:
                 self._reject_malformed('unknown statement')
@@ -318,6 +370,30 @@
                 await self._end_transaction(query, statement)
             case _:
                 await self._run_data_statement(query, statement)
+        return False
+
+    def _refuse_access(
+        self,
+        query: wire.Query,
+        statement: statements.Statement | None,
+        transaction: _Transaction,
+    ) -> bool:
+        """Tell the caller that its transaction was ended.
+
+        Returns whether the session is over: with a withdrawn key nothing of
+        it can be served any more.
+        """
+        refusal = transaction.access_refusal
+        assert refusal is not None
+        transaction.access_refusal = None
+        if isinstance(statement, statements.Rollback):
+            self._handle_in_failed_transaction(statement)
+            return False
+        self._log_refusal(query, refusal)
+        if isinstance(statement, statements.Commit):
+            self._discard_transaction()
+        self._send_error(refusal.code, refusal.reason)
+        return refusal.code == 'DENIED'
 
     def _reject_malformed(self, reason: str) -> None:
         if self._transaction is not None:
