--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -24,6 +24,7 @@
 from samphirestand.fleet import watch
 from samphirestand.gateway import gateways as gateways_module
 from samphirestand.gateway import succession as succession_module
+from samphirestand import host_options
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand import node_settings
@@ -271,7 +272,9 @@
         No setting is applied: changes need a restart.
         """
         try:
-            file_settings = node_file.load(self._settings_path)
+            file_settings = node_file.load(
+                self._settings_path, self.settings.options
+            )
         except exceptions.SettingsError as error:
             _log.error('reload_failed', reason=str(error))
             return
@@ -362,16 +365,24 @@
         type=pathlib.Path,
         help=f'the settings file; {node_file.FILE_VARIABLE} if left out',
     )
+    parser.add_argument(
+        '--options',
+        type=pathlib.Path,
+        help='a YAML file with options of the product; defaults if left out',
+    )
     parser.add_argument('--log-level', default='info')
-    options = parser.parse_args(arguments)
-    settings_path = options.settings
+    namespace = parser.parse_args(arguments)
+    settings_path = namespace.settings
     if settings_path is None:
         settings_path = pathlib.Path(
             os.environ.get(node_file.FILE_VARIABLE, '')
         )
     try:
-        settings = node_file.load(settings_path)
-        log.configure(settings.host_id, options.log_level)
+        options = host_options.DEFAULTS
+        if namespace.options is not None:
+            options = host_options.load(namespace.options)
+        settings = node_file.load(settings_path, options)
+        log.configure(settings.host_id, namespace.log_level)
         asyncio.run(serve(settings, settings_path))
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
--- a/samphirestand/node_settings.py
+++ b/samphirestand/node_settings.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-__all__ = ['Capacity', 'Endpoint', 'NodeSettings']
+from samphirestand import host_options
+
+__all__ = ['Bounds', 'Capacity', 'Endpoint', 'NodeSettings']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -20,11 +22,32 @@
 class Capacity:
     """Size of a host: processor in thousandths of a core, link in kbit/s.
 
-    0 means that the settings file doesn't say.
+    Memory in MB and file descriptors are what the process may use. 0 means
+    that the settings file doesn't say.
     """
 
     millicores: int = 0
     link_kbps: int = 0
+    memory_mb: int = 0
+    descriptors: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """What operators have fixed for the whole deployment.
+
+    ``cold_excess`` and ``cold_slack`` (requests) say by how much a cold target
+    may get more requests in a second than its service allows. With
+    ``accounts_compete``, there is too little room for all accounts at times.
+    With ``zones_can_be_evacuated``, zones are taken out of service.
+    """
+
+    drain_ms: int = 10_000
+    evacuation_ms: int = 5_000
+    cold_excess: float = 1.5
+    cold_slack: float = 5.0
+    accounts_compete: bool = False
+    zones_can_be_evacuated: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,3 +68,5 @@
     grace_ms: int  # between SIGTERM and SIGKILL
     rate_slack: int  # operations by which an account may exceed its rate
     capacity: Capacity = Capacity()
+    bounds: Bounds = Bounds()
+    options: host_options.HostOptions = host_options.DEFAULTS
--- a/samphirestand/platform/node_file.py
+++ b/samphirestand/platform/node_file.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from samphirestand import exceptions
+from samphirestand import host_options
 from samphirestand import node_settings
 
 __all__ = ['FILE_VARIABLE', 'load']
@@ -15,6 +16,11 @@
 FILE_VARIABLE = 'SAMPHIRESTAND_NODE_FILE'
 
 
+# Names of sets of rules: accounts compete for room, and zones can be taken out
+# of service.
+_COMPETING_ACCOUNTS = 'pressure'
+_PLACES = 'places'
+
 # The port from which the platform fetches metrics, the same on all machines.
 # It must match deploy/system.toml.
 METRICS_PORT = 9_464
@@ -29,6 +35,10 @@
     GraceS: float = 6  # from SIGTERM to SIGKILL
     # operations by which an account may exceed its rate
     QuotaSlack: int = pydantic.Field(default=0, ge=0)
+    DrainMs: float = pydantic.Field(default=10_000, ge=0)
+    EvacMs: float = pydantic.Field(default=5_000, ge=0)
+    ColdExcess: float = pydantic.Field(default=1.5, ge=0)
+    ColdSlack: float = pydantic.Field(default=5, ge=0)
 
 
 class _Limits(pydantic.BaseModel):
@@ -37,6 +47,8 @@
     )  # usable share of each core
     Cores: int = pydantic.Field(default=0, ge=0)
     LinkMbps: float = pydantic.Field(default=0.0, ge=0)
+    MemoryMb: int = pydantic.Field(default=0, ge=0)
+    MaxFds: int = pydantic.Field(default=0, ge=0)
 
 
 class _Store(pydantic.BaseModel):
@@ -54,6 +66,8 @@
     Ip: pydantic.IPvAnyAddress
     Zone: str
     PortRange: tuple[int, int]
+    # The sets of rules that are in force.
+    Contracts: list[str] = pydantic.Field(default_factory=list)
     Listen: _Listen
     Limits: _Limits = pydantic.Field(default_factory=_Limits)
     Bounds: _Bounds = pydantic.Field(default_factory=_Bounds)
@@ -61,12 +75,18 @@
     Cloud: _Cloud = pydantic.Field(default_factory=_Cloud)
 
 
-def load(path: pathlib.Path) -> node_settings.NodeSettings:
-    """Read and validate the settings file; raises ``SettingsError``."""
+def load(
+    path: pathlib.Path,
+    options: host_options.HostOptions = host_options.DEFAULTS,
+) -> node_settings.NodeSettings:
+    """Read and validate the settings file; raises ``SettingsError``.
+
+    ``options`` are the product's own ones, from a file of their own.
+    """
     try:
         document: Any = tomllib.loads(path.read_text())
         model = _FileModel.model_validate(document)
-        return _to_settings(model)
+        return _to_settings(model, options)
     except (
         OSError,
         UnicodeDecodeError,
@@ -78,7 +98,9 @@
         ) from error
 
 
-def _to_settings(model: _FileModel) -> node_settings.NodeSettings:
+def _to_settings(
+    model: _FileModel, options: host_options.HostOptions
+) -> node_settings.NodeSettings:
     address = str(model.Ip)
     return node_settings.NodeSettings(
         host_id=model.Node,
@@ -96,7 +118,18 @@
         capacity=node_settings.Capacity(
             millicores=int(model.Limits.CpuShare * model.Limits.Cores * 1_000),
             link_kbps=int(model.Limits.LinkMbps * 1_000),
+            memory_mb=model.Limits.MemoryMb,
+            descriptors=model.Limits.MaxFds,
+        ),
+        bounds=node_settings.Bounds(
+            drain_ms=int(model.Bounds.DrainMs),
+            evacuation_ms=int(model.Bounds.EvacMs),
+            cold_excess=model.Bounds.ColdExcess,
+            cold_slack=model.Bounds.ColdSlack,
+            accounts_compete=_COMPETING_ACCOUNTS in model.Contracts,
+            zones_can_be_evacuated=_PLACES in model.Contracts,
         ),
+        options=options,
     )
 
 
