gateway: Use no primary while the store can't tell which orders are open

A gateway that opened while the store was down couldn't read which orders to promote were under way and used the primary, since no replica was paused. A replica that had restarted confirmed its commits, and a late order promoted another target.

Without the store's answer the primary isn't used now. The read of the orders may take 700 ms instead of 250, since a degraded store takes 400.

--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -96,6 +96,10 @@
   service @0 :Text;
   position @1 :Position;
   ageMs @2 :UInt32;
+  # The primary of this term was the only one until this long ago, and no order
+  # could make another target the primary; term 0 if that isn't known.
+  soleTerm @3 :UInt64;
+  soleAgeMs @4 :UInt32;
 }
 
 struct Tokens {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -23,6 +23,7 @@
     'Ping',
     'Pong',
     'Snapshot',
+    'SolePrimary',
     'SnapshotRequest',
     'TokenAnswer',
     'TokenRequest',
@@ -95,6 +96,18 @@
     deposits: tuple[Deposit, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class SolePrimary:
+    """Evidence that nothing could replace the primary of a term.
+
+    It holds for the moment ``age_ms`` before the sending: a replica wasn't
+    paused then, and no order to promote another target was under way.
+    """
+
+    term: int
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Observation:
     """A log position that covers all commits of a service until a moment.
@@ -105,6 +118,7 @@
     service: str
     position: types.Position
     age_ms: int
+    sole_primary: SolePrimary | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -231,6 +245,11 @@
             ):
                 item.service = observation.service
                 item.ageMs = observation.age_ms
+                if observation.sole_primary is not None:
+                    item.soleTerm = observation.sole_primary.term
+                    item.soleAgeMs = min(
+                        observation.sole_primary.age_ms, UINT32_MAX
+                    )
                 _fill_position(item.position, observation.position)
             if frame.catalog_age_ms is not None:
                 builder.isCatalogConfirmed = True
@@ -339,7 +358,14 @@
                 reader.reachesStore,
                 reader.fleetDigest,
                 tuple(
-                    Observation(each.service, position, each.ageMs)
+                    Observation(
+                        each.service,
+                        position,
+                        each.ageMs,
+                        SolePrimary(each.soleTerm, each.soleAgeMs)
+                        if each.soleTerm
+                        else None,
+                    )
                     for each in reader.observations
                     if (position := _decode_position(each.position))
                 ),
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -171,6 +171,9 @@
         # For each service of which the host is the gateway, a log position
         # and until when it covers all commits.
         self.observed_by_service: dict[str, tuple[int, types.Position]] = {}
+        # For each of these services, a term and until when nothing could
+        # replace its primary.
+        self.sole_primary_by_service: dict[str, tuple[int, int]] = {}
         self._is_stopped = False
 
     @property
@@ -357,6 +360,11 @@
                     sent_ms - each.age_ms,
                     each.position,
                 )
+                if each.sole_primary is not None:
+                    self.sole_primary_by_service[each.service] = (
+                        sent_ms - each.sole_primary.age_ms,
+                        each.sole_primary.term,
+                    )
         for sequence in [
             each for each in self._sent_ms_by_sequence if each < pong.sequence
         ]:
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -374,6 +374,18 @@
             if service in link.observed_by_service
         ]
 
+    def sole_primary_evidence(self, service: str) -> list[tuple[int, int]]:
+        """Return what gateway hosts told about the primary of a service.
+
+        Nothing could replace the primary of each term until the moment before
+        it.
+        """
+        return [
+            link.sole_primary_by_service[service]
+            for link in self._links_by_id.values()
+            if service in link.sole_primary_by_service
+        ]
+
     def may_become_gateway_host(self, host_id: str) -> bool:
         return host_id in self._job_host_ids
 
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -54,8 +54,9 @@
 EVIDENCE_RETRY_MS = 50
 
 # How long the store may take to tell which orders may still be carried out,
-# and how often it is asked while that isn't known to be none.
-ORDERS_TIMEOUT_MS = 250
+# and how often it is asked while that isn't known to be none. A degraded store
+# takes 400 ms, and nothing is done without its answer.
+ORDERS_TIMEOUT_MS = 700
 ORDERS_RETRY_MS = 500
 
 # Codes of errors after which the target kept no effect of the statement, so
@@ -72,6 +73,12 @@
     [str], collections.abc.Awaitable[frozenset[str]]
 ]
 
+# Returns for which terms, and until when, an earlier gateway of the service
+# knew that nothing could replace the primary.
+SolePrimaryReader = collections.abc.Callable[
+    [], collections.abc.Iterable[tuple[int, int]]
+]
+
 # The outcome of an attempt that may be followed by another attempt.
 Retry = exceptions.Sentinel
 
@@ -88,6 +95,7 @@
         catalog: collections.abc.Callable[[], catalog_module.Catalog],
         metrics: metrics_module.Metrics,
         read_ordered_ids: OrderedIdsReader | None = None,
+        read_sole_primary: SolePrimaryReader = lambda: (),
     ) -> None:
         self.service = service
         self._clock = clock
@@ -101,6 +109,7 @@
         self._background = background.Background()
         self._evidence_task: asyncio.Task[None] | None = None
         self._read_ordered_ids = read_ordered_ids
+        self._read_sole_primary = read_sole_primary
         self._orders_read_ms: int | None = None
         self._orders_leadership: leadership_module.Leadership | None = None
         # Set while an order may still make another target the primary.
@@ -187,7 +196,9 @@
             key=lambda each: (each.needs_probe, each.round_trip_ms),
         )
         if not other_pools:
-            if group.is_complete and await self._is_free_of_orders(leadership):
+            if group.is_complete and await self._is_free_of_orders(
+                leadership, sent_ms
+            ):
                 leadership.confirm(sent_ms)
             return
         first_count = 1 if group.is_synchronous else len(other_pools)
@@ -268,7 +279,7 @@
             return False
         needed_count = 1 if self.group.is_synchronous else len(pools)
         if pools and confirmed_count >= needed_count:
-            if await self._is_free_of_orders(leadership):
+            if await self._is_free_of_orders(leadership, sent_ms):
                 leadership.confirm(sent_ms)
             return True
         return False
@@ -278,25 +289,45 @@
         self.awaits_orders = False
         self._orders_read_ms = None
 
+    def _is_handed_over(
+        self, leadership: leadership_module.Leadership, sent_ms: int
+    ) -> bool:
+        """Tell whether an earlier gateway knew until just now of no order.
+
+        A replica that was asked at ``sent_ms`` wasn't paused, and neither was
+        one when the earlier gateway asked. An order follows the last pause by
+        ``policy.PROMOTION_DELAY_MS``, so none was sent in between if that took
+        less.
+        """
+        return not leadership.is_suspended and any(
+            term == leadership.term
+            and sent_ms - until_ms < policy.PROMOTION_DELAY_MS
+            for until_ms, term in self._read_sole_primary()
+        )
+
     async def _is_free_of_orders(
-        self, leadership: leadership_module.Leadership
+        self, leadership: leadership_module.Leadership, sent_ms: int
     ) -> bool:
         """Tell whether no order can make another target the primary.
 
         Asks the store when a leadership is new or was suspended: whoever
         sends an order has recorded it there before and has paused all
         replicas, but a replica that restarts is no longer paused. Without an
-        answer of the store a primary is used unless paused replicas were seen.
+        answer of the store the primary isn't used, unless the earlier gateway
+        has handed it over.
         """
         if self._read_ordered_ids is None or leadership.is_free_of_orders:
             return True
+        if self._is_handed_over(leadership, sent_ms):
+            leadership.is_free_of_orders = True
+            return True
         now = self._clock.now()
         if (
             self._orders_read_ms is not None
             and now - self._orders_read_ms < ORDERS_RETRY_MS
             and leadership is self._orders_leadership
         ):
-            return not leadership.is_suspended
+            return False
         self._orders_read_ms = now
         self._orders_leadership = leadership
         suspension_count = leadership.suspension_count
@@ -311,7 +342,7 @@
                 suspended=leadership.is_suspended,
                 reason=str(error) or 'no answer in time',
             )
-            return not leadership.is_suspended
+            return False
         others = ordered_ids - {leadership.target_id}
         self.awaits_orders = bool(others)
         if others:
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -149,6 +149,7 @@
                 self._succession.read_ordered_ids
                 if self._succession is not None
                 else None,
+                lambda: self._members.sole_primary_evidence(service),
             )
             self._gateways_by_service[service] = found
             self._adopt_observations(found)
@@ -178,7 +179,10 @@
                 moment_ms, position = latest
                 observations.append(
                     frames.Observation(
-                        service, position, max(0, now - moment_ms)
+                        service,
+                        position,
+                        max(0, now - moment_ms),
+                        _sole_primary(gateway, now),
                     )
                 )
         return tuple(observations)
@@ -550,6 +554,23 @@
     """Ignore the claims: the default until ``on_claims`` is set."""
 
 
+def _sole_primary(
+    gateway: gateway_module.ServiceGateway, now: int
+) -> frames.SolePrimary | None:
+    """Return what a successor needs to use the primary without the store."""
+    leadership = gateway.group.leadership
+    if (
+        not leadership.is_free_of_orders
+        or not leadership.is_confirmed
+        or leadership.confirmed_ms is None
+        or leadership.term is None
+    ):
+        return None
+    return frames.SolePrimary(
+        leadership.term, max(0, now - leadership.confirmed_ms)
+    )
+
+
 def _needs_rate_token(work: work_module.Work) -> bool:
     """Tell whether work is the first statement of an account's operation."""
     return bool(work.account) and work.stage in (
--- a/samphirestand/gateway/leadership.py
+++ b/samphirestand/gateway/leadership.py
@@ -82,6 +82,11 @@
         """Tell whether there has been evidence and no pause since then."""
         return self._confirmed_ms is not None and not self.is_suspended
 
+    @property
+    def confirmed_ms(self) -> int | None:
+        """Return the moment of the newest evidence."""
+        return self._confirmed_ms
+
     @property
     def covered_until_ms(self) -> int | None:
         """Return until when no other primary can have been in force."""
--- a/tests/gateway/test_late_orders.py
+++ b/tests/gateway/test_late_orders.py
@@ -256,3 +256,68 @@
         assert await tokens.read_ordered_ids(nodes.SERVICE) == {'i-2', 'i-3'}
 
     run_scenario(scenario, hosts=1)
+
+
+def test_gateway_that_opens_without_the_store_waits_for_it():
+    """Guards against a new gateway that doesn't know of an open order.
+
+    It can't read which orders are under way, and a replica that has restarted
+    is no longer paused and confirms commits of the earlier primary.
+    """
+
+    async def scenario(fleet):
+        async with writers_module.Writers(fleet) as writers:
+            await writers.until_served()
+            primary, ordered = await order_without_answer(fleet)
+            [other] = [
+                each
+                for each in fleet.group.servers.values()
+                if each not in (primary, ordered)
+            ]
+            sender = sender_of(fleet)
+            fleet.store.is_down = True
+            # Both have restarted; the ordered one receives nothing yet.
+            ordered.is_deaf = True
+            other.paused_term = ordered.paused_term = 0
+            interrupt(primary)
+            await silence_sender(sender)
+            await asyncio.sleep(3)
+            fleet.store.carry_out_held_orders()
+            await asyncio.sleep(1)
+            fleet.store.orders_are_held = False
+            fleet.store.is_down = False
+            ordered.is_deaf = False
+            await writers.until_served()
+            assert writers.lost() == []
+
+    run_scenario(scenario, hosts=3)
+
+
+def test_gateway_that_is_handed_over_needs_no_store():
+    """Guards against writes that wait for the store at each planned move.
+
+    The earlier gateway knows that no order is under way.
+    """
+
+    async def scenario(fleet):
+        async with writers_module.Writers(fleet) as writers:
+            await writers.until_served()
+            [earlier] = [
+                node
+                for node in fleet.nodes
+                if nodes.SERVICE in node.gateways.claims.zones_by_service
+            ]
+            fleet.store.is_down = True
+            earlier.members.is_draining = True
+            earlier.peer_service.announce_state()
+            await fleet.until(
+                lambda: any(
+                    nodes.SERVICE in node.gateways.claims.zones_by_service
+                    for node in fleet.nodes
+                    if node is not earlier
+                )
+            )
+            await writers.until_served()
+            assert fleet.store.is_down
+
+    run_scenario(scenario, hosts=3)
