--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -63,6 +63,7 @@
         self._background = background.Background()
         self._http_servers: list[httpserver.HTTPServer] = []
         self.metrics = metrics_module.Metrics()
+        log.count_with(self.metrics.count)
         self.store = store_module.Store(settings.store)
         self.catalog = watch.CatalogWatch(
             self.store, self._clock, lambda catalog: self._on_configuration()
