fleet: Learn of evacuated zones from the store and from other hosts

Operators take a zone out of service by the row op/evacuate/ZONE. The feed of the table brought these rows already, and they were skipped.

Evacuations holds the zones and the version of the store that they are from; of two hosts the one with the higher version knows better. Pongs carry the version and a digest of the zones, so that equal knowledge costs no request;

Odd rows are ignored, counted and logged up to a bound. A lost feed makes a row as old as the last answer. New gauge evacuated_zones.

--- a/samphirestand/fleet/catalog_exchange.py
+++ b/samphirestand/fleet/catalog_exchange.py
@@ -5,13 +5,14 @@
 
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
+from samphirestand.fleet import evacuations as evacuations_module
 from samphirestand.fleet import frames
 from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import watch
 from samphirestand import log
 
-__all__ = ['CatalogExchange']
+__all__ = ['CatalogExchange', 'adopt_snapshot', 'build_snapshot']
 
 # The store sends a new version to all hosts within a few round trips. A host
 # that lacks the version for longer than this requests it from another host.
@@ -33,6 +34,10 @@
 # Another host answers a request for its configuration within this time.
 SNAPSHOT_TIMEOUT_MS = 1_000
 
+# Evacuated zones are requested again after this time at the earliest, if hosts
+# disagree about them.
+EVACUATIONS_RETRY_MS = 500
+
 _log = log.get_logger(__name__)
 
 
@@ -45,11 +50,15 @@
         generator: random.Random,
         members: members_module.Members,
         catalog: watch.CatalogWatch,
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         self._clock = clock
         self._random = generator
         self._members = members
         self._catalog = catalog
+        self._evacuations = evacuations
+        self._evacuations_task: asyncio.Task[None] | None = None
+        self._evacuations_asked_ms = 0
         self._behind_since_ms: int | None = None
         self._fetch_task: asyncio.Task[None] | None = None
         self._reviewed_version = 0
@@ -62,6 +71,7 @@
         its version is. Called for each link at each round of pings.
         """
         now = self._clock.now()
+        self._compare_evacuations(link, now)
         own_version = self._catalog.current.version
         if own_version != self._reviewed_version:
             self._behind_since_ms = None
@@ -84,6 +94,41 @@
         ):
             self._push_to(link)
 
+    def _compare_evacuations(self, link: links.Link, now: int) -> None:
+        """Fetch evacuated zones from a host that knows other, newer ones.
+
+        They are few and needed at once, so neither the store nor a host of
+        this zone is waited for.
+        """
+        evacuations = self._evacuations
+        if evacuations is None:
+            return
+        if (
+            link.evacuation_version < evacuations.version
+            and link.evacuation_digest != evacuations.digest
+            and not self._members.is_job_host
+            and link.is_up
+            and link.answered_ping_ms >= evacuations.changed_ms + PUSH_AFTER_MS
+        ):
+            link.send(
+                build_snapshot(
+                    self._catalog, evacuations, 0, omits_catalog=True
+                )
+            )
+            # Assumed until the host's next pong.
+            link.evacuation_digest = evacuations.digest
+        if (
+            not evacuations.needs(
+                link.evacuation_version, link.evacuation_digest
+            )
+            or now - self._evacuations_asked_ms < EVACUATIONS_RETRY_MS
+        ):
+            return
+        self._evacuations_asked_ms = now
+        self._evacuations_task = asyncio.create_task(
+            self._fetch_from(link, omits_catalog=True)
+        )
+
     def _pull_from(self, link: links.Link, now: int) -> None:
         if self._behind_since_ms is None:
             self._behind_since_ms = now
@@ -121,13 +166,21 @@
             if self._is_in_zone(each)
         )
 
-    async def _fetch_from(self, link: links.Link) -> None:
+    async def _fetch_from(
+        self, link: links.Link, *, omits_catalog: bool = False
+    ) -> None:
         answer = await link.request(
-            frames.SnapshotRequest, SNAPSHOT_TIMEOUT_MS
+            lambda call_id: frames.SnapshotRequest(call_id, omits_catalog),
+            SNAPSHOT_TIMEOUT_MS,
         )
         match answer:
-            case frames.Snapshot() if answer.catalog:
-                self._catalog.adopt_if_newer(answer.catalog, link.peer.host_id)
+            case frames.Snapshot():
+                adopt_snapshot(
+                    answer,
+                    self._catalog,
+                    self._evacuations,
+                    link.peer.host_id,
+                )
             case exceptions.Sentinel():
                 _log.info(
                     'configuration_not_fetched',
@@ -143,7 +196,44 @@
             version=current.version,
             peer_version=link.catalog_version,
         )
-        link.send(frames.Snapshot(0, current.version, self._catalog.raw))
+        link.send(build_snapshot(self._catalog, self._evacuations, 0))
         # Assumed until the host's next pong reports its version; prevents
         # sending the same version again.
         link.catalog_version = current.version
+
+
+def build_snapshot(
+    catalog: watch.CatalogWatch,
+    evacuations: evacuations_module.Evacuations | None,
+    call_id: int,
+    *,
+    omits_catalog: bool = False,
+) -> frames.Snapshot:
+    """Return what this host knows of operators' rows, for another host."""
+    return frames.Snapshot(
+        call_id,
+        0 if omits_catalog else catalog.current.version,
+        b'' if omits_catalog else catalog.raw,
+        0 if evacuations is None else evacuations.version,
+        {} if evacuations is None else evacuations.ages_by_zone(),
+    )
+
+
+def adopt_snapshot(
+    snapshot: frames.Snapshot,
+    catalog: watch.CatalogWatch,
+    evacuations: evacuations_module.Evacuations | None,
+    source: str,
+) -> None:
+    """Adopt what another host knows; evacuations first.
+
+    Nothing is sent to targets before there is a configuration.
+    """
+    if evacuations is not None:
+        evacuations.adopt_from_host(
+            snapshot.evacuation_version,
+            snapshot.evacuation_ages_by_zone,
+            source,
+        )
+    if snapshot.catalog:
+        catalog.adopt_if_newer(snapshot.catalog, source)
--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -90,6 +90,8 @@
   observations @5 :List(Observation);
   isCatalogConfirmed @6 :Bool;
   catalogAgeMs @7 :UInt32;  # no newer version was published before that
+  evacuationVersion @8 :UInt64;  # of the store; 0 if nothing is known
+  evacuationDigest @9 :UInt32;  # of the evacuated zones; 0 without any
 }
 
 struct Observation {
@@ -119,6 +121,13 @@
   call @0 :UInt64;
   catalogVersion @1 :UInt64;
   catalog @2 :Data;  # the bytes of the configuration's row in the store
+  evacuationVersion @3 :UInt64;  # of the store; 0 if nothing is known
+  evacuatedZones @4 :List(EvacuatedZone);
+}
+
+struct EvacuatedZone {
+  name @0 :Text;
+  ageMs @1 :UInt32;  # of the evacuation
 }
 
 struct Claim {
@@ -138,6 +147,7 @@
 
 struct Call {
   call @0 :UInt64;
+  omitsCatalog @1 :Bool;  # of a snapshotRequest
 }
 
 struct Frame {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -44,6 +44,9 @@
 
 UINT32_MAX = 2**32 - 1
 
+# More evacuated zones than that aren't decoded.
+MAX_EVACUATED_ZONES = 1_000
+
 
 @dataclasses.dataclass(frozen=True)
 class Hello:
@@ -122,6 +125,9 @@
     fleet_digest: int = 0  # of the job hosts; 0 if the sender tells none
     observations: tuple[Observation, ...] = ()  # of the sender's gateways
     catalog_age_ms: int | None = None
+    # Of what the sender knows of evacuated zones.
+    evacuation_version: int = 0
+    evacuation_digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -148,21 +154,30 @@
 
 @dataclasses.dataclass(frozen=True)
 class SnapshotRequest:
-    """Asks a host for the operators' configuration that it holds."""
+    """Asks a host for the operators' configuration that it holds.
+
+    With ``omits_catalog``, only evacuated zones are asked for.
+    """
 
     call_id: int
+    omits_catalog: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
 class Snapshot:
     """The operators' configuration, as the bytes of its row in the store.
 
-    ``call_id`` is 0 if it was not requested.
+    ``call_id`` is 0 if it was not requested. Ages of evacuations in ms, as of
+    a version of the store; version 0 if the sender knows nothing of them.
     """
 
     call_id: int
     catalog_version: int
     catalog: bytes
+    evacuation_version: int = 0
+    evacuation_ages_by_zone: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -235,6 +250,8 @@
             if frame.catalog_age_ms is not None:
                 builder.isCatalogConfirmed = True
                 builder.catalogAgeMs = min(frame.catalog_age_ms, UINT32_MAX)
+            builder.evacuationVersion = frame.evacuation_version
+            builder.evacuationDigest = frame.evacuation_digest
         case TokenRequest():
             builder = message.init('tokenRequest')
             builder.call = frame.call_id
@@ -246,12 +263,20 @@
             builder.call = frame.call_id
             builder.amount = frame.millitokens
         case SnapshotRequest():
-            message.init('snapshotRequest').call = frame.call_id
+            builder = message.init('snapshotRequest')
+            builder.call = frame.call_id
+            builder.omitsCatalog = frame.omits_catalog
         case Snapshot():
             builder = message.init('snapshot')
             builder.call = frame.call_id
             builder.catalogVersion = frame.catalog_version
             builder.catalog = frame.catalog
+            builder.evacuationVersion = frame.evacuation_version
+            ages = frame.evacuation_ages_by_zone
+            zones = builder.init('evacuatedZones', len(ages))
+            for entry, (zone, age_ms) in zip(zones, ages.items(), strict=True):
+                entry.name = zone
+                entry.ageMs = min(age_ms, UINT32_MAX)
         case Abandon():
             message.init('abandon').call = frame.transaction
         case Claims():
@@ -344,6 +369,8 @@
                     if (position := _decode_position(each.position))
                 ),
                 reader.catalogAgeMs if reader.isCatalogConfirmed else None,
+                reader.evacuationVersion,
+                reader.evacuationDigest,
             )
         case 'tokenRequest':
             reader = message.tokenRequest
@@ -355,11 +382,18 @@
                 message.tokenAnswer.call, message.tokenAnswer.amount
             )
         case 'snapshotRequest':
-            return SnapshotRequest(message.snapshotRequest.call)
+            reader = message.snapshotRequest
+            return SnapshotRequest(reader.call, reader.omitsCatalog)
         case 'snapshot':
             reader = message.snapshot
+            if len(reader.evacuatedZones) > MAX_EVACUATED_ZONES:
+                raise ValueError('too many evacuated zones')
             return Snapshot(
-                reader.call, reader.catalogVersion, bytes(reader.catalog)
+                reader.call,
+                reader.catalogVersion,
+                bytes(reader.catalog),
+                reader.evacuationVersion,
+                {each.name: each.ageMs for each in reader.evacuatedZones},
             )
         case 'abandon':
             return Abandon(message.abandon.call)
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -167,6 +167,9 @@
         self.answered_ping_ms = 0
         # All versions published until this moment are no newer than that one.
         self.catalog_confirmed_ms: int | None = None
+        # What the host knows of evacuated zones.
+        self.evacuation_version = 0
+        self.evacuation_digest = 0
         self.fleet_digest = 0
         # For each service of which the host is the gateway, a log position
         # and until when it covers all commits.
@@ -343,6 +346,8 @@
         self.is_silent = False
         self.catalog_version = pong.catalog_version
         self.fleet_digest = pong.fleet_digest
+        self.evacuation_version = pong.evacuation_version
+        self.evacuation_digest = pong.evacuation_digest
         sent_ms = self._sent_ms_by_sequence.pop(pong.sequence, None)
         if sent_ms is not None:
             self.answered_ping_ms = sent_ms
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -5,6 +5,8 @@
 from samphirestand import background
 from samphirestand import exceptions
 from samphirestand.fleet import allowance as allowance_module
+from samphirestand.fleet import catalog_exchange
+from samphirestand.fleet import evacuations as evacuations_module
 from samphirestand.fleet import frames
 from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
@@ -37,11 +39,13 @@
         gateways: gateways_module.ServiceGateways,
         rate_limiter: allowance_module.AccountRateLimiter,
         catalog: watch.CatalogWatch,
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         self._members = members
         self._gateways = gateways
         self._rate_limiter = rate_limiter
         self._catalog = catalog
+        self._evacuations = evacuations
         self._background = background.Background()
         self._inbound_connections: set[links.FrameConnection] = set()
 
@@ -79,15 +83,19 @@
                 )
             case frames.SnapshotRequest():
                 connection.send(
-                    frames.Snapshot(
+                    catalog_exchange.build_snapshot(
+                        self._catalog,
+                        self._evacuations,
                         frame.call_id,
-                        self._catalog.current.version,
-                        self._catalog.raw,
+                        omits_catalog=frame.omits_catalog,
                     )
                 )
             case frames.Snapshot():
-                self._catalog.adopt_if_newer(
-                    frame.catalog, _owner_id(connection)
+                catalog_exchange.adopt_snapshot(
+                    frame,
+                    self._catalog,
+                    self._evacuations,
+                    _owner_id(connection),
                 )
             case frames.Hello():
                 self._inbound_connections.add(connection)
@@ -133,6 +141,8 @@
             self._members.fleet_digest,
             self._observations_for(connection),
             self._catalog.age_ms,
+            0 if self._evacuations is None else self._evacuations.version,
+            0 if self._evacuations is None else self._evacuations.digest,
         )
 
     def _observations_for(
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -7,6 +7,7 @@
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
+from samphirestand.fleet import evacuations as evacuations_module
 from samphirestand import log
 from samphirestand.platform import records
 from samphirestand.platform import store as store_module
@@ -90,10 +91,12 @@
         store: store_module.Store,
         clock: clock_module.Clock,
         on_change: collections.abc.Callable[[catalog_module.Catalog], None],
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
         self._on_change = on_change
+        self._evacuations = evacuations
         # Set from outside: True if no other host relies on this host's
         # version, so that polls may be longer.
         self.is_relaxed = False
@@ -192,9 +195,15 @@
             if has_failed:
                 _log.info('configuration_feed_restored')
             has_failed = False
+            is_whole_table = version is None
             version = None if feed is None else feed.version
             if feed is None:
                 continue
+            # Before the configuration, without which nothing is sent.
+            if self._evacuations is not None and is_whole_table:
+                self._evacuations.adopt_table(feed)
+            elif self._evacuations is not None:
+                self._evacuations.adopt_feed(feed, sent_ms)
             for row in feed.rows:
                 if row.key == records.CONFIGURATION_KEY:
                     self.adopt_if_newer(row.value, SOURCE_STORE)
@@ -325,6 +334,11 @@
             self._read_sent_ms >= moment_ms
         )
 
+    @property
+    def zones(self) -> frozenset[str]:
+        """Return the zones in which targets are registered."""
+        return frozenset(each.zone for each in self._targets_by_id.values())
+
     def of_service(self, service: str) -> list[catalog_module.Target]:
         """Return the targets of a service, draining ones included."""
         return [
--- a/samphirestand/platform/records.py
+++ b/samphirestand/platform/records.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 from typing import Annotated
+from typing import Any
 
 import pydantic
 
@@ -11,16 +12,21 @@
 __all__ = [
     'CONFIGURATION_KEY',
     'CONFIGURATION_TABLE',
+    'EVACUATION_PREFIX',
     'MAX_COUNT',
     'MAX_LONG',
     'MAX_NAME_LENGTH',
+    'MAX_ZONE_LENGTH',
     'TARGETS_TABLE',
     'decode_catalog',
+    'decode_evacuation',
     'decode_target',
 ]
 
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
+# A row of the same table whose key is this and the name of a zone.
+EVACUATION_PREFIX = 'evacuate/'
 TARGETS_TABLE = 'servers'
 
 _DEFAULT_ROUTE_TIMEOUT_MS = 1_000
@@ -33,6 +39,7 @@
 # The longest text of a row that is used as a name. Names are fields of lines
 # that are sent to targets, so they have no blanks.
 MAX_NAME_LENGTH = 200
+MAX_ZONE_LENGTH = 64
 NAME_PATTERN = r'^[!-~]+$'
 
 _Number = Annotated[
@@ -44,6 +51,7 @@
     str, pydantic.Field(pattern=NAME_PATTERN, max_length=MAX_NAME_LENGTH)
 ]
 _NAME_ADAPTER = pydantic.TypeAdapter(_Name)
+_FIELDS_ADAPTER = pydantic.TypeAdapter(dict[str, Any])
 
 
 class _RouteModel(pydantic.BaseModel):
@@ -146,6 +154,23 @@
     )
 
 
+def decode_evacuation(key: str, value: bytes) -> str | exceptions.Sentinel:
+    """Return the zone that a row evacuates; a sentinel if it is irregular.
+
+    The value is an object whose fields have no meaning.
+    """
+    try:
+        zone = _NAME_ADAPTER.validate_python(
+            key.removeprefix(EVACUATION_PREFIX)
+        )
+        _FIELDS_ADAPTER.validate_json(value)
+    except ValueError as error:  # includes pydantic's ValidationError
+        return exceptions.Sentinel(f'irregular evacuation: {error}')
+    if len(zone) > MAX_ZONE_LENGTH:
+        return exceptions.Sentinel('the name of the zone is too long')
+    return zone
+
+
 def decode_target(
     target_id: str, value: bytes
 ) -> catalog.Target | exceptions.Sentinel:
