gateway: Send nothing to targets of evacuated zones

Statements went on to targets in a zone with a row op/evacuate/ZONE.

Reads leave the zone at once. A primary there is replaced by a replica elsewhere that has received what the primary had, and is used until then or until 1 s before the limit; after that its work is refused with a reason. Open transactions end 1 s before the limit, and connections are reset 0.2 s before it. TargetPool.run is the last check before anything is written. A host that starts sends nothing before it knows the rows.

--- a/samphirestand/exceptions.py
+++ b/samphirestand/exceptions.py
@@ -68,6 +68,10 @@
     """A request was sent to a target, but no valid response arrived."""
 
 
+class NotSent(AnswerLost):
+    """A request was not sent, although a connection was ready."""
+
+
 class HostError(SamphirestandError):
     """Another host couldn't be reached; no request was sent."""
 
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -10,6 +10,7 @@
 from samphirestand import exceptions
 from samphirestand.fleet import watch
 from samphirestand.gateway import connection as connection_module
+from samphirestand.gateway import evacuation
 from samphirestand.gateway import group as group_module
 from samphirestand.gateway import leadership as leadership_module
 from samphirestand.gateway import policy
@@ -88,12 +89,15 @@
         catalog: collections.abc.Callable[[], catalog_module.Catalog],
         metrics: metrics_module.Metrics,
         read_ordered_ids: OrderedIdsReader | None = None,
+        zones: evacuation.ZoneView | None = None,
     ) -> None:
         self.service = service
         self._clock = clock
         self._random = generator
         self._metrics = metrics
-        self.group = group_module.TargetGroup(service, clock, targets, catalog)
+        self.group = group_module.TargetGroup(
+            service, clock, targets, catalog, zones
+        )
         self._queue = slot_queue.SlotQueue(clock, self.group)
         self._transactions = transactions.GatewayTransactions(
             clock, self.group, self._queue
@@ -105,6 +109,7 @@
         self._orders_leadership: leadership_module.Leadership | None = None
         # Set while an order may still make another target the primary.
         self.awaits_orders = False
+        self._left_target_ids: set[str] = set()
         self.last_used_ms = clock.now()
         self.last_bounded_read_ms = 0  # of a read that replicas may run
         self.refresh()
@@ -125,6 +130,40 @@
         self.group.refresh()
         self._queue.assign_slots()
 
+    def leave_evacuated_zones(self) -> None:
+        """End what may not go on at targets of evacuated zones.
+
+        Open transactions end when nothing may be sent any more; a running
+        statement still gets its answer until the connections are reset.
+        """
+        now = self._clock.now()
+        self._transactions.end_closed()
+        for target_id, pool in self.group.pools_by_id.items():
+            limit = pool.zone_limit
+            if limit is None:
+                self._left_target_ids.discard(target_id)
+                continue
+            if now >= limit.resets_ms:
+                pool.reset_connections()
+            elif now >= limit.closes_ms:
+                pool.close_idle_connections(0)
+            is_left = not pool.may_start(self.group.is_primary(pool)) and not (
+                pool.running_count or pool.pinned_count
+            )
+            if is_left and target_id not in self._left_target_ids:
+                self._left_target_ids.add(target_id)
+                _log.warning(
+                    'evacuation_target_left',
+                    service=self.service,
+                    target=target_id,
+                    zone=limit.zone,
+                    after_ms=now - limit.since_ms,
+                    # A primary that could not be replaced in time.
+                    decided_by='no lost commit'
+                    if self.group.is_primary(pool)
+                    else 'evacuation',
+                )
+
     def review_waiting(self) -> None:
         """Refuse waiting work that can't be in time; start what can run."""
         self._queue.review_requests()
@@ -175,7 +214,7 @@
         group = self.group
         leadership = group.leadership
         primary = group.primary
-        if primary is None:
+        if primary is None or not primary.may_start(is_primary=True):
             return
         if leadership.term is None:
             await self._ask_for_term(leadership, primary)
@@ -184,7 +223,11 @@
         sent_ms = self._clock.now()
         other_pools = sorted(
             (each for each in group.pools_by_id.values() if each != primary),
-            key=lambda each: (each.needs_probe, each.round_trip_ms),
+            key=lambda each: (
+                each.zone_limit is not None,
+                each.needs_probe,
+                each.round_trip_ms,
+            ),
         )
         if not other_pools:
             if group.is_complete and await self._is_free_of_orders(leadership):
@@ -411,7 +454,16 @@
         self, slot_request: slot_queue.SlotRequest
     ) -> work_module.Refused | None:
         reachable_pools = self.group.reachable_pools()
-        if not reachable_pools:
+        zone_reason = self.group.zone_refusal(slot_request.needs_primary)
+        if slot_request.needs_primary and self._queue.is_primary_expected(
+            slot_request
+        ):
+            zone_reason = None
+        if zone_reason is not None:
+            return self._refuse(slot_request, zone_reason, NO_PRIMARY_RETRY_MS)
+        if all(each.is_down for each in self.group.pools_by_id.values()) or (
+            not reachable_pools and not slot_request.needs_primary
+        ):
             return self._refuse(slot_request, 'no target of the service is up')
         if slot_request.needs_primary and not self._queue.is_primary_expected(
             slot_request
@@ -624,7 +676,10 @@
                 self._transactions.remove(entry_host, work.transaction)
             pool.discard(connection)
             return self._handle_lost_answer(
-                pool, slot_request, error, is_sent=True
+                pool,
+                slot_request,
+                error,
+                is_sent=not isinstance(error, exceptions.NotSent),
             )
         code = replies.first_error(step_replies[: len(first_steps)])
         if code is not None:
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -11,6 +11,7 @@
 from samphirestand.fleet import frames
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import watch
+from samphirestand.gateway import evacuation
 from samphirestand.gateway import gateway as gateway_module
 from samphirestand.gateway import pool as pool_module
 from samphirestand.gateway import succession as succession_module
@@ -98,6 +99,7 @@
         rate_limiter: allowance_module.AccountRateLimiter,
         succession: succession_module.PrimaryFailover | None,
         metrics: metrics_module.Metrics,
+        zones: evacuation.ZoneView | None = None,
     ) -> None:
         self._clock = clock
         self._random = generator
@@ -107,6 +109,7 @@
         self._rate_limiter = rate_limiter
         self._succession = succession
         self._metrics = metrics
+        self._zones = zones or evacuation.ZoneView()
         self._gateways_by_service: dict[
             str, gateway_module.ServiceGateway
         ] = {}
@@ -149,6 +152,7 @@
                 self._succession.read_ordered_ids
                 if self._succession is not None
                 else None,
+                self._zones,
             )
             self._gateways_by_service[service] = found
             self._adopt_observations(found)
@@ -189,6 +193,12 @@
         """Run a statement that the entry host ``owner`` received."""
         if work.service not in self._catalog().services_by_name:
             return work_module.Refused('BUSY', 'unknown service')
+        if not self._zones.is_known():
+            return work_module.Refused(
+                'BUSY',
+                'evacuated zones are not known yet',
+                gateway_module.NO_PRIMARY_RETRY_MS,
+            )
         refusal = await self._take_rate_token(work)
         if refusal is not None:
             return refusal
@@ -335,6 +345,7 @@
         is_owner: bool,
     ) -> None:
         now = self._clock.now()
+        gateway.leave_evacuated_zones()
         max_idle_ms = IDLE_CONNECTION_MS
         if not is_owner and now - gateway.last_used_ms > HANDED_OVER_IDLE_MS:
             max_idle_ms = 0
@@ -429,7 +440,11 @@
         self, gateway: gateway_module.ServiceGateway
     ) -> str | None:
         """Return why the primary must be replaced; None if it need not be."""
-        if not gateway.group.pools_by_id or not self._targets.is_complete:
+        if (
+            not gateway.group.pools_by_id
+            or not self._targets.is_complete
+            or not self._zones.is_known()
+        ):
             return None
         primary = gateway.group.primary
         if primary is None:
@@ -438,6 +453,14 @@
             return 'the primary does not answer'
         if primary.target.is_draining:
             return 'the primary is draining'
+        if evacuation.must_replace(
+            primary.zone_limit,
+            sum(
+                each.zone_limit is None and not each.is_down
+                for each in gateway.group.pools_by_id.values()
+            ),
+        ):
+            return 'the zone of the primary is evacuated'
         return None
 
     def _start_unless_running(
@@ -520,7 +543,7 @@
         if gateway.group.leadership.needs_refresh(self._clock.now()):
             await gateway.request_evidence()
         pool = gateway.group.primary
-        if pool is None:
+        if pool is None or not pool.may_start(is_primary=True):
             return
         sent_ms = self._clock.now()
         status = await pool.run_command(
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -5,6 +5,7 @@
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand.fleet import watch
+from samphirestand.gateway import evacuation
 from samphirestand.gateway import freshness as freshness_module
 from samphirestand.gateway import leadership as leadership_module
 from samphirestand.gateway import pool as pool_module
@@ -28,11 +29,13 @@
         clock: clock_module.Clock,
         targets: watch.TargetWatch,
         catalog: collections.abc.Callable[[], catalog_module.Catalog],
+        zones: evacuation.ZoneView | None = None,
     ) -> None:
         self.service = service
         self._clock = clock
         self._targets = targets
         self._catalog = catalog
+        self._zones = zones or evacuation.ZoneView()
         self.freshness = freshness_module.Freshness()
         self.pools_by_id: dict[str, pool_module.TargetPool] = {}
         # Targets that have left the registry but may still run. They are
@@ -99,6 +102,7 @@
                 )
                 self.pools_by_id[target_id] = pool
             pool.target = target
+            pool.zone_limit = self._zones.limit_of(target.zone)
             pool.max_connections = max_connections
             if not target.claims_primary:
                 self._not_primary_ids.discard(target_id)
@@ -287,8 +291,39 @@
         return pool.target.target_id == self.primary_id
 
     def reachable_pools(self) -> list[pool_module.TargetPool]:
-        """Return the pools of targets that aren't known to be down."""
-        return [each for each in self.pools_by_id.values() if not each.is_down]
+        """Return the pools of targets that are not down and get new work."""
+        return [
+            each
+            for each in self.pools_by_id.values()
+            if not each.is_down and each.may_start(self.is_primary(each))
+        ]
+
+    def zone_refusal(
+        self,
+        needs_primary: bool,
+        pinned_pool: pool_module.TargetPool | None = None,
+    ) -> str | None:
+        """Return why work can't run because of evacuated zones, or None."""
+        if pinned_pool is not None:
+            pools = [pinned_pool] if not pinned_pool.may_continue else []
+        elif needs_primary:
+            pools = [self.primary] if self.primary is not None else []
+        else:
+            pools = list(self.pools_by_id.values())
+        limits = [
+            each.zone_limit
+            for each in pools
+            if pinned_pool is not None
+            or not each.may_start(self.is_primary(each))
+        ]
+        if not limits or len(limits) < len(pools):
+            return None
+        zones = sorted({each.zone for each in limits if each is not None})
+        if pinned_pool is not None:
+            who = "the transaction's target"
+        else:
+            who = 'the primary' if needs_primary else 'each target'
+        return f'{who} is in an evacuated zone: {", ".join(zones)}'
 
     def close(self) -> None:
         """Close all connections to the targets."""
--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -158,6 +158,7 @@
     received: types.Position
     is_draining: bool
     is_registered: bool = True
+    is_evacuated: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -172,6 +173,8 @@
     unanswered: collections.abc.Collection[str],
     is_synchronous: bool,
     ordered_ids: collections.abc.Set[str] = frozenset(),
+    *,
+    may_relay: bool = False,
 ) -> Candidate | exceptions.Sentinel:
     """Return the replica that is certain to have every acknowledged commit.
 
@@ -186,11 +189,22 @@
     left the registry isn't chosen, since callers couldn't be sent to it, and
     none is while it is ahead of all others.
 
+    A replica in an evacuated zone isn't chosen either. If it is ahead and the
+    primary is gone (``may_relay``), it is the only way to the newest commits:
+    it is promoted, which sends it no work of callers, and replaced as soon as
+    another replica has received these commits.
+
     Returns a sentinel with the reason if no replica is certain.
     """
-    candidates = [each for each in states if each.is_registered]
+    candidates = [
+        each for each in states if each.is_registered and not each.is_evacuated
+    ]
     if not candidates:
-        return exceptions.Sentinel('no replica answers')
+        return exceptions.Sentinel(
+            'each replica that answers is in an evacuated zone'
+            if any(each.is_evacuated for each in states)
+            else 'no replica answers'
+        )
     if is_synchronous and unanswered:
         names = ', '.join(sorted(unanswered))
         return exceptions.Sentinel(f'no answer from {names}')
@@ -203,9 +217,22 @@
             each.target_id,
         ),
     )
-    ahead_ids = [
-        each.target_id for each in states if each.received > best.received
-    ]
+    ahead = [each for each in states if each.received > best.received]
+    evacuated = [each for each in ahead if each.is_evacuated]
+    if evacuated and may_relay:
+        relay = max(
+            evacuated, key=lambda each: (each.received, each.target_id)
+        )
+        if relay.is_registered and not any(
+            each.received > relay.received for each in ahead
+        ):
+            return Candidate(relay.target_id)
+    if evacuated:
+        names = ', '.join(sorted(each.target_id for each in evacuated))
+        return exceptions.Sentinel(
+            f'{names} in an evacuated zone has commits that others lack'
+        )
+    ahead_ids = [each.target_id for each in ahead]
     if is_synchronous and ahead_ids:
         names = ', '.join(sorted(ahead_ids))
         return exceptions.Sentinel(
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -8,6 +8,7 @@
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.gateway import connection as connection_module
+from samphirestand.gateway import evacuation
 from samphirestand import log
 from samphirestand.platform import wire
 from samphirestand import types
@@ -90,6 +91,8 @@
         max_connections: int,
     ) -> None:
         self.target = target
+        # Set while the target's zone is evacuated.
+        self.zone_limit: evacuation.ZoneLimit | None = None
         self._clock = clock
         self.max_connections = max_connections
         self._connections: list[connection_module.TargetConnection] = []
@@ -123,6 +126,17 @@
         # carry no id: without the lock one would read another's answer.
         self._command_lock = asyncio.Lock()
 
+    @property
+    def may_continue(self) -> bool:
+        """Tell whether statements may be sent, as far as the zone allows."""
+        return evacuation.may_continue(self.zone_limit, self._clock.now())
+
+    def may_start(self, is_primary: bool) -> bool:
+        """Tell whether new work may be sent, as far as the zone allows."""
+        return evacuation.may_start(
+            self.zone_limit, is_primary, self._clock.now()
+        )
+
     @property
     def connection_limit(self) -> int:
         """Return how many connections may be open for statements."""
@@ -240,6 +254,12 @@
             if not each.is_busy and each.last_used_ms <= used_before_ms:
                 self.discard(each)
 
+    def reset_connections(self) -> None:
+        """Close all connections and withdraw what the target hasn't got."""
+        for each in list(self._connections):
+            each.discard_unsent_on_close()
+            self.discard(each)
+
     def close(self) -> None:
         """Close all connections, busy ones included."""
         for each in list(self._connections):
@@ -254,8 +274,14 @@
     ) -> list[connection_module.Reply]:
         """Run steps on a connection and record whether the target answered.
 
-        Raises ``AnswerLost``.
+        Raises ``AnswerLost``, or ``NotSent`` if an evacuation forbids it.
         """
+        if not self.may_continue:
+            raise exceptions.NotSent(
+                'the zone of the target is evacuated',
+                step='statement',
+                peer=self.target.target_id,
+            )
         run_key = object()
         self._sent_ms_by_run[run_key] = self._clock.now()
         try:
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -199,7 +199,7 @@
         )
 
     def _has_slot(self, pool: pool_module.TargetPool) -> bool:
-        return pool.running_count < policy.max_running(
+        return pool.may_continue and pool.running_count < policy.max_running(
             pool.target.slots, pool.round_trip_ms, self.statement_ms
         )
 
@@ -218,6 +218,8 @@
         """Tell whether a target may run the statement once it has a slot."""
         target_id = pool.target.target_id
         is_primary = self._group.is_primary(pool)
+        if not pool.may_start(is_primary):
+            return False
         # A draining primary is used until a replica is promoted: no other
         # target accepts writes.
         if pool.target.is_draining and not is_primary:
@@ -357,7 +359,11 @@
     def is_primary_expected(self, slot_request: SlotRequest) -> bool:
         """Tell whether a primary will be available before the time limit."""
         primary = self._group.primary
-        if primary is not None and not primary.is_down:
+        if (
+            primary is not None
+            and not primary.is_down
+            and primary.may_start(is_primary=True)
+        ):
             return True
         if self._group.primary_expected_ms is None:
             return False
@@ -374,10 +380,17 @@
         that was avoided for a while may be eligible again.
         """
         for slot_request in self._waiting_requests:
+            reason = self._group.zone_refusal(
+                slot_request.needs_primary, slot_request.pinned_pool
+            )
             if slot_request.needs_primary and not self.is_primary_expected(
                 slot_request
             ):
-                slot_request.refusal_reason = NO_PRIMARY
+                reason = reason or NO_PRIMARY
+            elif slot_request.needs_primary:
+                continue
+            if reason is not None:
+                slot_request.refusal_reason = reason
                 slot_request.future.cancel()
         for pool in self._group.pools_by_id.values():
             pool.decay_estimates(self.statement_ms)
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -199,6 +199,12 @@
                 reason=candidate.reason,
             )
             return False
+        needed = await _position_to_keep(old_primary, was_down=was_down)
+        if isinstance(needed, exceptions.Sentinel):
+            _log.warning(
+                'succession_waits', service=service.name, reason=needed.reason
+            )
+            return False
         token = await self._tokens.acquire(service.name)
         if token is None:
             return False
@@ -208,7 +214,13 @@
             self._clock.now() + policy.PROMOTION_DELAY_MS + PROMOTION_MS
         )
         plan = await self._prepare_order(
-            gateway, service, pools, token, answers, was_down=was_down
+            gateway,
+            service,
+            pools,
+            token,
+            answers,
+            needed,
+            was_down=was_down,
         )
         if isinstance(plan, exceptions.Sentinel):
             _log.warning(
@@ -248,6 +260,7 @@
         pools: dict[str, pool_module.TargetPool],
         token: fencing.Token,
         answers: _Answers,
+        needed: types.Position | None,
         *,
         was_down: bool,
     ) -> _Plan | exceptions.Sentinel:
@@ -255,7 +268,8 @@
 
         While all replicas are paused, no commit is acknowledged, and other
         gateways find no evidence for the old primary. ``was_down`` tells that
-        the old primary didn't answer before. Returns a sentinel with the
+        the old primary didn't answer before, ``needed`` what the candidate
+        must have received, if it is known. Returns a sentinel with the
         reason if nothing may be ordered.
         """
         group = gateway.group
@@ -275,6 +289,8 @@
         wait_reason = _missing_commit_reason(
             candidate, answers, service, group.acknowledged_position
         )
+        if needed is not None and wait_reason is None:
+            wait_reason = _behind_reason(candidate, answers, needed)
         if wait_reason is not None:
             return exceptions.Sentinel(wait_reason)
         recording = self._spawn(
@@ -285,6 +301,23 @@
             and not was_down
             and await gateway.step_down(old_primary, term)
         )
+        if (
+            needed is not None
+            and not service.is_synchronous
+            and old_primary is not None
+        ):
+            # No replica confirms commits, so the last ones are only there.
+            final = await _final_position(old_primary)
+            behind_reason = (
+                final.reason
+                if isinstance(final, exceptions.Sentinel)
+                else _behind_reason(candidate, answers, final)
+            )
+            if not is_stepped_down or behind_reason is not None:
+                await recording
+                return exceptions.Sentinel(
+                    behind_reason or 'the old primary has not stepped down'
+                )
         # A primary that has left the registry may still be used by others.
         absent_primary_ids = {
             target_id
@@ -730,6 +763,7 @@
                 status.received,
                 pools[target_id].target.is_draining,
                 target_id in group.pools_by_id,
+                is_evacuated=pools[target_id].zone_limit is not None,
             )
             for target_id, status in answers.states.items()
             if target_id in group.pools_by_id or not status.is_primary
@@ -742,9 +776,50 @@
         ],
         service.is_synchronous,
         ordered_ids,
+        may_relay=group.primary is None or group.primary.is_down,
+    )
+
+
+async def _position_to_keep(
+    old_primary: pool_module.TargetPool | None, *, was_down: bool
+) -> types.Position | exceptions.Sentinel | None:
+    """Return what the next primary must have if the zone is evacuated.
+
+    A primary that is replaced only because of its zone runs and can be asked,
+    so nothing that it has committed needs to be given up. None if it is
+    replaced for another reason.
+    """
+    if old_primary is None or was_down or old_primary.zone_limit is None:
+        return None
+    status = await old_primary.run_command(wire.STATUS, COMMAND_TIMEOUT_MS)
+    return (
+        status if isinstance(status, exceptions.Sentinel) else status.received
     )
 
 
+async def _final_position(
+    pool: pool_module.TargetPool,
+) -> types.Position | exceptions.Sentinel:
+    """Return the position of a former primary, which commits no more."""
+    status = await pool.run_command(wire.STATUS, COMMAND_TIMEOUT_MS)
+    return (
+        status if isinstance(status, exceptions.Sentinel) else status.received
+    )
+
+
+def _behind_reason(
+    candidate: policy.Candidate | exceptions.Sentinel,
+    answers: _Answers,
+    needed: types.Position,
+) -> str | None:
+    """Return that the candidate lacks commits of the old primary, or None."""
+    if isinstance(candidate, exceptions.Sentinel):
+        return candidate.reason
+    if answers.states[candidate.target_id].received >= needed:
+        return None
+    return f'{candidate.target_id} has not received {needed} yet'
+
+
 def _missing_commit_reason(
     candidate: policy.Candidate | exceptions.Sentinel,
     answers: _Answers,
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -79,8 +79,12 @@
         transaction = self._open_by_key.get((entry_host, work.transaction))
         if transaction is None or transaction.is_running:
             return work_module.Refused('ABORTED', 'the transaction is gone')
-        transaction.is_running = True
         pool, connection = transaction.pool, transaction.connection
+        zone_reason = self._group.zone_refusal(False, pool)
+        if zone_reason is not None:
+            self._end(entry_host, work.transaction, zone_reason)
+            return work_module.Refused('ABORTED', zone_reason)
+        transaction.is_running = True
         is_end = work.stage is work_module.Stage.END
         slot_request = slot_queue.SlotRequest(
             work,
@@ -120,6 +124,7 @@
             self.remove(entry_host, work.transaction)
             pool.discard(connection)
             replies.log_lost_answer(pool, work, error, is_sent=is_sent)
+            is_sent &= not isinstance(error, exceptions.NotSent)
             if work.commits and work.wrote_before and is_sent:
                 return work_module.Lost(str(error))
             return work_module.Refused('ABORTED', str(error))
@@ -140,6 +145,30 @@
             self._group.record_commit(pool, sent_ms, reply.position)
         return replies.answered_outcome(pool, reply)
 
+    def end_closed(self) -> None:
+        """End transactions whose target may get nothing more.
+
+        For zones that are evacuated while callers hold transactions open. The
+        connection is closed, after which the target rolls back.
+        """
+        for key, transaction in list(self._open_by_key.items()):
+            reason = self._group.zone_refusal(False, transaction.pool)
+            if reason is not None and not transaction.is_running:
+                self._end(*key, reason)
+
+    def _end(self, entry_host: str, number: int, reason: str) -> None:
+        """End a transaction without sending anything to its target."""
+        transaction = self.remove(entry_host, number)
+        assert transaction is not None
+        transaction.pool.discard(transaction.connection)
+        _log.info(
+            'transaction_ended',
+            owner=entry_host,
+            number=number,
+            target=transaction.pool.target.target_id,
+            reason=reason,
+        )
+
     async def roll_back_abandoned(self, entry_host: str, number: int) -> None:
         """Roll back a transaction whose caller has disconnected."""
         transaction = self.remove(entry_host, number)
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -17,11 +17,13 @@
 from samphirestand import exceptions
 from samphirestand.fleet import allowance as allowance_module
 from samphirestand.fleet import catalog_exchange
+from samphirestand.fleet import evacuations as evacuations_module
 from samphirestand.fleet import frames
 from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import service as service_module
 from samphirestand.fleet import watch
+from samphirestand.gateway import evacuation
 from samphirestand.gateway import gateways as gateways_module
 from samphirestand.gateway import succession as succession_module
 from samphirestand import host_options
@@ -64,8 +66,18 @@
         self._http_servers: list[httpserver.HTTPServer] = []
         self.metrics = metrics_module.Metrics()
         self.store = store_module.Store(settings.store)
+        self.evacuations = evacuations_module.Evacuations(
+            self._clock,
+            self.metrics,
+            self._refresh_gateways,
+            is_enabled=settings.bounds.zones_can_be_evacuated,
+            is_zone=self._is_zone,
+        )
         self.catalog = watch.CatalogWatch(
-            self.store, self._clock, lambda catalog: self._on_configuration()
+            self.store,
+            self._clock,
+            lambda catalog: self._on_configuration(),
+            self.evacuations,
         )
         self.targets = watch.TargetWatch(
             self.store, self._clock, self._refresh_gateways
@@ -82,7 +94,11 @@
             own_hello, self._clock, self.store, self._refresh_gateways
         )
         self._exchange = catalog_exchange.CatalogExchange(
-            self._clock, self._random, self.members, self.catalog
+            self._clock,
+            self._random,
+            self.members,
+            self.catalog,
+            self.evacuations,
         )
         self.rate_limiter = allowance_module.AccountRateLimiter(
             self._clock,
@@ -107,9 +123,16 @@
             self.rate_limiter,
             succession,
             self.metrics,
+            evacuation.ZoneView(
+                self._zone_limit, lambda: self.evacuations.is_known
+            ),
         )
         self.peer_service = service_module.PeerService(
-            self.members, self.gateways, self.rate_limiter, self.catalog
+            self.members,
+            self.gateways,
+            self.rate_limiter,
+            self.catalog,
+            self.evacuations,
         )
         self.gateways.on_claims = self.peer_service.announce
         self.peers = links.Listener(self.peer_service)
@@ -130,6 +153,23 @@
             and not self.members.is_isolated
         )
 
+    def _zone_limit(self, zone: str) -> evacuation.ZoneLimit | None:
+        """Return until when a zone's targets get requests; None if always."""
+        since_ms = self.evacuations.since_ms(zone)
+        if since_ms is None:
+            return None
+        return evacuation.ZoneLimit(
+            zone, since_ms, self.settings.bounds.evacuation_ms
+        )
+
+    def _is_zone(self, zone: str) -> bool:
+        """Tell whether a host or a target is in a zone of this name."""
+        return (
+            zone == self.settings.zone
+            or zone in self.targets.zones
+            or any(each.peer.zone == zone for each in self.members.up_links())
+        )
+
     def _refresh_gateways(self) -> None:
         self.gateways.refresh()
 
@@ -178,6 +218,7 @@
         while not (
             self.members.is_settled
             and self.catalog.current.version > 0
+            and self.evacuations.is_known
             and (self.targets.has_read or not self._uses_registry)
         ):
             self._adjust_store_reads()
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -141,6 +141,7 @@
         self.nodes = []
         self.store_port = free_port()
         self.grace_ms = 4_000
+        self.bounds = node_settings.Bounds()
 
     async def start(self, hosts=2):
         """Start targets and hosts, as if all had been running for a while."""
@@ -176,6 +177,7 @@
             promotions=endpoint('127.0.0.1', self.store_port),
             grace_ms=self.grace_ms,
             rate_slack=20,
+            bounds=self.bounds,
         )
         node = node_module.Node(settings, pathlib.Path('unused'))
         self.nodes.append(node)
@@ -202,8 +204,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running(hosts=2, grace_ms=4_000):
+async def running(hosts=2, grace_ms=4_000, bounds=None):
     fleet = Fleet()
+    fleet.bounds = bounds or fleet.bounds
     fleet.grace_ms = grace_ms
     try:
         await fleet.start(hosts)
