gateway: Limit the requests to cold targets

A target that had just started, or whose zone had returned, got all of its share at once.

A service's ColdRateS and WarmupS and a registration's WarmLeftMs are read now. In a sliding second one gateway sends a cold target at most half of ColdRateS x ColdExcess + ColdSlack requests, so that two gateways that are active at once stay within it without any message. Steps and commands count. The bound doubles each second once the target is warm and ends after three. A target that was down counts as cold until its row can be known. After an evacuation load returns in the same way.

--- a/samphirestand/catalog.py
+++ b/samphirestand/catalog.py
@@ -52,6 +52,8 @@
     name: str
     max_connections: int  # to each target, all callers together
     is_synchronous: bool  # a replica confirms each acknowledged commit
+    warmup_ms: int = 0  # how long a target is cold after its start
+    cold_rate_per_s: float = 0.0  # requests to a cold target; 0: no limit
 
 
 @dataclasses.dataclass(frozen=True)
@@ -96,6 +98,8 @@
     is_draining: bool
     claims_primary: bool
     started_ms: int  # server's wall clock; distinguishes its restarts
+    # How long it was still cold at its last heartbeat; changes with each.
+    warm_left_ms: int = dataclasses.field(default=0, compare=False)
 
     @property
     def start(self) -> TargetStart:
--- a/samphirestand/fleet/evacuations.py
+++ b/samphirestand/fleet/evacuations.py
@@ -53,6 +53,7 @@
         self._is_enabled = is_enabled
         self._is_zone = is_zone
         self._since_ms_by_zone: dict[str, int] = {}
+        self._revoked_ms_by_zone: dict[str, int] = {}
         self.version = 0  # of the store; 0 while nothing is known
         self.digest = 0  # of the zones; 0 without any
         self.changed_ms = 0  # when the zones last changed
@@ -76,6 +77,10 @@
         """
         return self._since_ms_by_zone.get(zone)
 
+    def revoked_ms(self, zone: str) -> int | None:
+        """Return when a zone's last evacuation was revoked; None if never."""
+        return self._revoked_ms_by_zone.get(zone)
+
     def ages_by_zone(self) -> dict[str, int]:
         """Return how long ago each zone was evacuated, for another host."""
         now = self._clock.now()
@@ -179,9 +184,13 @@
         learned = sorted(zones.keys() - self._since_ms_by_zone.keys())
         revoked = sorted(self._since_ms_by_zone.keys() - zones.keys())
         self._since_ms_by_zone = zones
+        now = self._clock.now()
+        self._revoked_ms_by_zone = self._bounded(
+            {**self._revoked_ms_by_zone, **dict.fromkeys(revoked, now)}
+        )
         if learned or revoked:
             self.digest = _digest(zones)
-            self.changed_ms = self._clock.now()
+            self.changed_ms = now
             self._metrics.set_gauge(EVACUATED_ZONES, len(zones))
         if learned:
             _log.warning(
--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -536,6 +536,8 @@
             return self._remove_target(row.key)
         previous = self._targets_by_id.get(row.key)
         if target == previous:
+            # What differs with each heartbeat is kept for gateways that open.
+            self._targets_by_id[row.key] = target
             return False
         if target.claims_primary and not (
             previous is not None and previous.claims_primary
--- a/samphirestand/gateway/evacuation.py
+++ b/samphirestand/gateway/evacuation.py
@@ -67,6 +67,8 @@
 
     limit_of: collections.abc.Callable[[str], ZoneLimit | None] = _no_limit
     is_known: collections.abc.Callable[[], bool] = lambda: True
+    # Returns when a zone's last evacuation was revoked; None if never.
+    revoked_ms: collections.abc.Callable[[str], int | None] = lambda zone: None
 
 
 def may_start(limit: ZoneLimit | None, is_primary: bool, now_ms: int) -> bool:
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -18,6 +18,7 @@
 from samphirestand.gateway import replies
 from samphirestand.gateway import slot_queue
 from samphirestand.gateway import transactions
+from samphirestand.gateway import warmup
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand.platform import wire
@@ -90,13 +91,14 @@
         metrics: metrics_module.Metrics,
         read_ordered_ids: OrderedIdsReader | None = None,
         zones: evacuation.ZoneView | None = None,
+        cold_rules: warmup.ColdRules | None = None,
     ) -> None:
         self.service = service
         self._clock = clock
         self._random = generator
         self._metrics = metrics
         self.group = group_module.TargetGroup(
-            service, clock, targets, catalog, zones
+            service, clock, targets, catalog, zones, cold_rules
         )
         self._queue = slot_queue.SlotQueue(clock, self.group)
         self._transactions = transactions.GatewayTransactions(
@@ -225,6 +227,8 @@
             (each for each in group.pools_by_id.values() if each != primary),
             key=lambda each: (
                 each.zone_limit is not None,
+                # Commands leave less to the statements of a cold target.
+                each.warmup.limit(sent_ms) is not None,
                 each.needs_probe,
                 each.round_trip_ms,
             ),
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -15,6 +15,7 @@
 from samphirestand.gateway import gateway as gateway_module
 from samphirestand.gateway import pool as pool_module
 from samphirestand.gateway import succession as succession_module
+from samphirestand.gateway import warmup
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand.platform import wire
@@ -100,6 +101,7 @@
         succession: succession_module.PrimaryFailover | None,
         metrics: metrics_module.Metrics,
         zones: evacuation.ZoneView | None = None,
+        cold_rules: warmup.ColdRules | None = None,
     ) -> None:
         self._clock = clock
         self._random = generator
@@ -110,6 +112,7 @@
         self._succession = succession
         self._metrics = metrics
         self._zones = zones or evacuation.ZoneView()
+        self._cold_rules = cold_rules
         self._gateways_by_service: dict[
             str, gateway_module.ServiceGateway
         ] = {}
@@ -153,6 +156,7 @@
                 if self._succession is not None
                 else None,
                 self._zones,
+                self._cold_rules,
             )
             self._gateways_by_service[service] = found
             self._adopt_observations(found)
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -9,6 +9,7 @@
 from samphirestand.gateway import freshness as freshness_module
 from samphirestand.gateway import leadership as leadership_module
 from samphirestand.gateway import pool as pool_module
+from samphirestand.gateway import warmup
 from samphirestand import log
 from samphirestand import types
 
@@ -30,14 +31,17 @@
         targets: watch.TargetWatch,
         catalog: collections.abc.Callable[[], catalog_module.Catalog],
         zones: evacuation.ZoneView | None = None,
+        cold_rules: warmup.ColdRules | None = None,
     ) -> None:
         self.service = service
         self._clock = clock
         self._targets = targets
         self._catalog = catalog
         self._zones = zones or evacuation.ZoneView()
+        self._cold_rules = cold_rules or warmup.ColdRules()
         self.freshness = freshness_module.Freshness()
         self.pools_by_id: dict[str, pool_module.TargetPool] = {}
+        self._cold_bound = 0  # requests a second from this gateway; 0: any
         # Targets that have left the registry but may still run. They are
         # asked and paused like others, and run no statements of callers.
         self.absent_pools_by_id: dict[str, pool_module.TargetPool] = {}
@@ -87,11 +91,20 @@
             each.target_id: each
             for each in self._targets.of_service(self.service)
         }
+        bound = self._cold_rules.gateway_bound(
+            service.cold_rate_per_s if service is not None else 0
+        )
+        warmup_ms = service.warmup_ms if service is not None else 0
+        earlier_warmups_by_id = {
+            each: pool.warmup
+            for each, pool in self.pools_by_id.items()
+            if each in registered_by_id
+            and registered_by_id[each].started_ms != pool.target.started_ms
+        }
         for target_id in [
             each
             for each, pool in self.pools_by_id.items()
-            if each not in registered_by_id
-            or registered_by_id[each].started_ms != pool.target.started_ms
+            if each not in registered_by_id or each in earlier_warmups_by_id
         ]:
             self.pools_by_id.pop(target_id).close()
         for target_id, target in registered_by_id.items():
@@ -101,13 +114,83 @@
                     target, self._clock, max_connections
                 )
                 self.pools_by_id[target_id] = pool
+                pool.warmup = earlier_warmups_by_id.get(target_id, pool.warmup)
+                pool.warmup.begin(
+                    bound,
+                    self._warm_ms(
+                        target,
+                        warmup_ms,
+                        has_restarted=target_id in earlier_warmups_by_id,
+                    ),
+                )
+            elif bound != self._cold_bound:
+                pool.warmup.set_bound(bound)
+                pool.warmup.begin(bound, self._warm_ms(target, warmup_ms))
+            earlier_limit = pool.zone_limit
             pool.target = target
+            pool.cold_bound = bound
             pool.zone_limit = self._zones.limit_of(target.zone)
+            if pool.zone_limit is None and earlier_limit is not None:
+                self._begin_return(pool, earlier_limit, bound, warmup_ms)
             pool.max_connections = max_connections
             if not target.claims_primary:
                 self._not_primary_ids.discard(target_id)
+        self._cold_bound = bound
         self._choose_primary()
 
+    def _warm_ms(
+        self,
+        target: catalog_module.Target,
+        warmup_ms: int,
+        *,
+        has_restarted: bool = False,
+    ) -> int:
+        """Return until when a target is cold; 0 if it is warm.
+
+        By its registration and by its zone's evacuation, which may have ended
+        before this gateway was opened. A restart that was seen here is new,
+        whatever the registration says.
+        """
+        now = self._clock.now()
+        cold_ms = target.warm_left_ms
+        if warmup_ms > 0:
+            cold_ms = min(cold_ms, warmup_ms)
+        if has_restarted:
+            cold_ms = max(cold_ms, warmup_ms)
+        warm_ms = now + cold_ms if cold_ms > 0 else 0
+        revoked_ms = self._zones.revoked_ms(target.zone)
+        if revoked_ms is not None and now < revoked_ms + warmup_ms:
+            warm_ms = max(warm_ms, revoked_ms + warmup_ms)
+        return warm_ms
+
+    def _begin_return(
+        self,
+        pool: pool_module.TargetPool,
+        limit: evacuation.ZoneLimit,
+        bound: int,
+        warmup_ms: int,
+    ) -> None:
+        """Let the load of a target return gradually after an evacuation.
+
+        A short evacuation leaves a target as it was.
+        """
+        now = self._clock.now()
+        if now < limit.closes_ms:
+            return
+        if bound > 0:
+            pool.warmup.begin(bound, now + warmup_ms)
+        else:
+            pool.warmup.begin(
+                warmup.RETURN_REQUESTS_PER_SLOT * pool.target.slots, now
+            )
+        _log.info(
+            'target_returns',
+            service=self.service,
+            target=pool.target.target_id,
+            zone=limit.zone,
+            requests_per_s=pool.warmup.limit(now),
+        )
+
     def _choose_primary(self) -> None:
         """Set the registered primary unless this host knows a newer one."""
         claimed = self._targets.claimed_primary(self.service)
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -9,6 +9,7 @@
 from samphirestand import exceptions
 from samphirestand.gateway import connection as connection_module
 from samphirestand.gateway import evacuation
+from samphirestand.gateway import warmup
 from samphirestand import log
 from samphirestand.platform import wire
 from samphirestand import types
@@ -62,6 +63,10 @@
 # this long: replicas apply received commits several times a second.
 LAGGING_RETRY_MS = 80
 
+# A target that was down counts as cold for this long. It may be cold after its
+# silence, and its row of a restart is read within about two seconds.
+RESTART_NOTICE_MS = 3_000
+
 # The account name under which the proxy opens its own sessions, for probes
 # and other commands.
 PROXY_ACCOUNT = 'samphirestand'
@@ -93,6 +98,8 @@
         self.target = target
         # Set while the target's zone is evacuated.
         self.zone_limit: evacuation.ZoneLimit | None = None
+        self.warmup = warmup.Warmup()
+        self.cold_bound = 0  # requests a second while it is cold; 0: any
         self._clock = clock
         self.max_connections = max_connections
         self._connections: list[connection_module.TargetConnection] = []
@@ -282,6 +289,14 @@
                 step='statement',
                 peer=self.target.target_id,
             )
+        now = self._clock.now()
+        if not self.warmup.may_send(now, len(steps)):
+            raise exceptions.NotSent(
+                'the target is cold and has got its requests',
+                step='statement',
+                peer=self.target.target_id,
+            )
+        self.warmup.record(now, len(steps))
         run_key = object()
         self._sent_ms_by_run[run_key] = self._clock.now()
         try:
@@ -300,6 +315,11 @@
         self._last_reply_ms = self._clock.now()
         self._failing_since_ms = None
         self.failed_probes = 0
+        if self.is_down:
+            # It may have restarted, which the registry tells soon.
+            self.warmup.begin(
+                self.cold_bound, self._last_reply_ms + RESTART_NOTICE_MS
+            )
         self.is_down = False
 
     def record_failure(self) -> None:
@@ -487,6 +507,8 @@
         timeout_ms: int,
     ) -> wire.Status | exceptions.Sentinel:
         sent_ms = self._clock.now()
+        # Commands are not refused, but leave less to statements.
+        self.warmup.record(sent_ms, 1)
         step = connection_module.TargetStatement(wire.PROXY_REQUEST_ID, text)
         [reply] = await connection.run([step], timeout_ms)
         # A target that refuses the command, as it does when it is busy, is
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -199,7 +199,11 @@
         )
 
     def _has_slot(self, pool: pool_module.TargetPool) -> bool:
-        return pool.may_continue and pool.running_count < policy.max_running(
+        if not pool.may_continue or not pool.warmup.may_start(
+            self._clock.now(), pool.running_count
+        ):
+            return False
+        return pool.running_count < policy.max_running(
             pool.target.slots, pool.round_trip_ms, self.statement_ms
         )
 
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -26,6 +26,7 @@
 from samphirestand.gateway import evacuation
 from samphirestand.gateway import gateways as gateways_module
 from samphirestand.gateway import succession as succession_module
+from samphirestand.gateway import warmup
 from samphirestand import host_options
 from samphirestand import log
 from samphirestand import metrics as metrics_module
@@ -124,7 +125,12 @@
             succession,
             self.metrics,
             evacuation.ZoneView(
-                self._zone_limit, lambda: self.evacuations.is_known
+                self._zone_limit,
+                lambda: self.evacuations.is_known,
+                self.evacuations.revoked_ms,
+            ),
+            warmup.ColdRules(
+                settings.bounds.cold_excess, settings.bounds.cold_slack
             ),
         )
         self.peer_service = service_module.PeerService(
--- a/samphirestand/platform/records.py
+++ b/samphirestand/platform/records.py
@@ -69,6 +69,8 @@
     Name: str
     MaxConns: int = pydantic.Field(ge=1, le=MAX_COUNT)
     SyncReplicas: int = 0
+    WarmupS: _Number = 0
+    ColdRateS: _Number = 0  # requests per second
 
 
 class _AccountModel(pydantic.BaseModel):
@@ -132,7 +134,11 @@
         },
         services_by_name={
             each.Name: catalog.Service(
-                each.Name, each.MaxConns, each.SyncReplicas > 0
+                each.Name,
+                each.MaxConns,
+                each.SyncReplicas > 0,
+                int(each.WarmupS * 1_000),
+                each.ColdRateS,
             )
             for each in model.Services
         },
@@ -191,6 +197,7 @@
         is_draining=model.State == 'draining',
         claims_primary=model.DbRole == 'primary',
         started_ms=model.born,
+        warm_left_ms=int(model.WarmLeftMs),
     )
 
 
--- a/standins/database_group.py
+++ b/standins/database_group.py
@@ -145,6 +145,8 @@
         self.is_deaf = False
         self.is_silent = False
         self.state = 'ready'
+        self.warm_left_ms = 0  # as it says in its registration
+        self.born = 1
         self.slots = 2
         self.term = 1
         self.paused_term = 0
@@ -183,10 +185,10 @@
                 'Version': 'v1',
                 'Slots': self.slots,
                 'State': self.state,
-                'WarmLeftMs': 0,
+                'WarmLeftMs': self.warm_left_ms,
                 'DbRole': 'primary' if self.is_primary else 'replica',
                 'Seq': 1,
-                'born': 1,
+                'born': self.born,
             },
         )
 
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -121,20 +121,24 @@
 
 
 @contextlib.asynccontextmanager
-async def loaded_fleet(hosts=2):
+async def loaded_fleet(hosts=2, readers=1):
     async with nodes.running(hosts, bounds=BOUNDS) as fleet:
-        reading = asyncio.create_task(read_all_the_time(fleet))
+        reading = [
+            asyncio.create_task(read_all_the_time(fleet))
+            for _ in range(readers)
+        ]
         try:
             async with writers.Writers(fleet) as callers:
                 await callers.until_served()
                 yield fleet, Zones(fleet), callers
         finally:
-            reading.cancel()
+            for each in reading:
+                each.cancel()
 
 
-def run_loaded(scenario, hosts=2):
+def run_loaded(scenario, hosts=2, readers=1):
     async def main():
-        async with loaded_fleet(hosts) as (fleet, zones, callers):
+        async with loaded_fleet(hosts, readers) as (fleet, zones, callers):
             await scenario(fleet, zones, callers)
 
     asyncio.run(main())
@@ -181,6 +185,30 @@
     run_loaded(scenario)
 
 
+def test_commits_that_only_an_evacuated_replica_has_are_kept():
+    """Fails if they are lost, or the service stays without a primary."""
+
+    async def scenario(fleet, zones, callers):
+        north, south, _ = fleet.group.servers.values()
+        zones.evacuate('east')
+        await zones.stay_unused('east', seconds=0)
+        south.is_deaf = True
+        await callers.until_served()
+        north.crash()
+        fleet.store.delete('servers', north.server_id)
+        count = len(zones.received('east'))
+        await fleet.until(lambda: fleet.group.primary is not None)
+        assert fleet.group.primary.zone == 'east'
+        south.is_deaf = False
+        south.log = list(fleet.group.primary.log)
+        await fleet.until(lambda: fleet.group.primary is south)
+        await callers.until_served()
+        assert callers.lost() == []
+        assert zones.received('east')[count:] == []
+
+    run_loaded(scenario)
+
+
 def test_evacuation_of_all_zones_refuses_with_a_reason():
     """Fails if anything is sent, or callers wait for their time limit."""
 
