fleet: Date evacuations by the store's clock; tell nothing where disabled

A process that was suspended took an old row for a new one. A host whose settings don't know evacuations announced that it knew of none, which other hosts would have adopted.

test_age_of_a_row_that_was_learned_late and test_rows_are_ignored_where_zones_are_not_evacuated cover both.

--- a/samphirestand/fleet/evacuations.py
+++ b/samphirestand/fleet/evacuations.py
@@ -58,6 +58,7 @@
         self.digest = 0  # of the zones; 0 without any
         self.changed_ms = 0  # when the zones last changed
         self._complete_ms: int | None = None  # when rows were last known
+        self._least_offset_ms: int | None = None  # to the store's clock
         self._irregular_keys: set[str] = set()
         metrics.set_gauge(EVACUATED_ZONES, 0)
 
@@ -92,7 +93,8 @@
     def adopt_feed(self, feed: store_module.TableRows, sent_ms: int) -> None:
         """Adopt the rows that have changed since the feed's last answer."""
         zones = dict(self._since_ms_by_zone)
-        since_ms = max(sent_ms, self._clock.now() - FEED_LAG_MS)
+        delay_ms = self._answer_delay_ms(feed.now_ms)
+        since_ms = max(sent_ms, self._clock.now() - delay_ms - FEED_LAG_MS)
         for row in feed.rows:
             zone = self._zone_of(row)
             if zone is not None:
@@ -101,11 +103,23 @@
                 zones.pop(row.key.removeprefix(records.EVACUATION_PREFIX), 0)
         self._replace(zones, max(self.version, feed.version), SOURCE_STORE)
 
+    def _answer_delay_ms(self, store_now_ms: int) -> int:
+        """Return how much later than others an answer was read here.
+
+        A process that was suspended reads old answers, and can tell by the
+        store's clock.
+        """
+        offset_ms = self._clock.now() - store_now_ms
+        if self._least_offset_ms is None or offset_ms < self._least_offset_ms:
+            self._least_offset_ms = offset_ms
+        return offset_ms - self._least_offset_ms
+
     def adopt_table(self, table: store_module.TableRows) -> None:
         """Adopt all rows of the table, after a start or a lost feed.
 
         A row that wasn't known may be as old as the last answer.
         """
+        self._answer_delay_ms(table.now_ms)
         if table.version < self.version:
             # Another host's rows are newer; the feed brings what follows.
             return
@@ -173,13 +187,14 @@
     ) -> None:
         self._complete_ms = self._clock.now()
         was_known = self.is_known
-        self.version = version
         if not self._is_enabled:
+            # The version stays 0: other hosts must not rely on this one.
             for zone in zones:
                 self._log_irregular(
                     records.EVACUATION_PREFIX + zone, 'not enabled'
                 )
             return
+        self.version = version
         zones = self._bounded(zones)
         learned = sorted(zones.keys() - self._since_ms_by_zone.keys())
         revoked = sorted(self._since_ms_by_zone.keys() - zones.keys())
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -24,13 +24,13 @@
     )
 
 
-def table(version, *keys, deleted=(), value=b'{}'):
+def table(version, *keys, deleted=(), value=b'{}', now_ms=0):
     rows = [store_module.Row('op', key, value, version) for key in keys]
     rows += [
         store_module.Row('op', key, b'', version, is_deleted=True)
         for key in deleted
     ]
-    return store_module.TableRows(tuple(rows), version, 0)
+    return store_module.TableRows(tuple(rows), version, now_ms)
 
 
 @pytest.mark.parametrize(
@@ -74,11 +74,16 @@
     known.adopt_table(table(5))
     lost_ms = clock.now()
     clock.set(lost_ms + 9_000)
-    known.adopt_table(table(6, 'evacuate/a'))
+    known.adopt_table(table(6, 'evacuate/a', now_ms=9_000))
     assert known.since_ms('a') == lost_ms
-    known.adopt_feed(table(7, 'evacuate/b', 'evacuate/a'), lost_ms)
+    feed = table(7, 'evacuate/b', 'evacuate/a', now_ms=9_000)
+    known.adopt_feed(feed, lost_ms)
     assert known.since_ms('b') == clock.now() - evacuations.FEED_LAG_MS
     assert known.since_ms('a') == lost_ms
+    # The process was suspended while the answer waited.
+    clock.set(clock.now() + 3_000)
+    known.adopt_feed(table(8, 'evacuate/c', now_ms=9_000), lost_ms)
+    assert known.since_ms('c') == clock.now() - 3_000 - evacuations.FEED_LAG_MS
 
 
 def test_thousands_of_rows_hide_no_zone():
@@ -97,6 +102,7 @@
     known.adopt_table(table(5, 'evacuate/a'))
     known.adopt_from_host(9, {'b': 1}, 'host')
     assert known.zones == frozenset()
+    assert known.version == 0
     assert known._metrics.counter('evacuation_rows_ignored') == 2
 
 
