--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -185,6 +185,33 @@
     run_loaded(scenario)
 
 
+@pytest.mark.parametrize('fault', ['store', 'replica'])
+def test_primary_that_cannot_be_replaced_is_closed(fault):
+    """Fails if work goes on there, waits, or is lost with a promotion."""
+
+    async def scenario(fleet, zones, callers):
+        primary, replica, _ = fleet.group.servers.values()
+        zones.evacuate('north')
+        await fleet.until(lambda: fleet.nodes[0].evacuations.zones)
+        fleet.store.is_down = fault == 'store'
+        replica.is_silent = fault == 'replica'
+        await zones.stay_unused('north')
+        loop = asyncio.get_running_loop()
+        client = await nodes.Client.connect(fleet.nodes[0])
+        started = loop.time()
+        _, result, _ = await client.query('WRITE x refused')
+        assert result.startswith('ERROR BUSY') and 'retry after' in result
+        assert loop.time() - started < 0.2
+        client.close()
+        assert fleet.store.promotions == []
+        fleet.store.is_down = replica.is_silent = False
+        await fleet.until(lambda: fleet.group.primary not in (None, primary))
+        await callers.until_served()
+        assert callers.lost() == []
+
+    run_loaded(scenario)
+
+
 def test_commits_that_only_an_evacuated_replica_has_are_kept():
     """Fails if they are lost, or the service stays without a primary."""
 
