--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -8,6 +8,8 @@
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.gateway import connection as connection_module
+from samphirestand.gateway import evacuation
+from samphirestand.gateway import warmup
 from samphirestand import log
 from samphirestand.platform import wire
 from samphirestand import types
@@ -61,6 +63,10 @@
 # this long: replicas apply received commits several times a second.
 LAGGING_RETRY_MS = 80
 
+# A target that was down counts as cold for this long. It may be cold after its
+# silence, and its row of a restart is read within about two seconds.
+RESTART_NOTICE_MS = 3_000
+
 # The account name under which the proxy opens its own sessions, for probes
 # and other commands.
 PROXY_ACCOUNT = 'samphirestand'
@@ -90,6 +96,10 @@
         max_connections: int,
     ) -> None:
         self.target = target
+        # Set while the target's zone is evacuated.
+        self.zone_limit: evacuation.ZoneLimit | None = None
+        self.warmup = warmup.Warmup()
+        self.cold_bound = 0  # requests a second while it is cold; 0: any
         self._clock = clock
         self.max_connections = max_connections
         self._connections: list[connection_module.TargetConnection] = []
@@ -123,6 +133,17 @@
         # carry no id: without the lock one would read another's answer.
         self._command_lock = asyncio.Lock()
 
+    @property
+    def may_continue(self) -> bool:
+        """Tell whether statements may be sent, as far as the zone allows."""
+        return evacuation.may_continue(self.zone_limit, self._clock.now())
+
+    def may_start(self, is_primary: bool) -> bool:
+        """Tell whether new work may be sent, as far as the zone allows."""
+        return evacuation.may_start(
+            self.zone_limit, is_primary, self._clock.now()
+        )
+
     @property
     def connection_limit(self) -> int:
         """Return how many connections may be open for statements."""
@@ -240,6 +261,12 @@
             if not each.is_busy and each.last_used_ms <= used_before_ms:
                 self.discard(each)
 
+    def reset_connections(self) -> None:
+        """Close all connections and withdraw what the target hasn't got."""
+        for each in list(self._connections):
+            each.discard_unsent_on_close()
+            self.discard(each)
+
     def close(self) -> None:
         """Close all connections, busy ones included."""
         for each in list(self._connections):
@@ -254,8 +281,22 @@
     ) -> list[connection_module.Reply]:
         """Run steps on a connection and record whether the target answered.
 
-        Raises ``AnswerLost``.
+        Raises ``AnswerLost``, or ``NotSent`` if an evacuation forbids it.
         """
+        if not self.may_continue:
+            raise exceptions.NotSent(
+                'the zone of the target is evacuated',
+                step='statement',
+                peer=self.target.target_id,
+            )
+        now = self._clock.now()
+        if not self.warmup.may_send(now, len(steps)):
+            raise exceptions.NotSent(
+                'the target is cold and has got its requests',
+                step='statement',
+                peer=self.target.target_id,
+            )
+        self.warmup.record(now, len(steps))
         run_key = object()
         self._sent_ms_by_run[run_key] = self._clock.now()
         try:
@@ -274,6 +315,11 @@
         self._last_reply_ms = self._clock.now()
         self._failing_since_ms = None
         self.failed_probes = 0
+        if self.is_down:
+            # It may have restarted, which the registry tells soon.
+            self.warmup.begin(
+                self.cold_bound, self._last_reply_ms + RESTART_NOTICE_MS
+            )
         self.is_down = False
 
     def record_failure(self) -> None:
@@ -461,6 +507,8 @@
         timeout_ms: int,
     ) -> wire.Status | exceptions.Sentinel:
         sent_ms = self._clock.now()
+        # Commands are not refused, but leave less to statements.
+        self.warmup.record(sent_ms, 1)
         step = connection_module.TargetStatement(wire.PROXY_REQUEST_ID, text)
         [reply] = await connection.run([step], timeout_ms)
         # A target that refuses the command, as it does when it is busy, is
