options: Add limits on callers, not yet used

The tests of misbehaving clients set lower limits than the defaults. Without the fields their hosts wouldn't start on the code before the change.

--- a/samphirestand/host_options.py
+++ b/samphirestand/host_options.py
@@ -28,7 +28,17 @@
 
 
 class CallerOptions(_Group):
-    """Limits on what callers may make this process hold."""
+    """Limits on what callers may make this process hold.
+
+    0 means that the limit follows from the size of the host. A message of
+    1 MiB takes 2 s on the slowest link of a host, if it is alone there; the
+    time limits leave room for several at once.
+    """
+
+    max_buffered_bytes: int = pydantic.Field(default=0, ge=0)
+    max_sessions: int = pydantic.Field(default=0, ge=0)
+    message_timeout_ms: int = pydantic.Field(default=30_000, gt=0)
+    answer_timeout_ms: int = pydantic.Field(default=30_000, gt=0)
 
 
 class QueueOptions(_Group):
