--- a/standins/database_group.py
+++ b/standins/database_group.py
@@ -8,6 +8,10 @@
 
 __all__ = ['DatabaseGroup', 'Server', 'Statement']
 
+# The longest message that a server takes: the protocol's limit of 1 MiB, and
+# what a proxy puts before a caller's statement.
+MAX_MESSAGE_BYTES = 1_048_576 + 4_096
+
 
 @dataclasses.dataclass(frozen=True)
 class Statement:
@@ -163,7 +167,10 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
-            self._handle_connection, '127.0.0.1', self.port
+            self._handle_connection,
+            '127.0.0.1',
+            self.port,
+            limit=MAX_MESSAGE_BYTES,
         )
         self.port = self._server.sockets[0].getsockname()[1]
         self.is_running = True
