wire: Extend a partial message in place

A message that came in small pieces was copied whole and searched whole for each piece. It is now kept in a bytearray, and only new bytes are searched. The new test of pieces passes before and after: lines are the same.

--- a/samphirestand/platform/wire.py
+++ b/samphirestand/platform/wire.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 
 from samphirestand import exceptions
 from samphirestand import sockets
@@ -344,7 +345,9 @@
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._lines: collections.deque[bytes] = collections.deque()
-        self._partial = b''
+        # A message without its end. It grows in place, so that one that comes
+        # in small pieces isn't copied for each.
+        self._partial = bytearray()
         self._waiter: asyncio.Future[None] | None = None
         self._is_reading_paused = False
         self.is_closed = False
@@ -355,23 +358,51 @@
         sockets.set_timeouts(transport.get_extra_info('socket'))
 
     def data_received(self, data: bytes) -> None:
-        lines = (self._partial + data).split(b'\r\n')
-        self._partial = lines.pop()
-        self._lines.extend(lines)
-        longest = max(map(len, lines), default=0)
+        known_lines = len(self._lines)
+        self._split_lines(data)
+        new_lines = itertools.islice(self._lines, known_lines, None)
+        longest = max(map(len, new_lines), default=0)
         if max(longest, len(self._partial)) > MAX_LINE_BYTES:
             self._lines.append(b'')
-            self._partial = b''
+            self._partial.clear()
             self.abort()
-        if (
-            len(self._lines) > MAX_BUFFERED_LINES
-            and not self._is_reading_paused
-        ):
-            self._is_reading_paused = True
-            if self._transport is not None:
-                self._transport.pause_reading()
+        self._adjust_reading()
         self._wake_reader()
 
+    def _split_lines(self, data: bytes) -> None:
+        """Append complete lines to ``_lines``; searches only new bytes."""
+        partial = self._partial
+        if partial:
+            # The CR may have been the last byte before.
+            searched = len(partial) - 1
+            partial += data
+            end = partial.find(b'\r\n', searched)
+            if end < 0:
+                return
+            with memoryview(partial) as view:
+                self._lines.append(bytes(view[:end]))
+                data = bytes(view[end + 2 :])
+            partial.clear()
+        lines = data.split(b'\r\n')
+        partial += lines.pop()
+        self._lines.extend(lines)
+
+    def _adjust_reading(self) -> None:
+        """Pause or resume reading, by what the consumer hasn't read yet."""
+        if len(self._lines) > MAX_BUFFERED_LINES:
+            self._set_reading_paused(True)
+        elif not self._lines:
+            self._set_reading_paused(False)
+
+    def _set_reading_paused(self, is_paused: bool) -> None:
+        if self._is_reading_paused == is_paused or self._transport is None:
+            return
+        self._is_reading_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def connection_lost(self, error: Exception | None) -> None:
         self.is_closed = True
         self._wake_reader()
@@ -399,9 +430,7 @@
             finally:
                 self._waiter = None
         line = self._lines.popleft()
-        if self._is_reading_paused and not self._lines and self._transport:
-            self._is_reading_paused = False
-            self._transport.resume_reading()
+        self._adjust_reading()
         return line
 
     def write(self, data: bytes) -> None:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -94,3 +94,21 @@
     if isinstance(request, wire.Query):
         wire.decode_statement(request.text)
     wire.decode_answer(data)
+
+
+@hypothesis.given(
+    strategies.lists(strategies.sampled_from([b'a', b'\r', b'\n', b'\r\n'])),
+    strategies.data(),
+)
+def test_pieces_of_messages_give_the_same_lines(parts, data):
+    """Fails if lines depend on how the bytes were cut into pieces."""
+    whole = b''.join(parts)
+    connection = wire.Connection()
+    start = 0
+    while start < len(whole):
+        end = start + data.draw(strategies.integers(1, 3))
+        connection.data_received(whole[start:end])
+        start = end
+    expected = whole.split(b'\r\n')
+    assert list(connection._lines) == expected[:-1]
+    assert connection._partial == expected[-1]
