Limit what clients make a host process hold

Limits were per connection only, so crowds of clients could run a process out of memory or descriptors. callers_budget.py decides for all callers' connections: each has a small share, beyond the shares connections are read until half of the budget is used and then one at a time, large messages wait for room, and those that hold most are closed first. A message that is begun, and an answer, have a limit of time. Values and prepared statements of a session count, and have at most 1 MiB. The next message of a caller isn't handled before it has read its answers.

Sessions are bounded, with ERROR TOOMANY beyond; connections without a session give way to new ones. descriptor_budget.py keeps descriptors free for what the host opens itself. acceptor.py accepts on all ports, also without descriptors: asyncio repeats accept() for each place of the backlog then, and tornado without a pause. Connections on the port of hosts must send a Hello in 5 s and 64 KiB; the ports for probes take small requests of few connections.

--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -8,11 +8,15 @@
 import collections.abc
 import dataclasses
 import itertools
+import socket
 from typing import Protocol
 
+from samphirestand import acceptor as acceptor_module
 from samphirestand import clock as clock_module
+from samphirestand import descriptor_budget
 from samphirestand import exceptions
 from samphirestand.fleet import frames
+from samphirestand import limit_events
 from samphirestand import log
 from samphirestand import sockets
 from samphirestand import types
@@ -33,6 +37,25 @@
 # retransmitted within half of that time.
 MAX_UNANSWERED_PINGS = 3
 
+# A host that connects says at once who it is. Until then its connection may
+# hold little; a Hello has a few hundred bytes.
+HELLO_TIMEOUT_MS = 5_000
+MAX_BYTES_BEFORE_HELLO = 65_536
+
+# Connections that wait to be accepted: all hosts of a fleet may start at once.
+ACCEPT_BACKLOG = 512
+
+# The part of the descriptors that other hosts' connections may use, and the
+# number of connections without a Hello; a fleet that starts has up to 300.
+DESCRIPTORS_PART = 3
+MAX_UNIDENTIFIED = 512
+
+# When there are too many connections, one without a Hello for this long gives
+# way to a new one.
+MIN_UNIDENTIFIED_MS = 1_000
+
+PORT = 'peers'
+
 # A connection with more unsent bytes is closed: its peer doesn't read.
 MAX_UNSENT_BYTES = 8_388_608
 
@@ -56,13 +79,22 @@
 class FrameConnection(asyncio.Protocol):
     """A connection to another host that carries frames."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        on_lost: collections.abc.Callable[['FrameConnection'], None]
+        | None = None,
+    ) -> None:
         self._handler = handler
+        # Given for connections that were accepted, so a Hello must come.
+        self._on_lost = on_lost
+        self._hello_timer: asyncio.TimerHandle | None = None
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self.closed = asyncio.Event()
         # Sent by the peer if it opened the connection.
         self.hello: frames.Hello | None = None
+        self.connected_s: float | None = None  # time of the event loop
 
     @property
     def is_closed(self) -> bool:
@@ -72,6 +104,16 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         sockets.set_timeouts(transport.get_extra_info('socket'))
+        if self._on_lost is not None:
+            loop = asyncio.get_running_loop()
+            self.connected_s = loop.time()
+            self._hello_timer = loop.call_later(
+                HELLO_TIMEOUT_MS / 1000, self._check_hello
+            )
+
+    def _check_hello(self) -> None:
+        if self.hello is None:
+            self.abort()
 
     def data_received(self, data: bytes) -> None:
         self._buffer += data
@@ -81,12 +123,23 @@
                 if isinstance(frame, frames.Hello):
                     self.hello = frame
                 self._handler.handle_frame(self, frame)
+            if (
+                self._on_lost is not None
+                and self.hello is None
+                and len(self._buffer) > MAX_BYTES_BEFORE_HELLO
+            ):
+                raise exceptions.HostError('no Hello', step='read frame')
         except exceptions.HostError as error:
             _log.warning('peer_frame_rejected', reason=str(error))
             self.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed.set()
+        self._buffer.clear()
+        if self._hello_timer is not None:
+            self._hello_timer.cancel()
+        if self._on_lost is not None:
+            self._on_lost(self)
         self._handler.handle_disconnect(self)
 
     def send(self, frame: frames.Frame) -> None:
@@ -109,19 +162,103 @@
 class Listener:
     """Accepts connections that other hosts open."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        max_connections: int = 0,
+        descriptors: descriptor_budget.DescriptorBudget | None = None,
+        events: limit_events.LimitEvents | None = None,
+    ) -> None:
         self._handler = handler
-        self._server: asyncio.Server | None = None
+        self._max_connections = max_connections  # 0: no limit
+        self._descriptors = descriptors or descriptor_budget.DescriptorBudget(
+            0
+        )
+        self._events = events
+        self._acceptor: acceptor_module.Acceptor | None = None
+        self._connections: dict[FrameConnection, None] = {}
+        # Those of them that may have sent no Hello yet, the oldest first.
+        self._unidentified: dict[FrameConnection, None] = {}
+        self._accepting: set[asyncio.Task[object]] = set()
 
     async def start(self, address: str, port: int) -> None:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: FrameConnection(self._handler), address, port
+        self._acceptor = acceptor_module.Acceptor(
+            self._accept, lambda: self._record('descriptors')
         )
+        self._acceptor.listen(address, port, ACCEPT_BACKLOG)
+
+    def _record(self, reason: str) -> None:
+        if self._events is not None:
+            self._events.record('peers_refused_limit', reason)
+
+    def _accept(self, sock: socket.socket) -> None:
+        count = len(self._connections)
+        if (
+            not self._descriptors.may_accept()
+            or (self._max_connections and count >= self._max_connections)
+            or self._count_unidentified() >= MAX_UNIDENTIFIED
+        ):
+            self._record('connections')
+            # A host that connects isn't kept out by clients that aren't.
+            if not self._abort_unidentified():
+                sock.close()
+                return
+        connection = FrameConnection(self._handler, self._forget)
+        self._connections[connection] = None
+        self._unidentified[connection] = None
+        self._descriptors.add(PORT)
+        task: asyncio.Task[object] = asyncio.create_task(
+            self._connect(sock, connection)
+        )
+        self._accepting.add(task)
+        task.add_done_callback(self._accepting.discard)
+
+    async def _connect(
+        self, sock: socket.socket, connection: FrameConnection
+    ) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: connection, sock
+            )
+        except OSError:
+            # The client has gone already.
+            sock.close()
+            self._forget(connection)
+
+    def _count_unidentified(self) -> int:
+        if len(self._unidentified) >= MAX_UNIDENTIFIED:
+            for each in list(self._unidentified):
+                if each.hello is not None:
+                    del self._unidentified[each]
+        return len(self._unidentified)
+
+    def _abort_unidentified(self) -> bool:
+        """Close the oldest connection without a Hello; False if none is."""
+        loop_s = asyncio.get_running_loop().time()
+        while self._unidentified:
+            oldest = next(iter(self._unidentified))
+            if oldest.hello is not None:
+                del self._unidentified[oldest]
+                continue
+            since_s = oldest.connected_s
+            if since_s is None or (
+                (loop_s - since_s) * 1000 < MIN_UNIDENTIFIED_MS
+            ):
+                return False
+            del self._unidentified[oldest]
+            oldest.abort()
+            return True
+        return False
+
+    def _forget(self, connection: FrameConnection) -> None:
+        self._unidentified.pop(connection, None)
+        if connection in self._connections:
+            del self._connections[connection]
+            self._descriptors.remove(PORT)
 
     def close(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
 
 
 class Link:
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -3,17 +3,20 @@
 import argparse
 import asyncio
 import collections.abc
+import dataclasses
 import os
 import pathlib
 import random
+import resource
 import signal
 import sys
 
-from tornado import httpserver
 from tornado import web
 
 from samphirestand import background
+from samphirestand import callers_budget
 from samphirestand import clock as clock_module
+from samphirestand import descriptor_budget
 from samphirestand import exceptions
 from samphirestand.fleet import allowance as allowance_module
 from samphirestand.fleet import catalog_exchange
@@ -31,6 +34,7 @@
 from samphirestand.platform import node_file
 from samphirestand.platform import promotion
 from samphirestand.platform import store as store_module
+from samphirestand import probe_server
 from samphirestand.sessions import listener as listener_module
 from samphirestand.sessions import session as session_module
 
@@ -47,6 +51,10 @@
 # the exit of the process.
 EXIT_MARGIN_MS = 700
 
+# Interval at which the open descriptors of the process are counted.
+DESCRIPTOR_CHECK_INTERVAL_MS = 1_000
+DESCRIPTOR_DIRECTORY = '/proc/self/fd'
+
 _log = log.get_logger(__name__)
 
 
@@ -61,7 +69,7 @@
         self._clock = clock_module.SystemClock()
         self._random = random.Random()
         self._background = background.Background()
-        self._http_servers: list[httpserver.HTTPServer] = []
+        self._probe_servers: list[probe_server.ProbeServer] = []
         self.metrics = metrics_module.Metrics()
         self.store = store_module.Store(settings.store)
         self.catalog = watch.CatalogWatch(
@@ -112,14 +120,35 @@
             self.members, self.gateways, self.rate_limiter, self.catalog
         )
         self.gateways.on_claims = self.peer_service.announce
-        self.peers = links.Listener(self.peer_service)
+        max_descriptors = _descriptor_limit(settings.capacity.descriptors)
+        self._max_descriptors = max_descriptors
+        self._descriptors = descriptor_budget.DescriptorBudget(max_descriptors)
         context = session_module.Context(
             self._clock,
             lambda: self.catalog.current,
             service_module.PeerDispatcher(self.members, self.gateways),
             self.metrics,
         )
-        self.sessions = listener_module.Listener(context, self._clock)
+        options = settings.options.callers
+        limits = dataclasses.replace(
+            callers_budget.derive_limits(
+                settings.capacity.memory_mb,
+                max_descriptors,
+                options.max_buffered_bytes,
+                options.max_sessions,
+            ),
+            message_timeout_ms=options.message_timeout_ms,
+            answer_timeout_ms=options.answer_timeout_ms,
+        )
+        self.sessions = listener_module.Listener(
+            context, self._clock, limits, self._descriptors
+        )
+        self.peers = links.Listener(
+            self.peer_service,
+            max_descriptors // links.DESCRIPTORS_PART,
+            self._descriptors,
+            self.sessions.limit_events,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -151,6 +180,8 @@
             self._ping_forever,
             self.gateways.maintain_forever,
             self._close_sessions_while_isolated,
+            self.sessions.review_forever,
+            self._count_descriptors_forever,
         ):
             self._background.keep_running(job, self._clock)
         self._background.spawn(self._listen_for_callers())
@@ -158,12 +189,14 @@
             [('/-/ready', _ReadyHandler, {'node': self})],
             log_function=_skip_access_log,
         )
-        self._start_http_server(readiness_application, settings.readiness)
+        self._start_probe_server(
+            'ready', readiness_application, settings.readiness
+        )
         metrics = web.Application(
             [('/metrics', _MetricsHandler, {'node': self})],
             log_function=_skip_access_log,
         )
-        self._start_http_server(metrics, settings.metrics)
+        self._start_probe_server('metrics', metrics, settings.metrics)
         _log.info('started', zone=settings.zone, callers=str(settings.callers))
 
     async def _ping_forever(self) -> None:
@@ -197,12 +230,36 @@
             version=self.catalog.current.version,
         )
 
-    def _start_http_server(
-        self, application: web.Application, endpoint: node_settings.Endpoint
+    def _start_probe_server(
+        self,
+        name: str,
+        application: web.Application,
+        endpoint: node_settings.Endpoint,
     ) -> None:
-        server = httpserver.HTTPServer(application)
-        server.listen(endpoint.port, endpoint.address)
-        self._http_servers.append(server)
+        server = probe_server.ProbeServer(
+            application,
+            name,
+            self._max_descriptors,
+            self._descriptors,
+            lambda: self.sessions.limit_events.record(
+                'probes_refused_limit', name
+            ),
+        )
+        server.listen(endpoint.address, endpoint.port)
+        self._probe_servers.append(server)
+
+    async def _count_descriptors_forever(self) -> None:
+        """Tell the descriptor budget what isn't accepted connections."""
+        while True:
+            try:
+                count = len(os.listdir(DESCRIPTOR_DIRECTORY))
+            except OSError:
+                # No descriptor is left to read it, or there is no such
+                # directory on this system.
+                count = 0
+            if count:
+                self._descriptors.record_open(count)
+            await self._clock.sleep(DESCRIPTOR_CHECK_INTERVAL_MS)
 
     def _adjust_store_reads(self) -> None:
         """Reduce reads of the store to what this host's jobs need."""
@@ -304,7 +361,7 @@
     def close(self) -> None:
         """End all tasks and connections at once."""
         self.sessions.stop_listening()
-        for server in self._http_servers:
+        for server in self._probe_servers:
             server.stop()
         self.peers.close()
         self.gateways.close()
@@ -330,7 +387,19 @@
         self._node = node
 
     def get(self) -> None:
-        self.write(self._node.metrics.snapshot())
+        budget = self._node.sessions.budget
+        metrics = self._node.metrics
+        metrics.set_gauge('callers_held_bytes', budget.total)
+        metrics.set_gauge('callers_sessions', budget.session_count)
+        self.write(metrics.snapshot())
+
+
+def _descriptor_limit(configured: int) -> int:
+    """Return how many descriptors the process may open."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        return configured
+    return min(configured or allowed, allowed)
 
 
 def _skip_access_log(handler: web.RequestHandler) -> None:
--- a/samphirestand/sessions/session.py
+++ b/samphirestand/sessions/session.py
@@ -11,6 +11,7 @@
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand.platform import wire
+from samphirestand.sessions import caller_connection
 from samphirestand import statements
 from samphirestand import types
 from samphirestand import work as work_module
@@ -30,6 +31,7 @@
 NO_GATEWAY_RETRY_MS = 300
 
 STOPPING_REASON = 'the host is stopping'
+NO_ROOM_REASON = 'the host handles too many large messages'
 KEY_WITHDRAWN_REASON = 'the key was withdrawn'
 KEY_MOVED_REASON = 'the key belongs to another account now'
 
@@ -110,13 +112,18 @@
 class Session:
     """Serves one connection of a caller until it is closed."""
 
-    def __init__(self, connection: wire.Connection, context: Context) -> None:
+    def __init__(
+        self,
+        connection: caller_connection.CallerConnection,
+        context: Context,
+    ) -> None:
         self._connection = connection
         self._context = context
         self._database = ''
         self._key = ''
         self._values: dict[str, str] = {}
         self._prepared_by_name: dict[str, statements.Prepare] = {}
+        self._kept_bytes = 0  # of values and prepared statements
         self._transaction: _Transaction | None = None
         self._position: types.Position | None = None
         self._is_handling_message = False
@@ -221,6 +228,7 @@
             self._refuse_startup(admission.code, admission.reason)
             return False
         self._is_started = True
+        self._connection.mark_started()
         self._connection.write(wire.encode_ready(wire.STATE_IDLE, None))
         return True
 
@@ -254,10 +262,17 @@
                 self._fail_idle_transaction()
                 continue
             self._is_handling_message = True
+            # The bytes aren't needed while the decoded message is handled.
+            message, size, line = wire.decode_request(line), len(line), None
             try:
-                ends_session = await self._handle_message(line)
+                if not await self._connection.admit_message(size):
+                    self._refuse_message()
+                    continue
+                ends_session = await self._handle_message(message)
             finally:
+                del message
                 self._is_handling_message = False
+                self._connection.finish_message()
             if ends_session or self._is_ending or self._is_over:
                 return
             # The configuration may have changed while a target was waited for.
@@ -276,9 +291,20 @@
             and not self._connection.has_line
         )
 
-    async def _handle_message(self, line: bytes) -> bool:
+    def _refuse_message(self) -> None:
+        """Refuse a message for which the host has no memory.
+
+        Nothing of it has run; a transaction can't go on without it.
+        """
+        if self._transaction is not None:
+            self._fail_transaction(self._transaction)
+        self._context.metrics.count('callers_refused_limit')
+        self._context.metrics.count('callers_refused_limit_bytes')
+        self._send_error('TOOMANY', NO_ROOM_REASON)
+
+    async def _handle_message(self, message: wire.Request) -> bool:
         """Handle one message; returns whether the session is over."""
-        match wire.decode_request(line):
+        match message:
             case wire.Terminate():
                 return True
             case wire.Query() as query:
@@ -428,6 +454,12 @@
         ):
             self._reject_malformed('too many values')
             return
+        earlier_bytes = _text_bytes(
+            statement.name, self._values.get(statement.name)
+        )
+        added_bytes = _text_bytes(statement.name, statement.value)
+        if not self._keep(added_bytes - earlier_bytes):
+            return
         self._values[statement.name] = statement.value
         self._send_complete()
 
@@ -435,15 +467,32 @@
         if len(self._prepared_by_name) >= MAX_PREPARED_STATEMENTS:
             self._reject_malformed('too many prepared statements')
             return
+        earlier = self._prepared_by_name.get(statement.name)
+        earlier_bytes = _text_bytes(
+            statement.name, earlier.shape if earlier else None
+        )
+        added_bytes = _text_bytes(statement.name, statement.shape)
+        if not self._keep(added_bytes - earlier_bytes):
+            return
         self._prepared_by_name[statement.name] = statement
         self._send_complete()
 
     def _deallocate_statement(self, statement: statements.Deallocate) -> None:
-        if self._prepared_by_name.pop(statement.name, None) is None:
+        prepared = self._prepared_by_name.pop(statement.name, None)
+        if prepared is None:
             self._reject_malformed('no such prepared statement')
             return
+        self._keep(-_text_bytes(prepared.name, prepared.shape))
         self._send_complete()
 
+    def _keep(self, added_bytes: int) -> bool:
+        """Count what the session keeps; False if refused, and answered."""
+        if not self._connection.keep(self._kept_bytes + added_bytes):
+            self._reject_malformed('the values of the session are too long')
+            return False
+        self._kept_bytes += added_bytes
+        return True
+
     def _begin_transaction(
         self, query: wire.Query, statement: statements.Begin
     ) -> None:
@@ -727,6 +776,11 @@
         self._send_error('TIMEOUT', outcome.reason)
 
 
+def _text_bytes(name: str, text: str | None) -> int:
+    """Return the bytes of a value with its name; 0 if there is none."""
+    return 0 if text is None else len(name.encode()) + len(text.encode())
+
+
 def _refusal_text(refusal: work_module.Refused) -> str:
     """Return the text of a refusal with the time until a retry."""
     if not refusal.retry_after_ms:
