gateway: Bound the prepared texts of a connection to a target

Up to 64 prepared statements were kept on each connection, whatever their length; callers may prepare texts of 1 MiB. Above 1 MiB in all, they are discarded before the next statement is prepared.

--- a/samphirestand/gateway/connection.py
+++ b/samphirestand/gateway/connection.py
@@ -22,6 +22,10 @@
 # DISCARD drops all of them.
 MAX_PREPARED_STATEMENTS = 64
 
+# Their length on one connection, in characters. Callers can prepare texts of
+# up to 1 MiB each, and a host has hundreds of connections to targets.
+MAX_PREPARED_TEXT = 1_048_576
+
 
 @dataclasses.dataclass(frozen=True)
 class TargetStatement:
@@ -71,6 +75,7 @@
         self.last_used_ms = opened_ms
         self.session_values: dict[str, str] = {}
         self._prepared_names_by_shape: dict[tuple[types.Mode, str], str] = {}
+        self._prepared_text = 0
         self._prepared_name_numbers = itertools.count(1)
         self.is_busy = False
 
@@ -93,10 +98,12 @@
         wanted_values = dict(work.values)
         if any(name not in wanted_values for name in self.session_values) or (
             len(self._prepared_names_by_shape) > MAX_PREPARED_STATEMENTS
+            or self._prepared_text > MAX_PREPARED_TEXT
         ):
             steps.append(TargetStatement(wire.PROXY_REQUEST_ID, wire.DISCARD))
             self.session_values.clear()
             self._prepared_names_by_shape.clear()
+            self._prepared_text = 0
         for name, value in wanted_values.items():
             if self.session_values.get(name) != value:
                 steps.append(
@@ -112,6 +119,7 @@
             return Preparation(steps, sets_values)
         name = f'p{next(self._prepared_name_numbers)}'
         self._prepared_names_by_shape[work.mode, work.shape] = name
+        self._prepared_text += len(work.shape)
         text = wire.prepare_text(name, work.mode, work.shape)
         steps.append(TargetStatement(wire.PROXY_REQUEST_ID, text))
         return Preparation(steps, sets_values)
