callers budget: Close the first in turn if it stands still

A connection that may be read first and sends nothing kept all others with large messages waiting until larger ones were closed. It is now closed first; the test of aged messages asks for it. The STARTUP counted as held while a session was idle: 21 bytes each, 84,000 with 4,000 sessions, 0 now. A message that was waiting when its connection was closed isn't counted as refused.

--- a/samphirestand/callers_budget.py
+++ b/samphirestand/callers_budget.py
@@ -295,6 +295,11 @@
                 for each in self._usages
                 if each.is_older_than(SHORT_AGE_MS, now_ms)
             ]
+            # Whoever may be read first and doesn't send keeps all others
+            # waiting.
+            first = next(iter(self._waiting), None)
+            if first in aged and self.total > self.reading_limit:
+                closing.setdefault(first, 'bytes')
             for usage in self._largest_until(self.reading_limit, aged):
                 closing.setdefault(usage, 'bytes')
         return list(closing.items())
--- a/samphirestand/sessions/caller_connection.py
+++ b/samphirestand/sessions/caller_connection.py
@@ -124,6 +124,7 @@
     def mark_started(self) -> None:
         """Record that the caller has opened its session."""
         self._budget.mark_started(self.usage)
+        self.finish_message()
 
     async def admit_message(self, message_bytes: int) -> bool:
         """Wait until answers are read and there is room for a message.
--- a/samphirestand/sessions/session.py
+++ b/samphirestand/sessions/session.py
@@ -266,6 +266,8 @@
             message, size, line = wire.decode_request(line), len(line), None
             try:
                 if not await self._connection.admit_message(size):
+                    if self._connection.is_closed:
+                        return
                     self._refuse_message()
                     continue
                 ends_session = await self._handle_message(message)
--- a/tests/hostile/hosts.py
+++ b/tests/hostile/hosts.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import pathlib
 import resource
 import subprocess
 import sys
 
+from tornado import httpclient
 import yaml
 
 from samphirestand.platform import node_file
@@ -99,6 +101,13 @@
         finally:
             writer.transport.abort()
 
+    async def fetch_metrics(self):
+        address, port = self.metrics
+        answer = await httpclient.AsyncHTTPClient().fetch(
+            f'http://{address}:{port}/metrics'
+        )
+        return json.loads(answer.body)
+
     async def assert_unharmed(self, label):
         """Check what the process used, and that it still serves."""
         assert self.is_alive, 'the process has ended'
@@ -125,6 +134,7 @@
     options=None,
     descriptors=DESCRIPTORS,
     open_file_limit=OPEN_FILE_LIMIT,
+    memory_mb=MEMORY_MB,
 ):
     """Start a host with low limits, beside stand-ins for the platform."""
     store = store_module.StoreStandin()
@@ -141,7 +151,7 @@
     settings.write_text(
         _SETTINGS.format(
             address=address,
-            memory_mb=MEMORY_MB,
+            memory_mb=memory_mb,
             descriptors=descriptors,
             **ports,
         )
--- a/tests/hostile/test_callers.py
+++ b/tests/hostile/test_callers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.hostile import hosts
+from tests import nodes
 
 # Row and message sizes of the crowds.
 LARGE_ROW = 1_000_000
@@ -154,3 +155,47 @@
         descriptors=descriptors,
         open_file_limit=open_file_limit,
     )
+
+
+def test_callers_within_the_limits_meet_none(tmp_path):
+    """Fails if ordinary callers are refused or closed by the defaults."""
+
+    async def read_answers(reader, count):
+        text = b''
+        while text.count(b'READY') < count:
+            data = await reader.read(2**16)
+            assert data, 'the connection was closed'
+            text += data
+        return text
+
+    async def main():
+        async with hosts.running(
+            tmp_path, memory_mb=200, descriptors=4_300, open_file_limit=4_300
+        ) as (host, group):
+            for server in group.servers.values():
+                server.log.append([('large', 'v' * LARGE_ROW)])
+            connections = [
+                await asyncio.open_connection(*host.callers, limit=2**16)
+                for _ in range(4)
+            ]
+            for reader, writer in connections:
+                await hosts.start_session(writer, reader, nodes.KEY)
+            slow, ahead, longest, idle = connections
+            slow[1].write(b'QUERY s READ large\r\n' * 4)
+            ahead[1].write(b'QUERY a READ x\r\n' * 64)
+            longest[1].write(hosts.query(hosts.LONGEST_MESSAGE))
+            assert b'COMPLETE' in await read_answers(longest[0], 1)
+            text = await read_answers(ahead[0], 64)
+            assert text.count(b'COMPLETE') == 64
+            received = 0
+            while received < 4 * LARGE_ROW:
+                data = await slow[0].read(2**16)
+                assert data, 'the slow reader was closed'
+                received += len(data)
+                await asyncio.sleep(0.05)
+            idle[1].write(b'QUERY i READ x\r\n')
+            assert b'COMPLETE' in await read_answers(idle[0], 1)
+            counters = (await host.fetch_metrics())['counters']
+            assert not [each for each in counters if '_limit' in each]
+
+    asyncio.run(main())
