--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -130,7 +130,9 @@
             ):
                 raise exceptions.HostError('no Hello', step='read frame')
         except exceptions.HostError as error:
-            _log.warning('peer_frame_rejected', reason=str(error))
+            # The listener counts clients that never were hosts.
+            if self._on_lost is None or self.hello is not None:
+                _log.warning('peer_frame_rejected', reason=str(error))
             self.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -252,9 +254,12 @@
 
     def _forget(self, connection: FrameConnection) -> None:
         self._unidentified.pop(connection, None)
-        if connection in self._connections:
-            del self._connections[connection]
-            self._descriptors.remove(PORT)
+        if connection not in self._connections:
+            return
+        del self._connections[connection]
+        self._descriptors.remove(PORT)
+        if connection.hello is None and self._events is not None:
+            self._events.record('peers_closed_limit', 'unidentified')
 
     def close(self) -> None:
         if self._acceptor is not None:
--- a/samphirestand/platform/wire.py
+++ b/samphirestand/platform/wire.py
@@ -342,6 +342,8 @@
 class Connection(asyncio.Protocol):
     """A connection to a caller or a target that carries lines."""
 
+    max_unsent_bytes = MAX_UNSENT_BYTES
+
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._lines: collections.deque[bytes] = collections.deque()
@@ -438,7 +440,7 @@
         if self.is_closed or self._transport is None:
             return
         self._transport.write(data)
-        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        if self._transport.get_write_buffer_size() > self.max_unsent_bytes:
             self.abort()
 
     def close(self) -> None:
--- a/samphirestand/sessions/caller_connection.py
+++ b/samphirestand/sessions/caller_connection.py
@@ -10,11 +10,14 @@
 __all__ = ['CallerConnection', 'Owner']
 
 # Above this, the next message isn't handled before the caller has read its
-# answers. Above the second one, the connection is closed: the longest answers
-# have a few of the longest lines.
+# answers.
 UNSENT_HIGH_BYTES = 65_536
 UNSENT_LOW_BYTES = 16_384
 
+# One answer may follow what is unsent already. Those of other hosts have up to
+# 4 MiB; the sum of all callers is limited by the budget.
+MAX_UNSENT_BYTES = 2 * wire.MAX_UNSENT_BYTES
+
 # How long a large message waits for room before it is refused.
 ROOM_TIMEOUT_MS = 500
 ROOM_INTERVAL_MS = 10
@@ -46,6 +49,8 @@
 class CallerConnection(wire.Connection, asyncio.BufferedProtocol):
     """Receives only as much as the budget allows."""
 
+    max_unsent_bytes = MAX_UNSENT_BYTES
+
     def __init__(self, owner: Owner) -> None:
         super().__init__()
         self._owner = owner
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -6,6 +6,7 @@
 from samphirestand.fleet import frames
 from samphirestand.fleet import links
 from samphirestand import types
+from tests import processes
 
 
 class FakeConnection:
@@ -114,3 +115,48 @@
     pong = frames.Pong(1, False, 9, catalog_age_ms=40)
     link.handle_frame(link._connection, pong)
     assert link.catalog_confirmed_ms == sent_ms - 40
+
+
+class FakeHandler:
+    def handle_frame(self, connection, frame):
+        pass
+
+    def handle_disconnect(self, connection):
+        pass
+
+
+def test_connection_without_a_hello_may_hold_little():
+    """Fails if a client that is no host can have a frame of 4 MB held."""
+    for on_lost, is_held in ((lambda connection: None, False), (None, True)):
+        connection = links.FrameConnection(FakeHandler(), on_lost)
+        aborted = []
+        connection.abort = lambda aborted=aborted: aborted.append(True)
+        connection.data_received(
+            (4_000_000).to_bytes(4, 'big') + bytes(70_000)
+        )
+        assert bool(aborted) is not is_held
+
+
+def test_connections_beyond_the_limit_are_refused():
+    """Fails if idle clients keep hosts out, or use all descriptors."""
+
+    async def main():
+        [port] = processes.free_ports(1)
+        listener = links.Listener(FakeHandler(), max_connections=2)
+        await listener.start('127.0.0.1', port)
+        clients = [
+            await asyncio.open_connection('127.0.0.1', port) for _ in range(3)
+        ]
+        async with asyncio.timeout(5):
+            assert await clients[2][0].read() == b''
+        for connection in listener._connections:
+            connection.connected_s -= 2
+        clients.append(await asyncio.open_connection('127.0.0.1', port))
+        async with asyncio.timeout(5):
+            assert await clients[0][0].read() == b''
+        assert len(listener._connections) == 2
+        listener.close()
+        for _, writer in clients:
+            writer.transport.abort()
+
+    asyncio.run(main())
