--- a/samphirestand/callers_budget.py
+++ b/samphirestand/callers_budget.py
@@ -162,6 +162,15 @@
         """Return the bytes from which on connections are read in turn."""
         return self.limits.max_bytes // 2
 
+    @property
+    def work_limit(self) -> int:
+        """Return the bytes up to which large messages are handled.
+
+        What is left takes messages that are read in turn, so that work alone
+        doesn't make the budget close connections.
+        """
+        return self.limits.max_bytes * 7 // 8
+
     def open(self, now_ms: int) -> Usage:
         usage = Usage(now_ms)
         self._usages[usage] = None
@@ -226,7 +235,10 @@
             self._waiting.pop(usage, None)
             return min(max(room, MIN_READ_BYTES), MAX_READ_BYTES)
         self._waiting.setdefault(usage)
-        return MAX_READ_BYTES if self._is_first(usage) else 0
+        # Complete messages that wait for room come before another one.
+        if self.total >= self.work_limit or not self._is_first(usage):
+            return 0
+        return MAX_READ_BYTES
 
     def _is_first(self, usage: Usage) -> bool:
         return next(iter(self._waiting)) is usage
@@ -249,7 +261,7 @@
         needed = COPIES_OF_WORK * (message_bytes + usage.kept)
         if (
             self._large_works
-            and self.total + needed - message_bytes > self.limits.max_bytes
+            and self.total + needed - message_bytes > self.work_limit
         ):
             return False
         self._set_working(usage, needed)
--- a/tests/test_callers_budget.py
+++ b/tests/test_callers_budget.py
@@ -88,8 +88,8 @@
         if budget.begin_work(usage, MIB):
             budget.set_received(usage, 0, None)
             admitted += 1
-    assert admitted == 4
-    assert budget.total <= LIMITS.max_bytes
+    assert admitted == 3
+    assert budget.total <= LIMITS.max_bytes * 7 // 8
     budget.end_work(usages[0])
     assert budget.begin_work(usages[-1], MIB)
     assert budget.total <= LIMITS.max_bytes
@@ -161,3 +161,16 @@
     budget.close(unstarted)
     assert budget.unstarted_to_replace(10**6) is None
     assert budget.session_count == 1 and started.is_started
+
+
+def test_no_message_is_read_in_turn_while_complete_ones_wait():
+    """Fails if messages that wait for room fill the budget, and are closed."""
+    budget = create()
+    complete = [open_with(budget, MIB) for _ in range(18)]
+    for usage in complete[:2]:
+        assert budget.begin_work(usage, MIB)
+        budget.set_received(usage, 0, None)
+    turn = open_with(budget, 100_000)
+    assert budget.read_allowance(turn, False) == 0
+    budget.end_work(complete[0])
+    assert budget.read_allowance(turn, False) > 0
