acceptor: Don't pause when no connection waits and no descriptor is left

Without a descriptor, accept() fails with EMFILE on an empty queue, too. The listener counted a refusal that didn't happen, and paused for 100 ms. The new test failed with 6 refusals of 5 connections, and passes 3 of 3 times.

--- a/samphirestand/acceptor.py
+++ b/samphirestand/acceptor.py
@@ -76,22 +76,28 @@
             self._on_accept(sock)
 
     def _refuse_with_reserve(self) -> bool:
-        """Close one waiting connection; False if that wasn't possible."""
+        """Close one waiting connection; False if there is none, or no way.
+
+        Without a descriptor, accept() fails even if no connection waits.
+        """
         assert self._socket is not None
-        self._on_exhausted()
-        had_reserve = self._reserve is not None
         self._close_reserve()
         try:
             sock, _ = self._socket.accept()
-            sock.close()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            self._open_reserve()
+            return False
         except OSError:
-            had_reserve = False
-        self._open_reserve()
-        if not had_reserve:
+            # The reserve was in use, too.
+            self._on_exhausted()
             loop = asyncio.get_running_loop()
             loop.remove_reader(self._socket)
             loop.call_later(RETRY_MS / 1000, self._resume)
-        return had_reserve
+            return False
+        sock.close()
+        self._on_exhausted()
+        self._open_reserve()
+        return True
 
     def _resume(self) -> None:
         if self._socket is not None:
