records: Decode priorities of accounts as weights

Cause: the field Priority of a Tenants entry was ignored, and one odd Priority of a route made a whole configuration unreadable. Change: an account's priority becomes its weight (0 is 4, 1 is 2, others and none 1). Priorities out of range are clamped, others count as missing. Tested: the new tests of test_records.py pass; before, Account had no weight.

--- a/samphirestand/catalog.py
+++ b/samphirestand/catalog.py
@@ -38,11 +38,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Account:
-    """A client account; rate in operations per second, burst in operations."""
+    """A client account; rate in operations per second, burst in operations.
+
+    Under overload, accounts get service in proportion to ``weight``.
+    """
 
     name: str
     rate: int
     burst: int
+    weight: int = 1
 
 
 @dataclasses.dataclass(frozen=True)
--- a/samphirestand/platform/records.py
+++ b/samphirestand/platform/records.py
@@ -45,6 +45,31 @@
 ]
 _NAME_ADAPTER = pydantic.TypeAdapter(_Name)
 
+# The weights of accounts by their priority; others have the default weight.
+_WEIGHTS = (4, 2)
+_DEFAULT_WEIGHT = 1
+
+
+def _clamp_priority(value: object) -> int | None:
+    """Return a priority within range; None if it isn't a number.
+
+    A priority orders work and permits nothing, so an odd one doesn't make a
+    whole configuration unreadable.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return int(min(max(value, 0), MAX_COUNT)) if value == value else None
+
+
+def _clamp_route_priority(value: object) -> int:
+    return _clamp_priority(value) or 0
+
+
+_Priority = Annotated[int | None, pydantic.BeforeValidator(_clamp_priority)]
+_RoutePriority = Annotated[
+    int, pydantic.BeforeValidator(_clamp_route_priority)
+]
+
 
 class _RouteModel(pydantic.BaseModel):
     Host: str  # the name of the database, not of a host
@@ -52,7 +77,7 @@
     Service: str
     TimeoutMs: _Number = _DEFAULT_ROUTE_TIMEOUT_MS
     TargetLatencyMs: _Number = _DEFAULT_ROUTE_TIMEOUT_MS
-    Priority: _Count = 0
+    Priority: _RoutePriority = 0
     MaxStalenessMs: _Number = 0
     Public: bool = False
 
@@ -68,6 +93,7 @@
     ApiKeys: list[str] = pydantic.Field(default_factory=list)
     RatePerS: _Number
     Burst: _Number
+    Priority: _Priority = None
 
 
 class _LimitsModel(pydantic.BaseModel):
@@ -115,7 +141,10 @@
         },
         accounts_by_name={
             each.Name: catalog.Account(
-                each.Name, int(each.RatePerS), int(each.Burst)
+                each.Name,
+                int(each.RatePerS),
+                int(each.Burst),
+                _decode_weight(each.Priority),
             )
             for each in model.Tenants
         },
@@ -133,6 +162,12 @@
     )
 
 
+def _decode_weight(priority: int | None) -> int:
+    if priority is None or priority >= len(_WEIGHTS):
+        return _DEFAULT_WEIGHT
+    return _WEIGHTS[priority]
+
+
 def _decode_route(model: _RouteModel) -> catalog.Route:
     return catalog.Route(
         database=model.Host,
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -224,3 +224,66 @@
         await fleet.until(lambda: node.catalog.current.version == 9, 5)
 
     run_scenario(scenario, hosts=1)
+
+
+@pytest.mark.parametrize(
+    ('priority', 'weight'),
+    [
+        (0, 4),
+        (1, 2),
+        (2, 1),
+        (9, 1),
+        (-3, 4),
+        (1e30, 1),
+        (None, 1),
+        ('gold', 1),
+        (True, 1),
+    ],
+)
+def test_priority_of_an_account_is_its_weight(priority, weight):
+    """Fails if an odd priority has no weight or spoils a configuration."""
+    catalog = decode_priorities(priority, 0)
+    assert catalog.accounts_by_name['a'].weight == weight
+
+
+@pytest.mark.parametrize(
+    ('priority', 'decoded'),
+    [(3, 3), (-3, 0), (2**40, 2**32 - 1), (None, 0), ('high', 0)],
+)
+def test_priority_of_a_route_is_clamped(priority, decoded):
+    """Fails if an odd priority of a route spoils a configuration."""
+    catalog = decode_priorities(0, priority)
+    assert catalog.routes_by_database['db'].priority == decoded
+
+
+def test_missing_priority_of_an_account_is_the_lowest_weight():
+    """Fails if accounts without a priority go before those with one."""
+    value = {
+        'Version': 1,
+        'Tenants': [{'Name': 'a', 'RatePerS': 1, 'Burst': 1}],
+    }
+    catalog = records.decode_catalog(json.dumps(value).encode())
+    assert catalog.accounts_by_name['a'].weight == 1
+
+
+def decode_priorities(account_priority, route_priority):
+    value = {
+        'Version': 1,
+        'Tenants': [
+            {
+                'Name': 'a',
+                'RatePerS': 1,
+                'Burst': 1,
+                'Priority': account_priority,
+            }
+        ],
+        'Routes': [
+            {
+                'Host': 'db',
+                'RouteKind': 'primary',
+                'Service': 'svc',
+                'Priority': route_priority,
+            }
+        ],
+    }
+    return records.decode_catalog(json.dumps(value).encode())
