gateway: Share slots between accounts under overload

Cause: the queue was sorted and scanned whole for each free slot. An account that flooded within its rate, or a less urgent kind, took the slots of others. Change: new module fair_queue.py, a weighted fair queue of accounts with urgency inside, in heaps. The last work of the account that has most waiting for its weight is refused first and at once. The queue is bounded in count and bytes.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import bisect
+import collections
 import collections.abc
 import dataclasses
 import random
@@ -28,7 +29,15 @@
 from samphirestand import types
 from samphirestand import work as work_module
 
-__all__ = ['PATTERNS', 'OperationKind', 'Pattern', 'Result', 'replay']
+__all__ = [
+    'FAIRNESS_PATTERNS',
+    'PATTERNS',
+    'OperationKind',
+    'Pattern',
+    'Result',
+    'replay',
+    'replay_disturbance',
+]
 
 SERVICE = 'svc'
 
@@ -182,7 +191,8 @@
     The disturbance lasts from ``disturbance_start_ms`` to
     ``disturbance_end_ms`` after the start of the replay. The operations are
     spread over ``accounts``, of which few send most. A new connection of an
-    account occupies a slot of the target for ``opening_ms``.
+    account occupies a slot of the target for ``opening_ms``. The flood adds
+    operations of one account, one kind or both.
     """
 
     name: str
@@ -197,6 +207,10 @@
     slowdown_factor: float = 1.0  # of one target, during the disturbance
     slowed_target: int = 1  # 0 is the primary
     slots: int = 5
+    account_rates: tuple[float, ...] = ()  # relative; of accounts in order
+    flood_account: int = -1  # sends flood_factor times as much, disturbed
+    flood_kind: str = ''  # of all accounts, or of flood_account
+    flood_factor: float = 1.0
     disturbance_start_ms: int = 5_000
     disturbance_end_ms: int = 13_000
     duration_ms: int = 20_000
@@ -222,6 +236,56 @@
 )
 
 
+# The same with reads of two urgencies, which may use the same targets.
+URGENT_READ_KINDS = (
+    *OPERATION_KINDS[:2],
+    dataclasses.replace(OPERATION_KINDS[2], priority=0),
+)
+
+
+# Replayed with fair shares and without: who is served under overload.
+FAIRNESS_PATTERNS = (
+    Pattern(
+        'account-floods',
+        accounts=10,
+        account_rates=(1.0,) * 10,
+        flood_account=0,
+        flood_factor=30.0,
+    ),
+    Pattern(
+        'late-kind-floods',
+        accounts=10,
+        account_rates=(1.0,) * 10,
+        flood_kind='compliance-summary',
+        flood_factor=6.0,
+    ),
+    Pattern(
+        'urgent-kind-floods',
+        kinds=URGENT_READ_KINDS,
+        accounts=10,
+        account_rates=(1.0,) * 10,
+        flood_kind='compliance-summary',
+        flood_factor=6.0,
+    ),
+    Pattern(
+        'two-large-accounts',
+        accounts=42,
+        account_rates=(40.0, 40.0, *(1.0,) * 40),
+        burst_factor=4.0,
+    ),
+    Pattern(
+        '140-accounts',
+        kinds=FELDWACHT_KINDS,
+        accounts=140,
+        max_connections=90,
+        opening_ms=12.0,
+        lag_ms=20,
+        slots=2,
+        burst_factor=8.0,
+    ),
+)
+
+
 @dataclasses.dataclass
 class Result:
     """Outcomes of the operations of one kind.
@@ -450,8 +514,9 @@
 class _Replay:
     """One run of a pattern, with the state that the targets share."""
 
-    def __init__(self, pattern: Pattern, seed: int) -> None:
+    def __init__(self, pattern: Pattern, seed: int, fair_shares: bool) -> None:
         self.pattern = pattern
+        self._fair_shares = fair_shares
         self._random = random.Random(seed)
         self._account_random = random.Random(seed)
         self._clock = virtual_time.LoopClock()
@@ -459,9 +524,13 @@
         self.written_position = 0
         self._write_times_ms: list[int] = []
         self.results = {each.name: Result() for each in pattern.kinds}
+        # Of operations that began during the disturbance, by account and kind.
+        self.disturbed: dict[tuple[str, str], Result] = (
+            collections.defaultdict(Result)
+        )
         self.models: list[ModelTarget] = []
         self._accounts = [f'a{number}' for number in range(pattern.accounts)]
-        self._account_weights = [
+        self._account_weights = list(pattern.account_rates) or [
             1 / number for number in range(1, pattern.accounts + 1)
         ]
         self._statement_count = 0
@@ -501,7 +570,7 @@
             self._write_times_ms, self._elapsed_ms() - lag_ms
         )
 
-    async def run(self) -> dict[str, Result]:
+    async def run(self) -> None:
         targets = _TargetRegistry(self.pattern.slots)
         pattern = self.pattern
         service = catalog.Service(
@@ -522,6 +591,7 @@
             targets,  # type: ignore[arg-type]
             lambda: current_catalog,
             metrics.Metrics(),
+            fair_shares=self._fair_shares,
         )
         for number, pool in enumerate(gateway.group.pools_by_id.values()):
             model = ModelTarget(self, number)
@@ -534,10 +604,15 @@
             asyncio.create_task(self._start_operations(gateway, each))
             for each in pattern.kinds
         ]
+        if pattern.flood_factor > 1:
+            arrival_tasks += [
+                asyncio.create_task(self._start_flood(gateway, each))
+                for each in pattern.kinds
+                if pattern.flood_kind in ('', each.name)
+            ]
         await asyncio.gather(*arrival_tasks)
         await asyncio.gather(*self._operation_tasks)
         maintenance.cancel()
-        return self.results
 
     async def _run_maintenance(
         self, gateway: gateway_module.ServiceGateway
@@ -560,32 +635,72 @@
             task = asyncio.create_task(self._run_operation(gateway, kind))
             self._operation_tasks.append(task)
 
-    async def _run_operation(
+    async def _start_flood(
         self, gateway: gateway_module.ServiceGateway, kind: OperationKind
     ) -> None:
-        result = self.results[kind.name]
-        result.operations += 1
-        result.max_credit += kind.credit_in_time
+        """Start the operations that are added during the disturbance."""
+        pattern = self.pattern
+        share = 1.0
+        account = ''
+        if pattern.flood_account >= 0:
+            account = self._accounts[pattern.flood_account]
+            share = self._account_weights[pattern.flood_account] / sum(
+                self._account_weights
+            )
+        rate = kind.rate_per_s * share * (pattern.flood_factor - 1)
+        await self._clock.sleep(pattern.disturbance_start_ms)
+        while True:
+            await asyncio.sleep(self._random.expovariate(rate))
+            if not self.is_disturbed():
+                return
+            self._operation_tasks.append(
+                asyncio.create_task(
+                    self._run_operation(gateway, kind, account)
+                )
+            )
+
+    async def _run_operation(
+        self,
+        gateway: gateway_module.ServiceGateway,
+        kind: OperationKind,
+        account: str = '',
+    ) -> None:
+        if not account:
+            [account] = self._account_random.choices(
+                self._accounts, self._account_weights
+            )
+        results = [self.results[kind.name]]
+        if self.is_disturbed():
+            results.append(self.disturbed[account, kind.name])
+        for result in results:
+            result.operations += 1
+            result.max_credit += kind.credit_in_time
         started_ms = self._elapsed_ms()
         deadline_ms = started_ms + kind.deadline_ms
         is_write = self._random.random() < kind.write_share
         count = 3 if self._random.random() < kind.transaction_share else 1
         work_ms = self._random.lognormvariate(0, 0.7) * kind.work_ms / 1.28
-        [account] = self._account_random.choices(
-            self._accounts, self._account_weights
-        )
         for _ in range(1 + MAX_RETRIES):
             refusal = await self._run_attempt(
-                gateway, kind, account, is_write, count, work_ms, started_ms
+                gateway,
+                kind,
+                account,
+                is_write,
+                count,
+                work_ms,
+                started_ms,
+                results,
             )
             if refusal is None:
                 return
-            result.refused_attempts += 1
+            for result in results:
+                result.refused_attempts += 1
             retry_ms = refusal.retry_after_ms or DEFAULT_RETRY_DELAY_MS
             if self._elapsed_ms() + retry_ms >= deadline_ms:
                 break
             await self._clock.sleep(retry_ms)
-        result.unserved += 1
+        for result in results:
+            result.unserved += 1
 
     def _attempt_statements(
         self, kind: OperationKind, account: str, is_write: bool, count: int
@@ -629,12 +744,12 @@
         count: int,
         work_ms: float,
         started_ms: int,
+        results: list[Result],
     ) -> work_module.Refused | None:
         """Run one attempt and record its outcome.
 
         Returns the refusal, or None if the operation needs no retry.
         """
-        result = self.results[kind.name]
         attempt_started_ms = self._elapsed_ms()
         await self._clock.sleep(CALLER_ROUND_TRIP_MS)
         for work in self._attempt_statements(kind, account, is_write, count):
@@ -645,22 +760,24 @@
             del _WORK_MS_BY_REQUEST_ID[work.request_id]
             if isinstance(outcome, work_module.Answered):
                 continue
-            result.failed_attempts_ms.append(
-                self._elapsed_ms() - attempt_started_ms
-            )
+            failed_ms = self._elapsed_ms() - attempt_started_ms
+            for result in results:
+                result.failed_attempts_ms.append(failed_ms)
             if isinstance(outcome, work_module.Refused):
                 return outcome
-            result.unserved += 1
+            for result in results:
+                result.unserved += 1
             return None
         took_ms = self._elapsed_ms() - started_ms
-        if took_ms <= kind.objective_ms:
-            result.in_time += 1
-            result.credit += kind.credit_in_time
-        elif took_ms <= kind.deadline_ms:
-            result.late += 1
-            result.credit += kind.credit_late
-        else:
-            result.unserved += 1
+        for result in results:
+            if took_ms <= kind.objective_ms:
+                result.in_time += 1
+                result.credit += kind.credit_in_time
+            elif took_ms <= kind.deadline_ms:
+                result.late += 1
+                result.credit += kind.credit_late
+            else:
+                result.unserved += 1
         return None
 
 
@@ -674,37 +791,61 @@
     ]
 
 
-def replay(pattern: Pattern, seed: int) -> dict[str, Result]:
+def replay(
+    pattern: Pattern, seed: int, *, fair_shares: bool = False
+) -> dict[str, Result]:
     """Replay a pattern; returns the outcomes by name of the kind."""
+    return _run(pattern, seed, fair_shares).results
+
+
+def replay_disturbance(
+    pattern: Pattern, seed: int, *, fair_shares: bool
+) -> dict[tuple[str, str], Result]:
+    """Replay a pattern; returns what began during its disturbance.
+
+    The outcomes are by account and name of the kind.
+    """
+    return _run(pattern, seed, fair_shares).disturbed
+
+
+def _run(pattern: Pattern, seed: int, fair_shares: bool) -> _Replay:
     log.silence()
     original_pool_class = pool_module.TargetPool
     pool_module.TargetPool = ModelPool  # type: ignore[misc]
     loop = virtual_time.VirtualLoop()
     try:
-        return loop.run_until_complete(_run_replay(pattern, seed))
+        return loop.run_until_complete(_run_replay(pattern, seed, fair_shares))
     finally:
         pool_module.TargetPool = original_pool_class  # type: ignore[misc]
         loop.close()
 
 
-async def _run_replay(pattern: Pattern, seed: int) -> dict[str, Result]:
-    return await _Replay(pattern, seed).run()
+async def _run_replay(
+    pattern: Pattern, seed: int, fair_shares: bool
+) -> _Replay:
+    started = _Replay(pattern, seed, fair_shares)
+    await started.run()
+    return started
 
 
 def main() -> int:
     """Print a table of the outcomes of all patterns, or of the chosen one."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--pattern', choices=[each.name for each in PATTERNS])
+    patterns = (*PATTERNS, *FAIRNESS_PATTERNS)
+    parser.add_argument('--pattern', choices=[each.name for each in patterns])
+    parser.add_argument('--fair-shares', action='store_true')
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args()
     print(
-        f'{"pattern":<16} {"kind":<19} {"asked":>6} {"in time":>7} '
+        f'{"pattern":<18} {"kind":<19} {"asked":>6} {"in time":>7} '
         f'{"late":>5} {"lost":>5} {"refused":>7} {"held ms":>7} {"worth":>6}'
     )
-    for pattern in PATTERNS:
+    for pattern in patterns:
         if options.pattern not in (None, pattern.name):
             continue
-        results = replay(pattern, options.seed)
+        results = replay(
+            pattern, options.seed, fair_shares=options.fair_shares
+        )
         for name, each in results.items():
             mean_failed_ms = (
                 statistics.mean(each.failed_attempts_ms)
@@ -712,14 +853,14 @@
                 else 0
             )
             print(
-                f'{pattern.name:<16} {name:<19} {each.operations:>6} '
+                f'{pattern.name:<18} {name:<19} {each.operations:>6} '
                 f'{each.in_time:>7} {each.late:>5} {each.unserved:>5} '
                 f'{each.refused_attempts:>7} {mean_failed_ms:>7.0f} '
                 f'{each.credit / each.max_credit:>6.3f}'
             )
         credit = sum(each.credit for each in results.values())
         max_credit = sum(each.max_credit for each in results.values())
-        print(f'{pattern.name:<16} {"all":<19} {credit / max_credit:>57.3f}')
+        print(f'{pattern.name:<18} {"all":<19} {credit / max_credit:>57.3f}')
     return 0
 
 
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -17,6 +17,7 @@
 from samphirestand.gateway import replies
 from samphirestand.gateway import slot_queue
 from samphirestand.gateway import transactions
+from samphirestand import host_options
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand.platform import wire
@@ -88,13 +89,19 @@
         catalog: collections.abc.Callable[[], catalog_module.Catalog],
         metrics: metrics_module.Metrics,
         read_ordered_ids: OrderedIdsReader | None = None,
+        queue_options: host_options.QueueOptions | None = None,
+        *,
+        fair_shares: bool = False,
     ) -> None:
         self.service = service
         self._clock = clock
         self._random = generator
         self._metrics = metrics
+        self._catalog = catalog
         self.group = group_module.TargetGroup(service, clock, targets, catalog)
-        self._queue = slot_queue.SlotQueue(clock, self.group)
+        self._queue = slot_queue.SlotQueue(
+            clock, self.group, queue_options, fair_shares=fair_shares
+        )
         self._transactions = transactions.GatewayTransactions(
             clock, self.group, self._queue
         )
@@ -128,6 +135,11 @@
     def review_waiting(self) -> None:
         """Refuse waiting work that can't be in time; start what can run."""
         self._queue.review_requests()
+        for name, value in (
+            ('queue_waiting', len(self._queue)),
+            ('queue_waiting_bytes', self._queue.waiting_bytes),
+        ):
+            self._metrics.set_gauge(f'{name}_{self.service}', value)
 
     async def roll_back_abandoned(self, entry_host: str, number: int) -> None:
         """Roll back a transaction whose caller has disconnected."""
@@ -389,6 +401,9 @@
             needs_primary,
             asyncio.get_running_loop().create_future(),
         )
+        account = self._catalog().accounts_by_name.get(work.account)
+        if account is not None:
+            slot_request.weight = account.weight
         refusal = self._admission_refusal(slot_request)
         if refusal is not None:
             return refusal
@@ -404,7 +419,9 @@
             slot_request.attempts += 1
             slot_request.last_retry_reason = outcome.reason
             if slot_request.attempts >= MAX_ATTEMPTS:
-                return self._refuse(slot_request, outcome.reason)
+                return self._refuse(
+                    slot_request, outcome.reason, slot_queue.Cause.ATTEMPTS
+                )
             slot_request.future = asyncio.get_running_loop().create_future()
 
     def _admission_refusal(
@@ -412,17 +429,29 @@
     ) -> work_module.Refused | None:
         reachable_pools = self.group.reachable_pools()
         if not reachable_pools:
-            return self._refuse(slot_request, 'no target of the service is up')
+            return self._refuse(
+                slot_request,
+                'no target of the service is up',
+                slot_queue.Cause.NO_TARGET,
+            )
         if slot_request.needs_primary and not self._queue.is_primary_expected(
             slot_request
         ):
             return self._refuse(
-                slot_request, slot_queue.NO_PRIMARY, NO_PRIMARY_RETRY_MS
+                slot_request,
+                slot_queue.NO_PRIMARY,
+                slot_queue.Cause.NO_PRIMARY,
+                NO_PRIMARY_RETRY_MS,
             )
         wait_ms = self._queue.expected_wait_ms(slot_request, reachable_pools)
-        if wait_ms > self._queue.max_wait_ms(slot_request):
+        if wait_ms > self._queue.max_wait_ms(slot_request) and not (
+            self._queue.fair_shares and self._queue.can_start(slot_request)
+        ):
             return self._refuse(
-                slot_request, f'a wait of {wait_ms:.0f} ms', wait_ms
+                slot_request,
+                f'a wait of {wait_ms:.0f} ms',
+                slot_queue.Cause.EXPECTED_WAIT,
+                wait_ms,
             )
         return None
 
@@ -430,6 +459,7 @@
         self,
         slot_request: slot_queue.SlotRequest,
         reason: str,
+        cause: slot_queue.Cause,
         wait_ms: float | None = None,
     ) -> work_module.Refused:
         if wait_ms is None:
@@ -442,12 +472,20 @@
                 self._queue.statement_ms,
             )
         self._metrics.count('gateway_refused')
+        self._metrics.count(f'gateway_refused_{cause}')
         _log.warning(
             'work_refused',
             request=slot_request.work.request_id,
             service=self.service,
             account=slot_request.work.account,
             reason=reason,
+            cause=str(cause),
+            urgency=slot_request.work.priority,
+            share=slot_request.weight,
+            account_waiting=self._queue.account_waiting(
+                slot_request.work.account
+            ),
+            displaced_by=slot_request.displaced_by,
             last=slot_request.last_retry_reason,
             waited_ms=self._clock.now() - slot_request.received_ms,
             waiting=len(self._queue),
@@ -463,7 +501,12 @@
         pool = await self._queue.wait_for_slot(slot_request)
         if isinstance(pool, exceptions.Sentinel):
             waited_ms = self._clock.now() - slot_request.received_ms
-            return self._refuse(slot_request, pool.reason, waited_ms)
+            return self._refuse(
+                slot_request,
+                pool.reason,
+                slot_request.refusal_cause,
+                waited_ms,
+            )
         started_ms = self._clock.now()
         try:
             outcome = await self._run_on_target(entry_host, pool, slot_request)
@@ -707,7 +750,9 @@
         ):
             return Retry(str(error))
         if not is_sent:
-            return self._refuse(slot_request, str(error))
+            return self._refuse(
+                slot_request, str(error), slot_queue.Cause.UNSENT
+            )
         return work_module.Lost(
             str(error),
             timed_out=slot_request.remaining_ms(self._clock.now()) <= 0,
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -14,6 +14,7 @@
 from samphirestand.gateway import gateway as gateway_module
 from samphirestand.gateway import pool as pool_module
 from samphirestand.gateway import succession as succession_module
+from samphirestand import host_options
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand.platform import wire
@@ -98,6 +99,9 @@
         rate_limiter: allowance_module.AccountRateLimiter,
         succession: succession_module.PrimaryFailover | None,
         metrics: metrics_module.Metrics,
+        queue_options: host_options.QueueOptions | None = None,
+        *,
+        fair_shares: bool = False,
     ) -> None:
         self._clock = clock
         self._random = generator
@@ -107,6 +111,8 @@
         self._rate_limiter = rate_limiter
         self._succession = succession
         self._metrics = metrics
+        self._queue_options = queue_options
+        self._fair_shares = fair_shares
         self._gateways_by_service: dict[
             str, gateway_module.ServiceGateway
         ] = {}
@@ -149,6 +155,8 @@
                 self._succession.read_ordered_ids
                 if self._succession is not None
                 else None,
+                self._queue_options,
+                fair_shares=self._fair_shares,
             )
             self._gateways_by_service[service] = found
             self._adopt_observations(found)
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -1,18 +1,24 @@
 """The queue of statements that wait for slots, and their placement."""
 
 import asyncio
+import collections.abc
 import dataclasses
+import enum
+import heapq
+import itertools
 
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
+from samphirestand.gateway import fair_queue
 from samphirestand.gateway import group as group_module
 from samphirestand.gateway import policy
 from samphirestand.gateway import pool as pool_module
+from samphirestand import host_options
 from samphirestand import types
 from samphirestand import work as work_module
 
-__all__ = ['NO_PRIMARY', 'SlotQueue', 'SlotRequest']
+__all__ = ['NO_PRIMARY', 'Cause', 'SlotQueue', 'SlotRequest', 'work_bytes']
 
 NO_PRIMARY = 'the primary is being replaced'
 
@@ -23,6 +29,33 @@
 # Connections that transactions leave free for operations of one statement.
 SINGLE_STATEMENT_CONNECTIONS = 2
 
+# With fair shares, requests that no free target could run are tried again
+# whenever a slot becomes free if there are at most this many, otherwise at
+# this interval. Each is thus looked at once per target and interval, however
+# many statements end meanwhile.
+RECHECK_COUNT = 16
+RECHECK_INTERVAL_MS = 20
+
+
+# Work that only the primary can run is ordered as if this share of its
+# objective were all: reads that replicas may run too would otherwise take the
+# primary's slots from it. The rest is what keeps such reads from starving
+# there while the replicas are behind.
+PRIMARY_KEY_SHARE = 0.5
+
+
+class Cause(enum.StrEnum):
+    """Why work is refused; part of the names of counters."""
+
+    ATTEMPTS = 'attempts'
+    DISPLACED = 'displaced'
+    EXPECTED_WAIT = 'expected_wait'
+    NO_PRIMARY = 'no_primary'
+    NO_SLOT = 'no_slot'
+    NO_TARGET = 'no_target'
+    QUEUE_FULL = 'queue_full'
+    UNSENT = 'unsent'
+
 
 @dataclasses.dataclass(eq=False)
 class SlotRequest:
@@ -36,7 +69,11 @@
     attempts: int = 0
     avoided_target_ids: set[str] = dataclasses.field(default_factory=set)
     last_retry_reason: str = ''
+    weight: int = 1  # of its account
+    urgency: int | None = None  # None until it is known
     refusal_reason: str = 'no slot in time'  # if the wait is cancelled
+    refusal_cause: Cause = Cause.NO_SLOT
+    displaced_by: str = ''  # the id of the request that came instead
     is_primary_only: bool = False  # whether only the primary can run it
     is_on_primary: bool = False  # whether the chosen target is the primary
     minimum_position: types.Position | None = (
@@ -51,32 +88,52 @@
         """Return the time in ms until the time limit."""
         return self.deadline_ms - now
 
-    def sort_key(self, now: int) -> tuple[bool, bool, int]:
-        """Return the key that orders the queue, the lowest first.
-
-        Open transactions come first, then work whose objective has not
-        passed.
-        """
-        key = policy.sort_key(
-            self.received_ms, self.work.objective_ms, self.work.priority
-        )
-        is_late = now - self.received_ms > self.work.objective_ms
-        return self.pinned_pool is None, is_late, key
-
 
 class SlotQueue:
-    """Assigns free slots to waiting statements, the most urgent first."""
+    """Assigns free slots to waiting statements, the most urgent first.
+
+    Open transactions come first, since they occupy connections, and work
+    whose objective has passed comes last. With ``fair_shares``, accounts get
+    slots in proportion to their weights, and the work that goes last is
+    refused as soon as not all can be served in time. Otherwise the order is
+    that of ``policy.sort_key``, and newcomers are refused.
+    """
 
     def __init__(
-        self, clock: clock_module.Clock, group: group_module.TargetGroup
+        self,
+        clock: clock_module.Clock,
+        group: group_module.TargetGroup,
+        options: host_options.QueueOptions | None = None,
+        *,
+        fair_shares: bool = False,
     ) -> None:
         self._clock = clock
         self._group = group
-        self._waiting_requests: list[SlotRequest] = []
+        self._options = options or host_options.DEFAULTS.queue
+        self.fair_shares = fair_shares
+        self._entries: dict[SlotRequest, fair_queue.Entry] = {}
+        self._sequence = itertools.count()
+        # The first queue that has something to run on a target goes first.
+        self._pinned = fair_queue.FairQueue()
+        self._late_pinned = fair_queue.FairQueue()
+        self._in_time = fair_queue.FairQueue()
+        self._late = fair_queue.FairQueue()
+        # What only the primary can run, and the rest without transactions.
+        self._primary_backlog = fair_queue.Backlog()
+        self._backlog = fair_queue.Backlog()
+        self._balance = fair_queue.UrgencyBalance()
+        self._objective_ends: list[tuple[int, int, fair_queue.Entry]] = []
+        self._placed_for: tuple[str, tuple[str, ...]] = ('', ())
+        self._rechecked_ms = clock.now()
+        self.waiting_bytes = 0
         self.statement_ms = pool_module.INITIAL_STATEMENT_MS
 
     def __len__(self) -> int:
-        return len(self._waiting_requests)
+        return len(self._entries)
+
+    @property
+    def _queues(self) -> tuple[fair_queue.FairQueue, ...]:
+        return self._pinned, self._late_pinned, self._in_time, self._late
 
     async def wait_for_slot(
         self, slot_request: SlotRequest
@@ -85,12 +142,14 @@
 
         Returns a sentinel with the reason if it times out or is refused.
         """
-        self._waiting_requests.append(slot_request)
+        self.enqueue(slot_request)
         self.assign_slots()
+        if slot_request in self._entries:
+            self._limit_waiting(slot_request)
         waited_ms = self._clock.now() - slot_request.received_ms
         remaining_ms = self.max_wait_ms(slot_request) - waited_ms
         timer = asyncio.get_running_loop().call_later(
-            max(0.0, remaining_ms / 1000), slot_request.future.cancel
+            max(0.0, remaining_ms / 1000), self._end_wait, slot_request
         )
         try:
             return await slot_request.future
@@ -100,63 +159,328 @@
             raise
         finally:
             timer.cancel()
-            if slot_request in self._waiting_requests:
-                self._waiting_requests.remove(slot_request)
+            if slot_request in self._entries:
+                self._remove(slot_request)
+
+    def enqueue(self, slot_request: SlotRequest) -> None:
+        """Add a request; ``assign_slots`` gives it a slot."""
+        work = slot_request.work
+        is_fair = self.fair_shares and slot_request.pinned_pool is None
+        objective_end_ms = slot_request.received_ms + work.objective_ms
+        entry = fair_queue.Entry(
+            slot_request,
+            account=work.account if is_fair else '',
+            weight=slot_request.weight if is_fair else 1,
+            urgency=self._urgency(slot_request) if is_fair else 0,
+            key=self._key(slot_request),
+            sequence=next(self._sequence),
+            resources=self._resources(slot_request),
+            size=work_bytes(work),
+        )
+        self._entries[slot_request] = entry
+        self.waiting_bytes += entry.size
+        heapq.heappush(
+            self._objective_ends, (objective_end_ms, entry.sequence, entry)
+        )
+        if slot_request.pinned_pool is not None:
+            self._pinned.push(entry)
+            return
+        self._in_time.push(entry)
+        self._backlog_of(slot_request).add(entry)
+
+    def _key(self, slot_request: SlotRequest) -> int:
+        """Return the key that orders requests of one urgency.
+
+        With fair shares, work that only the primary can run goes earlier by
+        a part of its objective: the other work has the replicas, too.
+        """
+        work = slot_request.work
+        if not self.fair_shares:
+            return policy.sort_key(
+                slot_request.received_ms, work.objective_ms, work.priority
+            )
+        share = PRIMARY_KEY_SHARE if slot_request.needs_primary else 1
+        return slot_request.received_ms + int(share * work.objective_ms)
+
+    def _urgency(self, slot_request: SlotRequest) -> int:
+        """Return the class with which a request waits, 0 the most urgent."""
+        if slot_request.urgency is None:
+            slot_request.urgency = self._balance.record_arrival(
+                slot_request.work.account,
+                fair_queue.clamp_urgency(slot_request.work.priority),
+                slot_request.needs_primary,
+            )
+        return slot_request.urgency
+
+    def _remove(self, slot_request: SlotRequest) -> None:
+        entry = self._entries.pop(slot_request)
+        assert entry.queue is not None
+        entry.queue.remove(entry)
+        self._forget(entry)
+
+    def _forget(self, entry: fair_queue.Entry) -> None:
+        self.waiting_bytes -= entry.size
+        if entry.item.pinned_pool is None:
+            self._backlog_of(entry.item).remove(entry)
+        # Heaps may hold the entry until its objective ends.
+        entry.item = None
+
+    def _backlog_of(self, slot_request: SlotRequest) -> fair_queue.Backlog:
+        is_primary_only = slot_request.is_primary_only or (
+            self.fair_shares and slot_request.needs_primary
+        )
+        return self._primary_backlog if is_primary_only else self._backlog
+
+    def _resources(self, slot_request: SlotRequest) -> frozenset[str]:
+        """Return the ids of the targets that may run a request, by its kind.
+
+        What may change while it waits is asked when a slot is free.
+        """
+        if slot_request.pinned_pool is not None:
+            return frozenset((slot_request.pinned_pool.target.target_id,))
+        primary_id, target_ids = self._placed_for
+        if slot_request.needs_primary:
+            return frozenset((primary_id,) if primary_id else ())
+        return frozenset(
+            each
+            for each in target_ids
+            if each == primary_id
+            or each not in slot_request.avoided_target_ids
+        )
+
+    def _end_wait(self, slot_request: SlotRequest) -> None:
+        """End a wait that has lasted as long as it may."""
+        if slot_request in self._entries:
+            self._refuse(slot_request)
+
+    def _refuse(self, slot_request: SlotRequest) -> None:
+        """Refuse a waiting request unless a target can run it now."""
+        if slot_request.future.done():
+            return
+        if self.fair_shares:
+            pool = self._choose_target(slot_request, self._free_pools())
+            if pool is not None:
+                self._start(self._entries[slot_request], pool)
+                return
+        self._remove(slot_request)
+        slot_request.future.cancel()
+
+    def _limit_waiting(self, newcomer: SlotRequest) -> None:
+        """Refuse what goes last if it can't be in time behind the others.
+
+        For overload that lasts: callers learn at once that they should retry.
+        """
+        if self.fair_shares and newcomer.pinned_pool is None:
+            backlog = self._backlog_of(newcomer)
+            while (last := backlog.last()) is not None:
+                slot_request = last[1].item
+                waited_ms = self._clock.now() - slot_request.received_ms
+                wait_ms = self._backlog_wait_ms(backlog)
+                if wait_ms + waited_ms <= self.max_wait_ms(slot_request):
+                    break
+                slot_request.refusal_reason = f'a wait of {wait_ms:.0f} ms'
+                self._displace(slot_request, newcomer, Cause.DISPLACED)
+        while (
+            len(self) > self._options.max_waiting
+            or self.waiting_bytes > self._options.max_waiting_bytes
+        ):
+            lasts = [
+                each
+                for each in (
+                    self._backlog.last(),
+                    self._primary_backlog.last(),
+                )
+                if each is not None
+            ]
+            if self.fair_shares and lasts:
+                slot_request = min(lasts, key=lambda each: each[0])[1].item
+            elif newcomer in self._entries and newcomer.pinned_pool is None:
+                slot_request = newcomer
+            else:
+                # Transactions are bounded by their connections.
+                return
+            slot_request.refusal_reason = 'too much work is waiting'
+            self._displace(slot_request, newcomer, Cause.QUEUE_FULL)
+
+    def _displace(
+        self, slot_request: SlotRequest, newcomer: SlotRequest, cause: Cause
+    ) -> None:
+        slot_request.refusal_cause = cause
+        if slot_request is not newcomer:
+            slot_request.displaced_by = newcomer.work.request_id
+        self._refuse(slot_request)
+
+    def _backlog_wait_ms(self, backlog: fair_queue.Backlog) -> float:
+        """Return the expected wait in ms of a backlog's last request."""
+        primary = self._group.primary
+        pools = self._group.pools_by_id.values()
+        if backlog is self._primary_backlog and primary is not None:
+            return policy.expected_wait_ms(
+                len(backlog) - 1, primary.target.slots, primary.statement_ms
+            )
+        pinned_count = len(self._pinned) + len(self._late_pinned)
+        all_count = len(self) - 1
+        all_ms = policy.expected_wait_ms(
+            all_count,
+            sum(each.target.slots for each in pools),
+            self.statement_ms,
+        )
+        # Replicas needn't wait for what only the primary can run.
+        replica_ms = policy.expected_wait_ms(
+            all_count - len(self._primary_backlog),
+            sum(each.target.slots for each in pools if each is not primary),
+            self.statement_ms,
+        )
+        return min(all_ms, replica_ms) if pinned_count < all_count else all_ms
+
+    def account_waiting(self, account: str) -> int:
+        """Return how many requests of an account wait, if that is counted."""
+        return self._backlog.account_count(account) + (
+            self._primary_backlog.account_count(account)
+        )
 
     def release_slot(self, pool: pool_module.TargetPool) -> None:
         pool.running_count -= 1
         self.assign_slots()
 
+    def _free_pools(self) -> list[pool_module.TargetPool]:
+        return [
+            each
+            for each in self._group.pools_by_id.values()
+            if self._has_slot(each)
+        ]
+
     def assign_slots(self) -> None:
         """Assign free slots to waiting statements, the most urgent first.
 
         Called whenever a slot becomes free. Under overload most of the
-        waiting statements need a target that is full, so these are left out
-        before anything else is asked of them.
+        waiting statements need a target that is full, so only those are
+        looked at that may run on a target with a slot.
         """
-        if not self._waiting_requests:
+        if not self._entries:
             return
-        free_pools = [
-            each
-            for each in self._group.pools_by_id.values()
-            if self._has_slot(each)
-        ]
+        free_pools = self._free_pools()
         if not free_pools:
             return
         now = self._clock.now()
-        for slot_request in sorted(
-            [
-                each
-                for each in self._waiting_requests
-                if self._may_use_any(each, free_pools)
-            ],
-            key=lambda each: each.sort_key(now),
-        ):
-            if slot_request.future.done():
+        self._place_for_targets()
+        self._move_late(now)
+        self._recheck_blocked(now)
+        for queue in self._queues:
+            if queue:
+                free_pools = self._assign_from(queue, free_pools)
+
+    def _place_for_targets(self) -> None:
+        """Let requests wait for the targets that the group has now."""
+        primary = self._group.primary
+        placed_for = (
+            primary.target.target_id if primary is not None else '',
+            tuple(self._group.pools_by_id),
+        )
+        if placed_for == self._placed_for:
+            return
+        self._placed_for = placed_for
+        for slot_request, entry in self._entries.items():
+            queue = entry.queue
+            assert queue is not None
+            queue.remove(entry)
+            entry.resources = self._resources(slot_request)
+            queue.push(entry)
+
+    def _move_late(self, now: int) -> None:
+        """Put requests whose objective has passed behind the others."""
+        while self._objective_ends and self._objective_ends[0][0] < now:
+            _, _, entry = heapq.heappop(self._objective_ends)
+            if entry.queue is None:
                 continue
-            pool = self._choose_target(slot_request, free_pools)
-            if pool is None:
+            is_pinned = entry.queue is self._pinned
+            entry.queue.remove(entry)
+            if is_pinned:
+                self._late_pinned.push(entry)
                 continue
-            pool.running_count += 1
-            self._waiting_requests.remove(slot_request)
-            slot_request.future.set_result(pool)
-            if not self._has_slot(pool):
-                free_pools.remove(pool)
-                if not free_pools:
-                    return
-
-    def _may_use_any(
+            backlog = self._backlog_of(entry.item)
+            backlog.remove(entry)
+            entry.is_late = True
+            backlog.add(entry)
+            self._late.push(entry)
+
+    def _recheck_blocked(self, now: int) -> None:
+        blocked_count = sum(each.blocked_count for each in self._queues)
+        if (
+            self.fair_shares
+            and blocked_count > RECHECK_COUNT
+            and now - self._rechecked_ms < RECHECK_INTERVAL_MS
+        ):
+            return
+        self._rechecked_ms = now
+        if blocked_count:
+            for each in self._queues:
+                each.unblock()
+
+    def _assign_from(
         self,
-        slot_request: SlotRequest,
+        queue: fair_queue.FairQueue,
         free_pools: list[pool_module.TargetPool],
+    ) -> list[pool_module.TargetPool]:
+        """Assign slots to requests of one queue; return what is left free.
+
+        A request that no free target can run now is set aside for these
+        targets, so that it delays none of those behind it.
+        """
+        while free_pools:
+            entries = [
+                entry
+                for pool in free_pools
+                if self._is_usable(pool, queue)
+                and (entry := queue.best(pool.target.target_id)) is not None
+            ]
+            if not entries:
+                break
+            entry = min(entries, key=lambda each: each.rank)
+            pool = self._choose_target(entry.item, free_pools)
+            if pool is None:
+                queue.block(
+                    entry,
+                    frozenset(each.target.target_id for each in free_pools),
+                )
+                continue
+            self._start(entry, pool)
+            free_pools = [each for each in free_pools if self._has_slot(each)]
+        return free_pools
+
+    def _is_usable(
+        self, pool: pool_module.TargetPool, queue: fair_queue.FairQueue
     ) -> bool:
-        """Tell whether a request may run on one of the pools, by its kind."""
-        if slot_request.pinned_pool is not None:
-            return slot_request.pinned_pool in free_pools
-        return not slot_request.needs_primary or (
-            self._group.primary in free_pools
+        """Tell whether a target with a slot can run anything of a queue.
+
+        Asked once for all requests, unlike ``_is_eligible``. The connections
+        of a target are shared by all accounts.
+        """
+        if queue in (self._pinned, self._late_pinned):
+            return True
+        return (
+            not pool.is_down
+            and self._clock.now() >= pool.avoid_until_ms
+            and pool.can_provide_connection('')
         )
 
+    def _start(
+        self, entry: fair_queue.Entry, pool: pool_module.TargetPool
+    ) -> None:
+        slot_request = entry.item
+        assert entry.queue is not None
+        pool.running_count += 1
+        entry.queue.take(entry, pool.target.target_id)
+        del self._entries[slot_request]
+        self._forget(entry)
+        if slot_request.urgency is not None and not slot_request.attempts:
+            self._balance.record_served(
+                slot_request.work.account,
+                fair_queue.clamp_urgency(slot_request.work.priority),
+                slot_request.needs_primary,
+            )
+        slot_request.future.set_result(pool)
+
     def _choose_target(
         self,
         slot_request: SlotRequest,
@@ -272,7 +596,7 @@
             each.pinned_pool is None
             and each.needs_primary
             and not self.may_use_primary(each)
-            for each in self._waiting_requests
+            for each in self._entries
         )
 
     def minimum_position(
@@ -303,13 +627,7 @@
         reachable_pools: list[pool_module.TargetPool],
     ) -> float:
         """Return the expected wait in ms behind more urgent requests."""
-        now = self._clock.now()
-        own_key = slot_request.sort_key(now)
-        earlier_requests = [
-            each
-            for each in self._waiting_requests
-            if each.sort_key(now) < own_key
-        ]
+        self._move_late(self._clock.now())
         suitable_pools = [
             each
             for each in reachable_pools
@@ -320,19 +638,62 @@
             slots = sum(
                 each.target.slots for each in suitable_pools or reachable_pools
             )
+            ahead = self._count_ahead(
+                slot_request,
+                (self._backlog, self._primary_backlog),
+                suitable_pools or reachable_pools,
+            )
+            pinned_count = len(self._pinned) + len(self._late_pinned)
             return policy.expected_wait_ms(
-                len(earlier_requests), slots, self.statement_ms
+                pinned_count + ahead, slots, self.statement_ms
             )
         # Only requests that the primary alone can run delay this one: the
         # replicas may take the rest.
         slot_request.is_primary_only = True
-        primary_only_count = sum(
-            each.is_primary_only for each in earlier_requests
+        ahead = self._count_ahead(
+            slot_request, (self._primary_backlog,), [primary]
         )
         return policy.expected_wait_ms(
-            primary_only_count, primary.target.slots, primary.statement_ms
+            ahead, primary.target.slots, primary.statement_ms
+        )
+
+    def _count_ahead(
+        self,
+        slot_request: SlotRequest,
+        backlogs: collections.abc.Iterable[fair_queue.Backlog],
+        pools: list[pool_module.TargetPool],
+    ) -> int:
+        """Return how many requests of backlogs go before a new one.
+
+        That is what precedes it by urgency and objective. With fair shares,
+        an account also waits for no more than everyone's share while its own
+        earlier requests are served.
+        """
+        work = slot_request.work
+        key = self._key(slot_request)
+        if not self.fair_shares:
+            return sum(each.ahead(0, key) for each in backlogs)
+        urgency = self._urgency(slot_request)
+        ahead = own_ahead = 0
+        for each in backlogs:
+            ahead += each.ahead(urgency, key)
+            own_ahead += each.own_ahead(work.account, urgency)
+        total_weight = max(
+            self._in_time.total_weight(each.target.target_id) for each in pools
+        )
+        return min(
+            ahead,
+            int(
+                fair_queue.share_bound(
+                    own_ahead, slot_request.weight, total_weight
+                )
+            ),
         )
 
+    def can_start(self, slot_request: SlotRequest) -> bool:
+        """Tell whether a target has a slot for a request now."""
+        return bool(self._choose_target(slot_request, self._free_pools()))
+
     def max_wait_ms(self, slot_request: SlotRequest) -> float:
         """Return the longest total wait in ms of a request."""
         work = slot_request.work
@@ -373,12 +734,16 @@
         retry, instead of at their deadline. Slots are assigned since a target
         that was avoided for a while may be eligible again.
         """
-        for slot_request in self._waiting_requests:
-            if slot_request.needs_primary and not self.is_primary_expected(
-                slot_request
-            ):
-                slot_request.refusal_reason = NO_PRIMARY
-                slot_request.future.cancel()
+        primary = self._group.primary
+        if primary is None or primary.is_down:
+            for slot_request in list(self._entries):
+                if slot_request.needs_primary and not (
+                    self.is_primary_expected(slot_request)
+                ):
+                    slot_request.refusal_reason = NO_PRIMARY
+                    slot_request.refusal_cause = Cause.NO_PRIMARY
+                    self._remove(slot_request)
+                    slot_request.future.cancel()
         for pool in self._group.pools_by_id.values():
             pool.decay_estimates(self.statement_ms)
         self.assign_slots()
@@ -391,3 +756,16 @@
             took_ms - self.statement_ms
         )
         pool.record_statement_served(took_ms)
+
+
+def work_bytes(work: work_module.Work) -> int:
+    """Return how many bytes the texts of a statement have."""
+    return sum(
+        len(each) if each.isascii() else len(each.encode())
+        for each in (
+            work.text,
+            work.begin_text,
+            work.arguments,
+            *itertools.chain.from_iterable(work.values),
+        )
+    )
--- a/samphirestand/host_options.py
+++ b/samphirestand/host_options.py
@@ -32,7 +32,17 @@
 
 
 class QueueOptions(_Group):
-    """How statements wait for targets."""
+    """How statements wait for targets.
+
+    ``fair_shares`` says whether accounts share the slots by their weights;
+    None means where the platform's settings say that accounts compete. At
+    most ``max_waiting`` statements of ``max_waiting_bytes`` in all wait for
+    one service on a host: ordinary callers have one each.
+    """
+
+    fair_shares: bool | None = None
+    max_waiting: int = pydantic.Field(default=8_192, ge=1)
+    max_waiting_bytes: int = pydantic.Field(default=16 * 2**20, ge=2**20)
 
 
 class TargetOptions(_Group):
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -107,6 +107,8 @@
             self.rate_limiter,
             succession,
             self.metrics,
+            settings.options.queue,
+            fair_shares=settings.fair_shares,
         )
         self.peer_service = service_module.PeerService(
             self.members, self.gateways, self.rate_limiter, self.catalog
--- a/samphirestand/node_settings.py
+++ b/samphirestand/node_settings.py
@@ -70,3 +70,11 @@
     capacity: Capacity = Capacity()
     bounds: Bounds = Bounds()
     options: host_options.HostOptions = host_options.DEFAULTS
+
+    @property
+    def fair_shares(self) -> bool:
+        """Tell whether accounts share the slots of targets by weight."""
+        configured = self.options.queue.fair_shares
+        if configured is None:
+            return self.bounds.accounts_compete
+        return configured
--- a/tests/gateway/test_slot_queue.py
+++ b/tests/gateway/test_slot_queue.py
@@ -77,9 +77,8 @@
         group = FakeGroup(clock, 3)
         queue = slot_queue.SlotQueue(clock, group)
         group.primary.running_count = 2
-        queue._waiting_requests = [
-            create_request(clock, needs_primary=True) for _ in range(WAITING)
-        ]
+        for _ in range(WAITING):
+            queue.enqueue(create_request(clock, needs_primary=True))
         reviewed = []
         queue._can_run = lambda *arguments: reviewed.append(arguments)
         queue.assign_slots()
@@ -98,7 +97,8 @@
         earlier = create_request(clock, needs_primary=True)
         clock.set(clock.now() + 5)
         later = [create_request(clock, needs_primary=True) for _ in range(3)]
-        queue._waiting_requests = [*later, earlier]
+        for each in (*later, earlier):
+            queue.enqueue(each)
         queue.assign_slots()
         return earlier, later, queue, group
 
