gateway: Plan the retries of refused callers; bound those of a gateway

Cause: refused callers came back after a random 40 to 400 ms, whatever waited, and a statement was tried up to six times under any load. Change: new module retries.py. With fair shares, a caller is told to come back when what goes before it has drained, in a period in which returns are at most a tenth of what ends, before the route's time limit; otherwise it gets no time. Internal retries are at most a tenth of the statements of five seconds and ten at least, while other work waits.

--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -10,11 +10,13 @@
 from samphirestand import exceptions
 from samphirestand.fleet import watch
 from samphirestand.gateway import connection as connection_module
+from samphirestand.gateway import fair_queue
 from samphirestand.gateway import group as group_module
 from samphirestand.gateway import leadership as leadership_module
 from samphirestand.gateway import policy
 from samphirestand.gateway import pool as pool_module
 from samphirestand.gateway import replies
+from samphirestand.gateway import retries
 from samphirestand.gateway import slot_queue
 from samphirestand.gateway import transactions
 from samphirestand import host_options
@@ -102,6 +104,8 @@
         self._queue = slot_queue.SlotQueue(
             clock, self.group, queue_options, fair_shares=fair_shares
         )
+        self._retry_budget = retries.RetryBudget(clock.now())
+        self._retry_schedule = retries.RetrySchedule(clock.now())
         self._transactions = transactions.GatewayTransactions(
             clock, self.group, self._queue
         )
@@ -404,6 +408,7 @@
         account = self._catalog().accounts_by_name.get(work.account)
         if account is not None:
             slot_request.weight = account.weight
+        self._retry_budget.record_statement(now)
         refusal = self._admission_refusal(slot_request)
         if refusal is not None:
             return refusal
@@ -418,12 +423,26 @@
                 return outcome
             slot_request.attempts += 1
             slot_request.last_retry_reason = outcome.reason
-            if slot_request.attempts >= MAX_ATTEMPTS:
+            if slot_request.attempts >= MAX_ATTEMPTS or not (
+                self._may_retry()
+            ):
                 return self._refuse(
                     slot_request, outcome.reason, slot_queue.Cause.ATTEMPTS
                 )
             slot_request.future = asyncio.get_running_loop().create_future()
 
+    def _may_retry(self) -> bool:
+        """Tell whether another attempt may be added to the load.
+
+        Where nothing waits, an attempt delays no other work.
+        """
+        if not self._queue.fair_shares or not self._queue:
+            return True
+        if self._retry_budget.take(self._clock.now()):
+            return True
+        self._metrics.count('retry_budget_exhausted')
+        return False
+
     def _admission_refusal(
         self, slot_request: slot_queue.SlotRequest
     ) -> work_module.Refused | None:
@@ -492,9 +511,44 @@
             attempts=slot_request.attempts,
             primary=self.group.primary_id,
         )
-        retry_ms = policy.retry_after_ms(wait_ms, self._random.random())
+        retry_ms = self._retry_after_ms(slot_request, cause, wait_ms)
         return work_module.Refused('BUSY', reason, retry_ms)
 
+    def _retry_after_ms(
+        self,
+        slot_request: slot_queue.SlotRequest,
+        cause: slot_queue.Cause,
+        wait_ms: float,
+    ) -> int:
+        """Return when a refused caller should retry; 0 if it should not.
+
+        The deadline of the operation isn't known here. What is left of the
+        route's time limit stands for it, since that isn't longer.
+        """
+        fraction = self._random.random()
+        if not self._queue.fair_shares or cause in (
+            slot_queue.Cause.NO_PRIMARY,
+            slot_queue.Cause.NO_TARGET,
+        ):
+            # Not overload: everything waits for the same moment.
+            return policy.retry_after_ms(wait_ms, fraction)
+        now = self._clock.now()
+        retry_ms = self._retry_schedule.plan(
+            now,
+            fair_queue.clamp_urgency(slot_request.work.priority),
+            self._retry_schedule.drain_ms(
+                now, self._queue.count_ahead(slot_request), wait_ms
+            ),
+            slot_request.remaining_ms(now) - self._queue.statement_ms,
+            fraction,
+        )
+        self._metrics.count(
+            'gateway_refused_with_time'
+            if retry_ms
+            else 'gateway_refused_finally'
+        )
+        return retry_ms
+
     async def _attempt_on_target(
         self, entry_host: str, slot_request: slot_queue.SlotRequest
     ) -> work_module.Outcome | Retry:
@@ -513,6 +567,7 @@
         finally:
             self._queue.release_slot(pool)
         if isinstance(outcome, work_module.Answered):
+            self._retry_schedule.record_served(self._clock.now())
             took_ms = self._clock.now() - started_ms
             self._queue.record_statement_time(pool, took_ms)
         elif isinstance(outcome, work_module.Failed):
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -679,7 +679,11 @@
             ahead += each.ahead(urgency, key)
             own_ahead += each.own_ahead(work.account, urgency)
         total_weight = max(
-            self._in_time.total_weight(each.target.target_id) for each in pools
+            (
+                self._in_time.total_weight(each.target.target_id)
+                for each in pools
+            ),
+            default=0,
         )
         return min(
             ahead,
@@ -690,6 +694,14 @@
             ),
         )
 
+    def count_ahead(self, slot_request: SlotRequest) -> int:
+        """Return how many waiting requests go before a refused one."""
+        return self._count_ahead(
+            slot_request,
+            (self._backlog, self._primary_backlog),
+            list(self._group.pools_by_id.values()),
+        )
+
     def can_start(self, slot_request: SlotRequest) -> bool:
         """Tell whether a target has a slot for a request now."""
         return bool(self._choose_target(slot_request, self._free_pools()))
