--- a/bench/replay.py
+++ b/bench/replay.py
@@ -37,6 +37,7 @@
     'Result',
     'replay',
     'replay_disturbance',
+    'replay_metrics',
 ]
 
 SERVICE = 'svc'
@@ -517,6 +518,7 @@
     def __init__(self, pattern: Pattern, seed: int, fair_shares: bool) -> None:
         self.pattern = pattern
         self._fair_shares = fair_shares
+        self.metrics = metrics.Metrics()
         self._random = random.Random(seed)
         self._account_random = random.Random(seed)
         self._clock = virtual_time.LoopClock()
@@ -590,7 +592,7 @@
             self._random,
             targets,  # type: ignore[arg-type]
             lambda: current_catalog,
-            metrics.Metrics(),
+            self.metrics,
             fair_shares=self._fair_shares,
         )
         for number, pool in enumerate(gateway.group.pools_by_id.values()):
@@ -808,6 +810,11 @@
     return _run(pattern, seed, fair_shares).disturbed
 
 
+def replay_metrics(pattern: Pattern, seed: int) -> dict[str, Any]:
+    """Replay a pattern with fair shares; returns the gateway's metrics."""
+    return _run(pattern, seed, fair_shares=True).metrics.snapshot()
+
+
 def _run(pattern: Pattern, seed: int, fair_shares: bool) -> _Replay:
     log.silence()
     original_pool_class = pool_module.TargetPool
--- a/tests/gateway/test_fair_shares.py
+++ b/tests/gateway/test_fair_shares.py
@@ -229,3 +229,21 @@
         assert queue.account_waiting('') == 3
 
     run_full(scenario)
+
+
+def test_refusals_are_counted_by_cause():
+    """Fails if operators can't tell who was refused, and why."""
+    snapshot = replay_module.replay_metrics(
+        PATTERNS_BY_NAME['account-floods'], 1
+    )
+    counters = snapshot['counters']
+    causes = {each: f'gateway_refused_{each}' for each in slot_queue.Cause}
+    assert counters[causes[slot_queue.Cause.DISPLACED]] > 0
+    assert counters['gateway_refused'] == sum(
+        counters.get(each, 0) for each in causes.values()
+    )
+    # The overload is over: nothing waits.
+    assert snapshot['gauges'] == {
+        'queue_waiting_svc': 0,
+        'queue_waiting_bytes_svc': 0,
+    }
--- a/tests/test_host_options.py
+++ b/tests/test_host_options.py
@@ -6,6 +6,7 @@
 
 from samphirestand import exceptions
 from samphirestand import host_options
+from samphirestand import node_settings
 
 DEPLOY_FILE = pathlib.Path(__file__).parents[1] / 'deploy' / 'host.yaml'
 
@@ -31,3 +32,32 @@
     path.write_text(text)
     with pytest.raises(exceptions.SettingsError, match='host.yaml'):
         host_options.load(path)
+
+
+@pytest.mark.parametrize(
+    ('option', 'competes', 'expected'),
+    [
+        ('null', False, False),
+        ('null', True, True),
+        ('true', False, True),
+        ('false', True, False),
+    ],
+)
+def test_fair_shares_follow_the_option_then_the_settings(
+    tmp_path, option, competes, expected
+):
+    """Fails if the order of work changes where nobody asked for it."""
+    path = tmp_path / 'host.yaml'
+    path.write_text(f'queue: {{fair_shares: {option}}}')
+    endpoint = node_settings.Endpoint('127.0.0.1', 1)
+    settings = node_settings.NodeSettings(
+        'h',
+        'z',
+        *[endpoint] * 5,
+        promotions=None,
+        grace_ms=1,
+        rate_slack=0,
+        bounds=node_settings.Bounds(accounts_compete=competes),
+        options=host_options.load(path),
+    )
+    assert settings.fair_shares is expected
