slot queue: Skip waits that were cancelled a moment ago

Cause: a cancelled wait stays in the queue until its task has run; giving it a slot raised InvalidStateError, and refusing it went on without an end. Change: such a wait is removed. The new test failed before and passes now. Adds a test that counts how often work that can't run is looked at.

--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -256,6 +256,7 @@
     def _refuse(self, slot_request: SlotRequest) -> None:
         """Refuse a waiting request unless a target can run it now."""
         if slot_request.future.done():
+            self._remove(slot_request)
             return
         if self.fair_shares:
             pool = self._choose_target(slot_request, self._free_pools())
@@ -437,6 +438,10 @@
             if not entries:
                 break
             entry = min(entries, key=lambda each: each.rank)
+            if entry.item.future.done():
+                # Cancelled a moment ago; its task hasn't run since.
+                self._remove(entry.item)
+                continue
             pool = self._choose_target(entry.item, free_pools)
             if pool is None:
                 queue.block(
--- a/tests/gateway/test_fair_shares.py
+++ b/tests/gateway/test_fair_shares.py
@@ -247,3 +247,50 @@
         'queue_waiting_svc': 0,
         'queue_waiting_bytes_svc': 0,
     }
+
+
+def test_cancelled_wait_neither_gets_a_slot_nor_stops_the_queue():
+    """Fails if a wait that was cancelled a moment ago breaks the queue."""
+
+    async def scenario(clock, group, queue, add):
+        cancelled = [create_request(clock) for _ in range(20)]
+        for each in cancelled:
+            queue.enqueue(each)
+            each.future.cancel()
+        waiting = create_request(clock)
+        group.primary.running_count -= 1
+        queue.enqueue(waiting)
+        queue.assign_slots()
+        assert waiting.future.result() is group.primary
+        for _ in range(100):
+            queue.enqueue(each := create_request(clock))
+            each.future.cancel()
+        await add(create_request(clock, objective_ms=10))
+        assert len(queue) < 100
+
+    run_full(scenario)
+
+
+def test_requests_that_cannot_run_cost_one_look_for_each_interval():
+    """Fails if each event has all waiting work asked whether it can run."""
+
+    async def scenario(clock, group, queue, add):
+        # The evidence for the primary is older than the work.
+        clock.set(clock.now() + 1_000)
+        for _ in range(1_000):
+            queue.enqueue(create_request(clock, objective_ms=60_000))
+        group.primary.running_count = 0
+        examined = []
+        can_run = queue._can_run
+        queue._can_run = lambda *arguments: (
+            examined.append(1),
+            can_run(*arguments),
+        )[1]
+        for _ in range(200):
+            queue.assign_slots()
+        assert len(examined) == 1_000
+        clock.set(clock.now() + slot_queue.RECHECK_INTERVAL_MS)
+        queue.assign_slots()
+        assert len(examined) == 2_000
+
+    run_full(scenario)
