--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -11,14 +11,17 @@
 from samphirestand.fleet import watch
 from samphirestand.gateway import connection as connection_module
 from samphirestand.gateway import evacuation
+from samphirestand.gateway import fair_queue
 from samphirestand.gateway import group as group_module
 from samphirestand.gateway import leadership as leadership_module
 from samphirestand.gateway import policy
 from samphirestand.gateway import pool as pool_module
 from samphirestand.gateway import replies
+from samphirestand.gateway import retries
 from samphirestand.gateway import slot_queue
 from samphirestand.gateway import transactions
 from samphirestand.gateway import warmup
+from samphirestand import host_options
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand.platform import wire
@@ -100,15 +103,23 @@
         read_sole_primary: SolePrimaryReader = lambda: (),
         zones: evacuation.ZoneView | None = None,
         cold_rules: warmup.ColdRules | None = None,
+        queue_options: host_options.QueueOptions | None = None,
+        *,
+        fair_shares: bool = False,
     ) -> None:
         self.service = service
         self._clock = clock
         self._random = generator
         self._metrics = metrics
+        self._catalog = catalog
         self.group = group_module.TargetGroup(
             service, clock, targets, catalog, zones, cold_rules
         )
-        self._queue = slot_queue.SlotQueue(clock, self.group)
+        self._queue = slot_queue.SlotQueue(
+            clock, self.group, queue_options, fair_shares=fair_shares
+        )
+        self._retry_budget = retries.RetryBudget(clock.now())
+        self._retry_schedule = retries.RetrySchedule(clock.now())
         self._transactions = transactions.GatewayTransactions(
             clock, self.group, self._queue
         )
@@ -178,6 +189,11 @@
     def review_waiting(self) -> None:
         """Refuse waiting work that can't be in time; start what can run."""
         self._queue.review_requests()
+        for name, value in (
+            ('queue_waiting', len(self._queue)),
+            ('queue_waiting_bytes', self._queue.waiting_bytes),
+        ):
+            self._metrics.set_gauge(f'{name}_{self.service}', value)
 
     async def roll_back_abandoned(self, entry_host: str, number: int) -> None:
         """Roll back a transaction whose caller has disconnected."""
@@ -467,6 +483,10 @@
             needs_primary,
             asyncio.get_running_loop().create_future(),
         )
+        account = self._catalog().accounts_by_name.get(work.account)
+        if account is not None:
+            slot_request.weight = account.weight
+        self._retry_budget.record_statement(now)
         refusal = self._admission_refusal(slot_request)
         if refusal is not None:
             return refusal
@@ -481,10 +501,26 @@
                 return outcome
             slot_request.attempts += 1
             slot_request.last_retry_reason = outcome.reason
-            if slot_request.attempts >= MAX_ATTEMPTS:
-                return self._refuse(slot_request, outcome.reason)
+            if slot_request.attempts >= MAX_ATTEMPTS or not (
+                self._may_retry()
+            ):
+                return self._refuse(
+                    slot_request, outcome.reason, slot_queue.Cause.ATTEMPTS
+                )
             slot_request.future = asyncio.get_running_loop().create_future()
 
+    def _may_retry(self) -> bool:
+        """Tell whether another attempt may be added to the load.
+
+        Where nothing waits, an attempt delays no other work.
+        """
+        if not self._queue.fair_shares or not self._queue:
+            return True
+        if self._retry_budget.take(self._clock.now()):
+            return True
+        self._metrics.count('retry_budget_exhausted')
+        return False
+
     def _admission_refusal(
         self, slot_request: slot_queue.SlotRequest
     ) -> work_module.Refused | None:
@@ -495,21 +531,38 @@
         ):
             zone_reason = None
         if zone_reason is not None:
-            return self._refuse(slot_request, zone_reason, NO_PRIMARY_RETRY_MS)
+            return self._refuse(
+                slot_request,
+                zone_reason,
+                slot_queue.Cause.EVACUATED,
+                NO_PRIMARY_RETRY_MS,
+            )
         if all(each.is_down for each in self.group.pools_by_id.values()) or (
             not reachable_pools and not slot_request.needs_primary
         ):
-            return self._refuse(slot_request, 'no target of the service is up')
+            return self._refuse(
+                slot_request,
+                'no target of the service is up',
+                slot_queue.Cause.NO_TARGET,
+            )
         if slot_request.needs_primary and not self._queue.is_primary_expected(
             slot_request
         ):
             return self._refuse(
-                slot_request, slot_queue.NO_PRIMARY, NO_PRIMARY_RETRY_MS
+                slot_request,
+                slot_queue.NO_PRIMARY,
+                slot_queue.Cause.NO_PRIMARY,
+                NO_PRIMARY_RETRY_MS,
             )
         wait_ms = self._queue.expected_wait_ms(slot_request, reachable_pools)
-        if wait_ms > self._queue.max_wait_ms(slot_request):
+        if wait_ms > self._queue.max_wait_ms(slot_request) and not (
+            self._queue.fair_shares and self._queue.can_start(slot_request)
+        ):
             return self._refuse(
-                slot_request, f'a wait of {wait_ms:.0f} ms', wait_ms
+                slot_request,
+                f'a wait of {wait_ms:.0f} ms',
+                slot_queue.Cause.EXPECTED_WAIT,
+                wait_ms,
             )
         return None
 
@@ -517,6 +570,7 @@
         self,
         slot_request: slot_queue.SlotRequest,
         reason: str,
+        cause: slot_queue.Cause,
         wait_ms: float | None = None,
     ) -> work_module.Refused:
         if wait_ms is None:
@@ -529,34 +583,83 @@
                 self._queue.statement_ms,
             )
         self._metrics.count('gateway_refused')
+        self._metrics.count(f'gateway_refused_{cause}')
         _log.warning(
             'work_refused',
             request=slot_request.work.request_id,
             service=self.service,
             account=slot_request.work.account,
             reason=reason,
+            cause=str(cause),
+            urgency=slot_request.work.priority,
+            share=slot_request.weight,
+            account_waiting=self._queue.account_waiting(
+                slot_request.work.account
+            ),
+            displaced_by=slot_request.displaced_by,
             last=slot_request.last_retry_reason,
             waited_ms=self._clock.now() - slot_request.received_ms,
             waiting=len(self._queue),
             attempts=slot_request.attempts,
             primary=self.group.primary_id,
         )
-        retry_ms = policy.retry_after_ms(wait_ms, self._random.random())
+        retry_ms = self._retry_after_ms(slot_request, cause, wait_ms)
         return work_module.Refused('BUSY', reason, retry_ms)
 
+    def _retry_after_ms(
+        self,
+        slot_request: slot_queue.SlotRequest,
+        cause: slot_queue.Cause,
+        wait_ms: float,
+    ) -> int:
+        """Return when a refused caller should retry; 0 if it should not.
+
+        The deadline of the operation isn't known here. What is left of the
+        route's time limit stands for it, since that isn't longer.
+        """
+        fraction = self._random.random()
+        if not self._queue.fair_shares or cause in (
+            slot_queue.Cause.NO_PRIMARY,
+            slot_queue.Cause.NO_TARGET,
+        ):
+            # Not overload: everything waits for the same moment.
+            return policy.retry_after_ms(wait_ms, fraction)
+        now = self._clock.now()
+        retry_ms = self._retry_schedule.plan(
+            now,
+            fair_queue.clamp_urgency(slot_request.work.priority),
+            self._retry_schedule.drain_ms(
+                now, self._queue.count_ahead(slot_request), wait_ms
+            ),
+            slot_request.remaining_ms(now) - self._queue.statement_ms,
+            fraction,
+        )
+        self._metrics.count(
+            'gateway_refused_with_time'
+            if retry_ms
+            else 'gateway_refused_finally'
+        )
+        return retry_ms
+
     async def _attempt_on_target(
         self, entry_host: str, slot_request: slot_queue.SlotRequest
     ) -> work_module.Outcome | Retry:
         pool = await self._queue.wait_for_slot(slot_request)
         if isinstance(pool, exceptions.Sentinel):
             waited_ms = self._clock.now() - slot_request.received_ms
-            return self._refuse(slot_request, pool.reason, waited_ms)
+            return self._refuse(
+                slot_request,
+                pool.reason,
+                slot_request.refusal_cause,
+                waited_ms,
+            )
         started_ms = self._clock.now()
         try:
             outcome = await self._run_on_target(entry_host, pool, slot_request)
         finally:
             self._queue.release_slot(pool)
         if isinstance(outcome, work_module.Answered):
+            self._retry_schedule.record_served(self._clock.now())
             took_ms = self._clock.now() - started_ms
             self._queue.record_statement_time(pool, took_ms)
         elif isinstance(outcome, work_module.Failed):
@@ -797,7 +900,9 @@
         ):
             return Retry(str(error))
         if not is_sent:
-            return self._refuse(slot_request, str(error))
+            return self._refuse(
+                slot_request, str(error), slot_queue.Cause.UNSENT
+            )
         return work_module.Lost(
             str(error),
             timed_out=slot_request.remaining_ms(self._clock.now()) <= 0,
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -16,6 +16,7 @@
 from samphirestand.gateway import pool as pool_module
 from samphirestand.gateway import succession as succession_module
 from samphirestand.gateway import warmup
+from samphirestand import host_options
 from samphirestand import log
 from samphirestand import metrics as metrics_module
 from samphirestand.platform import wire
@@ -102,6 +103,9 @@
         metrics: metrics_module.Metrics,
         zones: evacuation.ZoneView | None = None,
         cold_rules: warmup.ColdRules | None = None,
+        queue_options: host_options.QueueOptions | None = None,
+        *,
+        fair_shares: bool = False,
     ) -> None:
         self._clock = clock
         self._random = generator
@@ -113,6 +117,8 @@
         self._metrics = metrics
         self._zones = zones or evacuation.ZoneView()
         self._cold_rules = cold_rules
+        self._queue_options = queue_options
+        self._fair_shares = fair_shares
         self._gateways_by_service: dict[
             str, gateway_module.ServiceGateway
         ] = {}
@@ -158,6 +164,8 @@
                 lambda: self._members.sole_primary_evidence(service),
                 self._zones,
                 self._cold_rules,
+                self._queue_options,
+                fair_shares=self._fair_shares,
             )
             self._gateways_by_service[service] = found
             self._adopt_observations(found)
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -141,6 +141,8 @@
             warmup.ColdRules(
                 settings.bounds.cold_excess, settings.bounds.cold_slack
             ),
+            settings.options.queue,
+            fair_shares=settings.fair_shares,
         )
         self.peer_service = service_module.PeerService(
             self.members,
