fleet: Count frames and bytes by kind and store answers by table

In a burst of control traffic it couldn't be told which frames or tables made it. Every connection between hosts counts its frames by kind and direction, the store client its answers by table.

--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -13,6 +13,7 @@
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.fleet import frames
+from samphirestand.fleet import traffic
 from samphirestand import log
 from samphirestand import sockets
 from samphirestand import types
@@ -56,8 +57,13 @@
 class FrameConnection(asyncio.Protocol):
     """A connection to another host that carries frames."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        counters: traffic.FrameCounters | None = None,
+    ) -> None:
         self._handler = handler
+        self._counters = counters
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self.closed = asyncio.Event()
@@ -78,6 +84,9 @@
         try:
             for body in frames.extract_bodies(self._buffer):
                 frame = frames.decode(body)
+                if self._counters is not None:
+                    size = frames.LENGTH_PREFIX_BYTES + len(body)
+                    self._counters.count_received(frame, size)
                 if isinstance(frame, frames.Hello):
                     self.hello = frame
                 self._handler.handle_frame(self, frame)
@@ -96,7 +105,10 @@
         """
         if self.is_closed or self._transport is None:
             return
-        self._transport.write(frames.encode(frame))
+        data = frames.encode(frame)
+        self._transport.write(data)
+        if self._counters is not None:
+            self._counters.count_sent(frame, len(data))
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
 
@@ -109,14 +121,21 @@
 class Listener:
     """Accepts connections that other hosts open."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        counters: traffic.FrameCounters | None = None,
+    ) -> None:
         self._handler = handler
+        self._counters = counters
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str, port: int) -> None:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: FrameConnection(self._handler), address, port
+            lambda: FrameConnection(self._handler, self._counters),
+            address,
+            port,
         )
 
     def close(self) -> None:
@@ -133,8 +152,10 @@
         hello: frames.Hello,
         clock: clock_module.Clock,
         on_change: collections.abc.Callable[[], None],
+        counters: traffic.FrameCounters | None = None,
     ) -> None:
         self.peer = peer
+        self._counters = counters
         self._local_hello = hello
         self._clock = clock
         self._on_change = on_change
@@ -231,7 +252,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 _, connection = await loop.create_connection(
-                    lambda: FrameConnection(self),
+                    lambda: FrameConnection(self, self._counters),
                     self.peer.address,
                     self.peer.port,
                 )
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -19,6 +19,7 @@
 from samphirestand.fleet import job_hosts
 from samphirestand.fleet import links
 from samphirestand.fleet import ping_schedule
+from samphirestand.fleet import traffic
 from samphirestand.hosts import rendezvous
 from samphirestand import log
 from samphirestand import node_settings
@@ -159,8 +160,10 @@
         clock: clock_module.Clock,
         store: store_module.Store,
         on_change: collections.abc.Callable[[], None],
+        counters: traffic.FrameCounters | None = None,
     ) -> None:
         self.local = local
+        self._counters = counters
         self.is_draining = False
         self._store_failed_until_ms = 0
         self._clock = clock
@@ -551,7 +554,11 @@
 
     def _add_link(self, hello: frames.Hello) -> None:
         link = links.Link(
-            hello, self.local, self._clock, self._handle_link_change
+            hello,
+            self.local,
+            self._clock,
+            self._handle_link_change,
+            self._counters,
         )
         self._links_by_id[hello.host_id] = link
         self._tasks_by_id[hello.host_id] = asyncio.create_task(link.run())
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -21,6 +21,7 @@
 from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import service as service_module
+from samphirestand.fleet import traffic
 from samphirestand.fleet import watch
 from samphirestand.gateway import gateways as gateways_module
 from samphirestand.gateway import succession as succession_module
@@ -63,13 +64,14 @@
         self._background = background.Background()
         self._http_servers: list[httpserver.HTTPServer] = []
         self.metrics = metrics_module.Metrics()
-        self.store = store_module.Store(settings.store)
+        self.store = store_module.Store(settings.store, self.metrics)
         self.catalog = watch.CatalogWatch(
             self.store, self._clock, lambda catalog: self._on_configuration()
         )
         self.targets = watch.TargetWatch(
             self.store, self._clock, self._refresh_gateways
         )
+        counters = traffic.FrameCounters(self.metrics)
         own_hello = frames.Hello(
             settings.host_id,
             settings.zone,
@@ -79,7 +81,11 @@
             settings.capacity,
         )
         self.members = members_module.Members(
-            own_hello, self._clock, self.store, self._refresh_gateways
+            own_hello,
+            self._clock,
+            self.store,
+            self._refresh_gateways,
+            counters,
         )
         self._exchange = catalog_exchange.CatalogExchange(
             self._clock, self._random, self.members, self.catalog
@@ -112,7 +118,7 @@
             self.members, self.gateways, self.rate_limiter, self.catalog
         )
         self.gateways.on_claims = self.peer_service.announce
-        self.peers = links.Listener(self.peer_service)
+        self.peers = links.Listener(self.peer_service, counters)
         context = session_module.Context(
             self._clock,
             lambda: self.catalog.current,
--- a/samphirestand/platform/store.py
+++ b/samphirestand/platform/store.py
@@ -14,6 +14,7 @@
 
 from samphirestand import exceptions
 from samphirestand import log
+from samphirestand import metrics as metrics_module
 from samphirestand import node_settings
 
 __all__ = ['Conflict', 'Row', 'Store', 'TableRows']
@@ -82,7 +83,12 @@
 class Store:
     """Client of the store: reads, change feeds and conditional writes."""
 
-    def __init__(self, endpoint: node_settings.Endpoint) -> None:
+    def __init__(
+        self,
+        endpoint: node_settings.Endpoint,
+        metrics: metrics_module.Metrics | None = None,
+    ) -> None:
+        self._metrics = metrics
         self._url = f'http://{endpoint}'
         self._client = httpclient.AsyncHTTPClient(
             force_instance=True, max_clients=16
@@ -159,7 +165,7 @@
             'Puts': [{**entry, 'Value': base64.b64encode(value).decode()}],
             'Deletes': [],
         }
-        return await self._post_transaction(body)
+        return await self._post_transaction(table, body)
 
     async def delete(
         self, table: str, key: str, expected_version: int
@@ -174,12 +180,15 @@
             'Puts': [],
             'Deletes': [entry],
         }
-        return await self._post_transaction(body)
+        return await self._post_transaction(table, body)
 
-    async def _post_transaction(self, body: dict[str, Any]) -> int | Conflict:
+    async def _post_transaction(
+        self, table: str, body: dict[str, Any]
+    ) -> int | Conflict:
         response = await self._fetch(
             'rows-tx', REQUEST_TIMEOUT_MS, json.dumps(body)
         )
+        self._count_answer(table, response)
         answer = _parse_answer(response.body)
         if response.code == 412:
             return Conflict(tuple(_decode_rows(answer.rows)))
@@ -193,12 +202,22 @@
     ) -> _RowsModel:
         path = f'{call}?{urllib.parse.urlencode(query)}'
         response = await self._fetch(path, timeout_ms, None)
+        self._count_answer(query['Table'], response)
         if response.code == 410:
             raise _ChangesForgotten(
                 'the store no longer keeps these changes', step=_ERROR_STEP
             )
         return _parse_answer(response.body)
 
+    def _count_answer(
+        self, table: str, response: httpclient.HTTPResponse
+    ) -> None:
+        if self._metrics is not None:
+            self._metrics.count(f'store_answers_{table}')
+            self._metrics.count(
+                f'store_bytes_received_{table}', len(response.body)
+            )
+
     async def _fetch(
         self, path: str, timeout_ms: int, body: str | None
     ) -> httpclient.HTTPResponse:
