fleet: Compress the configuration between hosts and spread its transfer

All hosts of a zone fetched a new configuration of 80 kB from the same job host in the same round of pings. Hosts now choose a job host by a hash of their own id, at a random moment within 350 ms, skip job hosts that didn't answer, and get it compressed.

--- a/samphirestand/fleet/catalog_exchange.py
+++ b/samphirestand/fleet/catalog_exchange.py
@@ -9,6 +9,7 @@
 from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import watch
+from samphirestand.hosts import rendezvous
 from samphirestand import log
 
 __all__ = ['CatalogExchange']
@@ -17,6 +18,12 @@
 # that lacks the version for longer than this requests it from another host.
 PULL_AFTER_MS = 200
 
+# Hosts of a zone learn of a newer version at the same moment. A random delay
+# up to the spread keeps those of a large fleet from fetching all at once.
+# Together with the delay above it stays below the one after which other zones
+# are asked.
+PULL_SPREAD_MS = 350
+
 # Until this long after a newer version was seen it is requested only from a
 # host of this zone, which normally gets it meanwhile. A configuration is
 # large, and traffic between zones is expensive.
@@ -54,6 +61,9 @@
         self._fetch_task: asyncio.Task[None] | None = None
         self._reviewed_version = 0
         self._push_due_ms = 0
+        self._pull_delay_ms = PULL_AFTER_MS
+        # The hosts that didn't answer since this host fell behind.
+        self._failed_host_ids: set[str] = set()
 
     def compare_versions(self, link: links.Link) -> None:
         """Fetch the configuration from a host, or send it, if versions differ.
@@ -87,7 +97,11 @@
     def _pull_from(self, link: links.Link, now: int) -> None:
         if self._behind_since_ms is None:
             self._behind_since_ms = now
-        if now - self._behind_since_ms < PULL_AFTER_MS:
+            self._failed_host_ids.clear()
+            self._pull_delay_ms = PULL_AFTER_MS + self._random.randrange(
+                PULL_SPREAD_MS
+            )
+        if now - self._behind_since_ms < self._pull_delay_ms:
             return
         if self._fetch_task is not None and not self._fetch_task.done():
             return
@@ -95,7 +109,15 @@
         # key that was withdrawn before.
         newest_link = max(
             [link, *self._members.up_links()],
-            key=lambda each: (each.catalog_version, self._is_in_zone(each)),
+            key=lambda each: (
+                each.catalog_version,
+                each.peer.host_id not in self._failed_host_ids,
+                self._is_in_zone(each),
+                # Each host prefers another one.
+                rendezvous.score(
+                    each.peer.host_id, self._members.local.host_id
+                ),
+            ),
         )
         if (
             self._is_in_zone(newest_link)
@@ -129,6 +151,7 @@
             case frames.Snapshot() if answer.catalog:
                 self._catalog.adopt_if_newer(answer.catalog, link.peer.host_id)
             case exceptions.Sentinel():
+                self._failed_host_ids.add(link.peer.host_id)
                 _log.info(
                     'configuration_not_fetched',
                     peer=link.peer.host_id,
--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -90,6 +90,7 @@
   observations @5 :List(Observation);
   isCatalogConfirmed @6 :Bool;
   catalogAgeMs @7 :UInt32;  # no newer version was published before that
+  readsDeflated @8 :Bool;  # the sender reads compressed snapshots
 }
 
 struct Observation {
@@ -119,6 +120,7 @@
   call @0 :UInt64;
   catalogVersion @1 :UInt64;
   catalog @2 :Data;  # the bytes of the configuration's row in the store
+  isDeflated @3 :Bool;  # sent only to hosts that read it
 }
 
 struct Claim {
@@ -138,6 +140,7 @@
 
 struct Call {
   call @0 :UInt64;
+  readsDeflated @1 :Bool;  # the answer may be a compressed snapshot
 }
 
 struct Frame {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -8,6 +8,7 @@
 
 from samphirestand import catalog
 from samphirestand import exceptions
+from samphirestand.fleet import deflation
 from samphirestand import node_settings
 from samphirestand import types
 from samphirestand import work as work_module
@@ -122,6 +123,7 @@
     fleet_digest: int = 0  # of the job hosts; 0 if the sender tells none
     observations: tuple[Observation, ...] = ()  # of the sender's gateways
     catalog_age_ms: int | None = None
+    reads_deflated: bool = True  # hosts of earlier releases don't
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,6 +153,7 @@
     """Asks a host for the operators' configuration that it holds."""
 
     call_id: int
+    reads_deflated: bool = True  # hosts of earlier releases don't
 
 
 @dataclasses.dataclass(frozen=True)
@@ -199,8 +202,11 @@
 )
 
 
-def encode(frame: Frame) -> bytes:
-    """Encode a frame, preceded by its length."""
+def encode(frame: Frame, reads_deflated: bool = False) -> bytes:
+    """Encode a frame, preceded by its length.
+
+    ``reads_deflated`` tells whether the receiver reads compressed snapshots.
+    """
     message = _schema.Frame.new_message()
     match frame:
         case WorkFrame():
@@ -235,6 +241,7 @@
             if frame.catalog_age_ms is not None:
                 builder.isCatalogConfirmed = True
                 builder.catalogAgeMs = min(frame.catalog_age_ms, UINT32_MAX)
+            builder.readsDeflated = frame.reads_deflated
         case TokenRequest():
             builder = message.init('tokenRequest')
             builder.call = frame.call_id
@@ -246,12 +253,19 @@
             builder.call = frame.call_id
             builder.amount = frame.millitokens
         case SnapshotRequest():
-            message.init('snapshotRequest').call = frame.call_id
+            builder = message.init('snapshotRequest')
+            builder.call = frame.call_id
+            builder.readsDeflated = frame.reads_deflated
         case Snapshot():
             builder = message.init('snapshot')
             builder.call = frame.call_id
             builder.catalogVersion = frame.catalog_version
-            builder.catalog = frame.catalog
+            builder.catalog = (
+                deflation.deflate(frame.catalog)
+                if reads_deflated
+                else frame.catalog
+            )
+            builder.isDeflated = reads_deflated
         case Abandon():
             message.init('abandon').call = frame.transaction
         case Claims():
@@ -344,6 +358,7 @@
                     if (position := _decode_position(each.position))
                 ),
                 reader.catalogAgeMs if reader.isCatalogConfirmed else None,
+                reader.readsDeflated,
             )
         case 'tokenRequest':
             reader = message.tokenRequest
@@ -355,11 +370,15 @@
                 message.tokenAnswer.call, message.tokenAnswer.amount
             )
         case 'snapshotRequest':
-            return SnapshotRequest(message.snapshotRequest.call)
+            reader = message.snapshotRequest
+            return SnapshotRequest(reader.call, reader.readsDeflated)
         case 'snapshot':
             reader = message.snapshot
+            raw = bytes(reader.catalog)
             return Snapshot(
-                reader.call, reader.catalogVersion, bytes(reader.catalog)
+                reader.call,
+                reader.catalogVersion,
+                deflation.inflate(raw) if reader.isDeflated else raw,
             )
         case 'abandon':
             return Abandon(message.abandon.call)
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -67,6 +67,9 @@
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self.closed = asyncio.Event()
+        # Whether the peer reads compressed snapshots; hosts of earlier
+        # releases don't say so.
+        self._peer_reads_deflated = False
         # Sent by the peer if it opened the connection.
         self.hello: frames.Hello | None = None
 
@@ -87,8 +90,11 @@
                 if self._counters is not None:
                     size = frames.LENGTH_PREFIX_BYTES + len(body)
                     self._counters.count_received(frame, size)
-                if isinstance(frame, frames.Hello):
-                    self.hello = frame
+                match frame:
+                    case frames.Hello():
+                        self.hello = frame
+                    case frames.SnapshotRequest() | frames.Pong():
+                        self._peer_reads_deflated = frame.reads_deflated
                 self._handler.handle_frame(self, frame)
         except exceptions.HostError as error:
             _log.warning('peer_frame_rejected', reason=str(error))
@@ -105,7 +111,7 @@
         """
         if self.is_closed or self._transport is None:
             return
-        data = frames.encode(frame)
+        data = frames.encode(frame, self._peer_reads_deflated)
         self._transport.write(data)
         if self._counters is not None:
             self._counters.count_sent(frame, len(data))
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -86,9 +86,11 @@
                     )
                 )
             case frames.Snapshot():
-                self._catalog.adopt_if_newer(
-                    frame.catalog, _owner_id(connection)
-                )
+                # Many hosts may send the same version.
+                if frame.catalog_version > self._catalog.current.version:
+                    self._catalog.adopt_if_newer(
+                        frame.catalog, _owner_id(connection)
+                    )
             case frames.Hello():
                 self._inbound_connections.add(connection)
                 connection.send(self._gateways.claims)
