fleet: Let hosts of a new fleet ask those that started before them

In a new fleet each host read the rows that existed when its own was written, half of the table on average, and again after a difference. It now dials the hosts whose rows it finds first and asks them for the directory. A host that has joined without a row of its own takes the directory of a host that knows more for 5 s, even if that ends its jobs; others leave jobs by rows only.

--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -81,6 +81,11 @@
 MIN_NO_ANSWER_MS = 300
 MAX_NO_ANSWER_MS = 60_000
 
+# In a new fleet each host knows only those that started before it. For this
+# long it takes the directory of a host that knows more, even if that ends its
+# jobs: the rows of a few hundred hosts are written within it.
+JOINING_MS = 5_000
+
 # Another host answers a request for the directory within this time.
 DIRECTORY_TIMEOUT_MS = 500
 
@@ -216,6 +221,8 @@
         self._expiry_ms_by_id: dict[str, int] = {}
         # When the store first answered; None before.
         self._first_read_ms: int | None = None
+        # Set when this host has joined the fleet without a row of its own.
+        self._joining_until_ms = 0
         self._last_read_ms = clock.now()
         self._last_link_up_ms = clock.now()
         # When the zones that are cut off were last computed, and the result.
@@ -813,8 +820,12 @@
             knows_enough = is_restart or self._does_no_job(feed.rows)
             if knows_enough:
                 await self._adopt_rows(feed)
+            else:
+                # Those that have started before know more when it is written.
+                self.add_hosts(_hellos_from_rows(feed.rows))
             await write
             if not knows_enough:
+                self._joining_until_ms = self._clock.now() + JOINING_MS
                 await self._read_fleet()
         finally:
             write.cancel()
@@ -826,11 +837,8 @@
         self, rows: collections.abc.Iterable[store_module.Row]
     ) -> bool:
         """Tell whether this host does no job if these rows are the fleet."""
-        hosts = {self.local.host_id: self.local}
-        for row in rows:
-            model = _decode_row(row)
-            if model is not None:
-                hosts.setdefault(row.key, _hello_from_row(row.key, model))
+        hosts = {each.host_id: each for each in _hellos_from_rows(rows)}
+        hosts[self.local.host_id] = self.local
         return self.local.host_id not in job_hosts.choose_job_hosts(
             hosts.values()
         )
@@ -879,7 +887,7 @@
     async def _read_fleet(self) -> None:
         """Read what this host needs to know of the others."""
         if (
-            (self.knows_fleet and self.is_job_host)
+            (self.is_job_host and not self._is_joining)
             or self._difference_reads > MAX_DIRECTORY_READS
             or self._no_answer_reads > 1
         ):
@@ -889,22 +897,34 @@
             return
         if await self._request_directory():
             return
-        if not await self._read_directory():
+        if (
+            self.knows_fleet and self.is_job_host
+        ) or not await self._read_directory():
             await self._read_rows()
 
+    @property
+    def _is_joining(self) -> bool:
+        """Tell whether this host may do jobs only because it knows few hosts.
+
+        Later on, and after a restart, it leaves jobs only by the rows of all
+        hosts.
+        """
+        return (
+            not self.knows_fleet or self._clock.now() < self._joining_until_ms
+        )
+
     async def _request_directory(self) -> bool:
         """Get the directory from a host that chooses other job hosts.
 
         Its row in the store is written only after those of hosts that start at
         the same time. Returns whether it was adopted.
         """
-        if not self.knows_fleet:
-            return False
+        own_digest = self.fleet_digest if self.knows_fleet else 0
         differing_links = [
             each
             for each in self.up_links()
             if each.answers_directory
-            and each.fleet_digest not in (0, self.fleet_digest)
+            and each.fleet_digest not in (0, own_digest)
             and each.peer.host_id in self._job_host_ids
         ]
         if not differing_links:
@@ -935,6 +955,8 @@
                 reason=found.reason,
             )
             return False
+        if self.is_job_host and found.size.host_count <= self.host_count:
+            return False
         return self._adopt_directory(found)
 
     @property
@@ -1203,6 +1225,16 @@
         return None
 
 
+def _hellos_from_rows(
+    rows: collections.abc.Iterable[store_module.Row],
+) -> list[frames.Hello]:
+    return [
+        _hello_from_row(row.key, model)
+        for row in rows
+        if (model := _decode_row(row)) is not None
+    ]
+
+
 def _hello_from_row(host_id: str, model: _RowModel) -> frames.Hello:
     return frames.Hello(
         host_id,
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -10,6 +10,7 @@
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.fleet import directory
+from samphirestand.fleet import frames
 from samphirestand.fleet import job_hosts
 from samphirestand.fleet import members as members_module
 from samphirestand.platform import store as store_module
@@ -302,3 +303,31 @@
             scenario(host_count)
     else:
         scenario(host_count)
+
+
+@pytest.mark.parametrize('is_joining', [True, False])
+def test_job_host_keeps_its_jobs_unless_it_joins(is_joining):
+    """Fails if a host with partial knowledge ends the jobs of another."""
+
+    async def scenario():
+        hosts, found = fleet_of(80)
+        local = hosts[-1]
+        members = create_members(FakeStore(hosts[:3] + [local]), local)
+        await members._read_rows()
+        assert members.is_job_host
+        link = unittest.mock.AsyncMock(
+            peer=hosts[0],
+            is_up=True,
+            fleet_digest=job_hosts.digest(job_hosts.choose_job_hosts(hosts)),
+            answers_directory=True,
+        )
+        link.request.return_value = frames.Directory(
+            1, directory.encode(found)
+        )
+        members._links_by_id = {hosts[0].host_id: link}
+        if is_joining:
+            members._joining_until_ms = members._clock.now() + 1
+        await members._read_fleet()
+        assert members.is_job_host != is_joining
+
+    asyncio.run(scenario())
