fleet: Refuse frames that expand and lists that are too long

A packed frame of 60 kB could unpack to 60 MB, and a list was decoded whatever its length. A frame may unpack to 16 MiB, four times the longest frame; lists with an entry per account, service or target have at most 16,384 entries, checked by the length in the frame.

--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -45,6 +45,15 @@
 # a configuration is smaller.
 MAX_FRAME_BYTES = 4_194_304
 
+# A packed frame may expand to a multiple of its length. Text doesn't shrink,
+# so that a legal frame stays below this; a longer one isn't unpacked.
+MAX_UNPACKED_BYTES = 4 * MAX_FRAME_BYTES
+WORD_BYTES = 8
+
+# The most entries of a list that has one for each account, service or target
+# of the fleet: three times the services of the largest fleet.
+MAX_LIST_ENTRIES = 16_384
+
 UINT32_MAX = 2**32 - 1
 
 
@@ -350,13 +359,30 @@
 def decode(body: bytes) -> Frame:
     """Decode a frame's body; raises ``HostError`` if it is malformed."""
     try:
-        return _decode_message(_schema.Frame.from_bytes_packed(body))
+        message = _schema.Frame.from_bytes_packed(
+            body, traversal_limit_in_words=MAX_UNPACKED_BYTES // WORD_BYTES
+        )
+        return _decode_message(message)
     except (capnp.KjException, ValueError, KeyError) as error:
+        # The library adds a stack trace in further lines.
+        reason = str(error).partition('\n')[0]
         raise exceptions.HostError(
-            f'malformed frame: {error}', step='read frame'
+            f'malformed frame: {reason}', step='read frame'
         ) from error
 
 
+def _bounded(entries: Any) -> Any:
+    """Return a list; raise ``HostError`` before one that is too long is read.
+
+    Its length is a field of the frame, so that no entry is decoded.
+    """
+    if len(entries) > MAX_LIST_ENTRIES:
+        raise exceptions.HostError(
+            f'list of {len(entries)} entries is too long', step='read frame'
+        )
+    return entries
+
+
 def _decode_message(message: Any) -> Frame:
     match str(message.which()):
         case 'work':
@@ -366,7 +392,8 @@
         case 'ping':
             reader = message.ping
             deposits = tuple(
-                Deposit(each.account, each.amount) for each in reader.deposits
+                Deposit(each.account, each.amount)
+                for each in _bounded(reader.deposits)
             )
             return Ping(
                 reader.sequence,
@@ -384,7 +411,7 @@
                 reader.fleetDigest,
                 tuple(
                     Observation(each.service, position, each.ageMs)
-                    for each in reader.observations
+                    for each in _bounded(reader.observations)
                     if (position := _decode_position(each.position))
                 ),
                 reader.catalogAgeMs if reader.isCatalogConfirmed else None,
@@ -421,10 +448,10 @@
         case 'claims':
             reader = message.claims
             return Claims(
-                {each.service: each.zone for each in reader.claims},
+                {each.service: each.zone for each in _bounded(reader.claims)},
                 frozenset(
                     catalog.TargetStart(each.targetId, each.startedMs)
-                    for each in reader.settledDepartures
+                    for each in _bounded(reader.settledDepartures)
                 ),
             )
         case 'hello':
@@ -492,7 +519,9 @@
         read_only=reader.readOnly,
         commits=reader.commits,
         wrote_before=reader.wroteBefore,
-        values=tuple((each.name, each.value) for each in reader.values),
+        values=tuple(
+            (each.name, each.value) for each in _bounded(reader.values)
+        ),
         mode=types.Mode(reader.mode) if reader.mode else None,
         shape=reader.shape,
         arguments=reader.arguments,
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -65,6 +65,7 @@
         self._handler = handler
         self._counters = counters
         self._buffer = bytearray()
+        self._is_rejected = False
         self._transport: asyncio.Transport | None = None
         self.closed = asyncio.Event()
         # Whether the peer reads compressed snapshots; hosts of earlier
@@ -83,6 +84,8 @@
         sockets.set_timeouts(transport.get_extra_info('socket'))
 
     def data_received(self, data: bytes) -> None:
+        if self._is_rejected:
+            return
         self._buffer += data
         try:
             for body in frames.extract_bodies(self._buffer):
@@ -97,10 +100,22 @@
                         self._peer_reads_deflated = frame.reads_deflated
                 self._handler.handle_frame(self, frame)
         except exceptions.HostError as error:
-            _log.warning('peer_frame_rejected', reason=str(error))
-            self.abort()
+            self._reject(str(error))
+
+    def _reject(self, reason: str) -> None:
+        """Disconnect a peer that sent an illegal frame, and log that."""
+        self._is_rejected = True
+        size = len(self._buffer)
+        self._buffer.clear()
+        if self._counters is None:
+            _log.warning('peer_frame_rejected', reason=reason)
+        else:
+            peer = '' if self.hello is None else self.hello.host_id
+            self._counters.note_rejection(peer, reason, size)
+        self.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
+        self._buffer.clear()
         self.closed.set()
         self._handler.handle_disconnect(self)
 
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -71,7 +71,7 @@
         self.targets = watch.TargetWatch(
             self.store, self._clock, self._refresh_gateways
         )
-        counters = traffic.FrameCounters(self.metrics)
+        counters = traffic.FrameCounters(self.metrics, self._clock)
         own_hello = frames.Hello(
             settings.host_id,
             settings.zone,
