--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -92,6 +92,8 @@
   catalogAgeMs @7 :UInt32;  # no newer version was published before that
   evacuationVersion @8 :UInt64;  # of the store; 0 if nothing is known
   evacuationDigest @9 :UInt32;  # of the evacuated zones; 0 without any
+  readsDeflated @10 :Bool;  # the sender reads compressed snapshots
+  answersDirectory @11 :Bool;  # the sender knows the frame directoryRequest
 }
 
 struct Observation {
@@ -127,6 +129,7 @@
   catalog @2 :Data;  # the bytes of the configuration's row in the store
   evacuationVersion @3 :UInt64;  # of the store; 0 if nothing is known
   evacuatedZones @4 :List(EvacuatedZone);
+  isDeflated @5 :Bool;  # sent only to hosts that read it
 }
 
 struct EvacuatedZone {
@@ -149,9 +152,15 @@
   settledDepartures @1 :List(Departure);
 }
 
+struct Directory {
+  call @0 :UInt64;
+  value @1 :Data;  # as in the store; empty if the sender knows too little
+}
+
 struct Call {
   call @0 :UInt64;
   omitsCatalog @1 :Bool;  # of a snapshotRequest
+  readsDeflated @2 :Bool;  # the answer may be a compressed snapshot
 }
 
 struct Frame {
@@ -167,5 +176,7 @@
     snapshot @8 :Snapshot;
     abandon @9 :Call;  # asks to roll back the transaction of this number
     claims @10 :Claims;
+    directoryRequest @11 :Call;
+    directory @12 :Directory;
   }
 }
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -8,6 +8,7 @@
 
 from samphirestand import catalog
 from samphirestand import exceptions
+from samphirestand.fleet import deflation
 from samphirestand import node_settings
 from samphirestand import types
 from samphirestand import work as work_module
@@ -16,6 +17,8 @@
     'Abandon',
     'Claims',
     'Deposit',
+    'Directory',
+    'DirectoryRequest',
     'Frame',
     'Hello',
     'Observation',
@@ -43,6 +46,15 @@
 # a configuration is smaller.
 MAX_FRAME_BYTES = 4_194_304
 
+# A packed frame may expand to a multiple of its length. Text doesn't shrink,
+# so that a legal frame stays below this; a longer one isn't unpacked.
+MAX_UNPACKED_BYTES = 4 * MAX_FRAME_BYTES
+WORD_BYTES = 8
+
+# The most entries of a list that has one for each account, service or target
+# of the fleet: three times the services of the largest fleet.
+MAX_LIST_ENTRIES = 16_384
+
 UINT32_MAX = 2**32 - 1
 
 # More evacuated zones than that aren't decoded.
@@ -142,6 +154,8 @@
     # Of what the sender knows of evacuated zones.
     evacuation_version: int = 0
     evacuation_digest: int = 0
+    reads_deflated: bool = True  # hosts of earlier releases don't
+    answers_directory: bool = True  # those of earlier releases don't
 
 
 @dataclasses.dataclass(frozen=True)
@@ -175,6 +189,7 @@
 
     call_id: int
     omits_catalog: bool = False
+    reads_deflated: bool = True  # hosts of earlier releases don't
 
 
 @dataclasses.dataclass(frozen=True)
@@ -194,6 +209,24 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class DirectoryRequest:
+    """Asks a job host for the directory of job hosts."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Directory:
+    """The directory of job hosts, as its row in the store would be.
+
+    The value is empty if the sender hasn't read the rows of all hosts.
+    """
+
+    call_id: int
+    value: bytes
+
+
 @dataclasses.dataclass(frozen=True)
 class Abandon:
     """Asks a gateway to roll back a transaction that the sender opened."""
@@ -225,11 +258,16 @@
     | Snapshot
     | Abandon
     | Claims
+    | DirectoryRequest
+    | Directory
 )
 
 
-def encode(frame: Frame) -> bytes:
-    """Encode a frame, preceded by its length."""
+def encode(frame: Frame, reads_deflated: bool = False) -> bytes:
+    """Encode a frame, preceded by its length.
+
+    ``reads_deflated`` tells whether the receiver reads compressed snapshots.
+    """
     message = _schema.Frame.new_message()
     match frame:
         case WorkFrame():
@@ -271,6 +309,8 @@
                 builder.catalogAgeMs = min(frame.catalog_age_ms, UINT32_MAX)
             builder.evacuationVersion = frame.evacuation_version
             builder.evacuationDigest = frame.evacuation_digest
+            builder.readsDeflated = frame.reads_deflated
+            builder.answersDirectory = frame.answers_directory
         case TokenRequest():
             builder = message.init('tokenRequest')
             builder.call = frame.call_id
@@ -285,17 +325,29 @@
             builder = message.init('snapshotRequest')
             builder.call = frame.call_id
             builder.omitsCatalog = frame.omits_catalog
+            builder.readsDeflated = frame.reads_deflated
         case Snapshot():
             builder = message.init('snapshot')
             builder.call = frame.call_id
             builder.catalogVersion = frame.catalog_version
-            builder.catalog = frame.catalog
+            builder.catalog = (
+                deflation.deflate(frame.catalog)
+                if reads_deflated
+                else frame.catalog
+            )
+            builder.isDeflated = reads_deflated
             builder.evacuationVersion = frame.evacuation_version
             ages = frame.evacuation_ages_by_zone
             zones = builder.init('evacuatedZones', len(ages))
             for entry, (zone, age_ms) in zip(zones, ages.items(), strict=True):
                 entry.name = zone
                 entry.ageMs = min(age_ms, UINT32_MAX)
+        case DirectoryRequest():
+            message.init('directoryRequest').call = frame.call_id
+        case Directory():
+            builder = message.init('directory')
+            builder.call = frame.call_id
+            builder.value = frame.value
         case Abandon():
             message.init('abandon').call = frame.transaction
         case Claims():
@@ -350,13 +402,30 @@
 def decode(body: bytes) -> Frame:
     """Decode a frame's body; raises ``HostError`` if it is malformed."""
     try:
-        return _decode_message(_schema.Frame.from_bytes_packed(body))
+        message = _schema.Frame.from_bytes_packed(
+            body, traversal_limit_in_words=MAX_UNPACKED_BYTES // WORD_BYTES
+        )
+        return _decode_message(message)
     except (capnp.KjException, ValueError, KeyError) as error:
+        # The library adds a stack trace in further lines.
+        reason = str(error).partition('\n')[0]
         raise exceptions.HostError(
-            f'malformed frame: {error}', step='read frame'
+            f'malformed frame: {reason}', step='read frame'
         ) from error
 
 
+def _bounded(entries: Any) -> Any:
+    """Return a list; raise ``HostError`` before one that is too long is read.
+
+    Its length is a field of the frame, so that no entry is decoded.
+    """
+    if len(entries) > MAX_LIST_ENTRIES:
+        raise exceptions.HostError(
+            f'list of {len(entries)} entries is too long', step='read frame'
+        )
+    return entries
+
+
 def _decode_message(message: Any) -> Frame:
     match str(message.which()):
         case 'work':
@@ -366,7 +435,8 @@
         case 'ping':
             reader = message.ping
             deposits = tuple(
-                Deposit(each.account, each.amount) for each in reader.deposits
+                Deposit(each.account, each.amount)
+                for each in _bounded(reader.deposits)
             )
             return Ping(
                 reader.sequence,
@@ -391,12 +461,14 @@
                         if each.soleTerm
                         else None,
                     )
-                    for each in reader.observations
+                    for each in _bounded(reader.observations)
                     if (position := _decode_position(each.position))
                 ),
                 reader.catalogAgeMs if reader.isCatalogConfirmed else None,
                 reader.evacuationVersion,
                 reader.evacuationDigest,
+                reader.readsDeflated,
+                reader.answersDirectory,
             )
         case 'tokenRequest':
             reader = message.tokenRequest
@@ -409,27 +481,35 @@
             )
         case 'snapshotRequest':
             reader = message.snapshotRequest
-            return SnapshotRequest(reader.call, reader.omitsCatalog)
+            return SnapshotRequest(
+                reader.call, reader.omitsCatalog, reader.readsDeflated
+            )
         case 'snapshot':
             reader = message.snapshot
             if len(reader.evacuatedZones) > MAX_EVACUATED_ZONES:
                 raise ValueError('too many evacuated zones')
+            raw = bytes(reader.catalog)
             return Snapshot(
                 reader.call,
                 reader.catalogVersion,
-                bytes(reader.catalog),
+                deflation.inflate(raw) if reader.isDeflated else raw,
                 reader.evacuationVersion,
                 {each.name: each.ageMs for each in reader.evacuatedZones},
             )
+        case 'directoryRequest':
+            return DirectoryRequest(message.directoryRequest.call)
+        case 'directory':
+            reader = message.directory
+            return Directory(reader.call, bytes(reader.value))
         case 'abandon':
             return Abandon(message.abandon.call)
         case 'claims':
             reader = message.claims
             return Claims(
-                {each.service: each.zone for each in reader.claims},
+                {each.service: each.zone for each in _bounded(reader.claims)},
                 frozenset(
                     catalog.TargetStart(each.targetId, each.startedMs)
-                    for each in reader.settledDepartures
+                    for each in _bounded(reader.settledDepartures)
                 ),
             )
         case 'hello':
@@ -497,7 +577,9 @@
         read_only=reader.readOnly,
         commits=reader.commits,
         wrote_before=reader.wroteBefore,
-        values=tuple((each.name, each.value) for each in reader.values),
+        values=tuple(
+            (each.name, each.value) for each in _bounded(reader.values)
+        ),
         mode=types.Mode(reader.mode) if reader.mode else None,
         shape=reader.shape,
         arguments=reader.arguments,
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -16,6 +16,7 @@
 from samphirestand import descriptor_budget
 from samphirestand import exceptions
 from samphirestand.fleet import frames
+from samphirestand.fleet import traffic
 from samphirestand import limit_events
 from samphirestand import log
 from samphirestand import sockets
@@ -84,14 +85,20 @@
         handler: Handler,
         on_lost: collections.abc.Callable[['FrameConnection'], None]
         | None = None,
+        counters: traffic.FrameCounters | None = None,
     ) -> None:
         self._handler = handler
+        self._counters = counters
         # Given for connections that were accepted, so a Hello must come.
         self._on_lost = on_lost
         self._hello_timer: asyncio.TimerHandle | None = None
         self._buffer = bytearray()
+        self._is_rejected = False
         self._transport: asyncio.Transport | None = None
         self.closed = asyncio.Event()
+        # Whether the peer reads compressed snapshots; hosts of earlier
+        # releases don't say so.
+        self._peer_reads_deflated = False
         # Sent by the peer if it opened the connection.
         self.hello: frames.Hello | None = None
         self.connected_s: float | None = None  # time of the event loop
@@ -116,12 +123,20 @@
             self.abort()
 
     def data_received(self, data: bytes) -> None:
+        if self._is_rejected:
+            return
         self._buffer += data
         try:
             for body in frames.extract_bodies(self._buffer):
                 frame = frames.decode(body)
-                if isinstance(frame, frames.Hello):
-                    self.hello = frame
+                if self._counters is not None:
+                    size = frames.LENGTH_PREFIX_BYTES + len(body)
+                    self._counters.count_received(frame, size)
+                match frame:
+                    case frames.Hello():
+                        self.hello = frame
+                    case frames.SnapshotRequest() | frames.Pong():
+                        self._peer_reads_deflated = frame.reads_deflated
                 self._handler.handle_frame(self, frame)
             if (
                 self._on_lost is not None
@@ -130,14 +145,23 @@
             ):
                 raise exceptions.HostError('no Hello', step='read frame')
         except exceptions.HostError as error:
-            # The listener counts clients that never were hosts.
-            if self._on_lost is None or self.hello is not None:
-                _log.warning('peer_frame_rejected', reason=str(error))
-            self.abort()
+            self._reject(str(error))
+
+    def _reject(self, reason: str) -> None:
+        """Disconnect a peer that sent an illegal frame, and log that."""
+        self._is_rejected = True
+        size = len(self._buffer)
+        self._buffer.clear()
+        if self._counters is None:
+            _log.warning('peer_frame_rejected', reason=reason)
+        else:
+            peer = '' if self.hello is None else self.hello.host_id
+            self._counters.note_rejection(peer, reason, size)
+        self.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.closed.set()
         self._buffer.clear()
+        self.closed.set()
         if self._hello_timer is not None:
             self._hello_timer.cancel()
         if self._on_lost is not None:
@@ -151,7 +175,10 @@
         """
         if self.is_closed or self._transport is None:
             return
-        self._transport.write(frames.encode(frame))
+        data = frames.encode(frame, self._peer_reads_deflated)
+        self._transport.write(data)
+        if self._counters is not None:
+            self._counters.count_sent(frame, len(data))
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
 
@@ -170,8 +197,10 @@
         max_connections: int = 0,
         descriptors: descriptor_budget.DescriptorBudget | None = None,
         events: limit_events.LimitEvents | None = None,
+        counters: traffic.FrameCounters | None = None,
     ) -> None:
         self._handler = handler
+        self._counters = counters
         self._max_connections = max_connections  # 0: no limit
         self._descriptors = descriptors or descriptor_budget.DescriptorBudget(
             0
@@ -205,7 +234,9 @@
             if not self._abort_unidentified():
                 sock.close()
                 return
-        connection = FrameConnection(self._handler, self._forget)
+        connection = FrameConnection(
+            self._handler, self._forget, self._counters
+        )
         self._connections[connection] = None
         self._unidentified[connection] = None
         self._descriptors.add(PORT)
@@ -275,8 +306,10 @@
         hello: frames.Hello,
         clock: clock_module.Clock,
         on_change: collections.abc.Callable[[], None],
+        counters: traffic.FrameCounters | None = None,
     ) -> None:
         self.peer = peer
+        self._counters = counters
         self._local_hello = hello
         self._clock = clock
         self._on_change = on_change
@@ -313,6 +346,7 @@
         self.evacuation_version = 0
         self.evacuation_digest = 0
         self.fleet_digest = 0
+        self.answers_directory = False
         # For each service of which the host is the gateway, a log position
         # and until when it covers all commits.
         self.observed_by_service: dict[str, tuple[int, types.Position]] = {}
@@ -379,7 +413,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 _, connection = await loop.create_connection(
-                    lambda: FrameConnection(self),
+                    lambda: FrameConnection(self, counters=self._counters),
                     self.peer.address,
                     self.peer.port,
                 )
@@ -463,7 +497,7 @@
         match frame:
             case frames.OutcomeFrame() | frames.TokenAnswer():
                 self._complete_call(frame.call_id, frame)
-            case frames.Snapshot():
+            case frames.Snapshot() | frames.Directory():
                 self._complete_call(frame.call_id, frame)
             case frames.Pong():
                 self._record_pong(frame)
@@ -493,6 +527,7 @@
         self.fleet_digest = pong.fleet_digest
         self.evacuation_version = pong.evacuation_version
         self.evacuation_digest = pong.evacuation_digest
+        self.answers_directory = pong.answers_directory
         sent_ms = self._sent_ms_by_sequence.pop(pong.sequence, None)
         if sent_ms is not None:
             self.answered_ping_ms = sent_ms
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -90,6 +90,12 @@
                         omits_catalog=frame.omits_catalog,
                     )
                 )
+            case frames.DirectoryRequest():
+                connection.send(
+                    frames.Directory(
+                        frame.call_id, self._members.directory_value
+                    )
+                )
             case frames.Snapshot():
                 catalog_exchange.adopt_snapshot(
                     frame,
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -25,6 +25,7 @@
 from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import service as service_module
+from samphirestand.fleet import traffic
 from samphirestand.fleet import watch
 from samphirestand.gateway import evacuation
 from samphirestand.gateway import gateways as gateways_module
@@ -75,7 +76,7 @@
         self._probe_servers: list[probe_server.ProbeServer] = []
         self.metrics = metrics_module.Metrics()
         log.count_with(self.metrics.count)
-        self.store = store_module.Store(settings.store)
+        self.store = store_module.Store(settings.store, self.metrics)
         self.evacuations = evacuations_module.Evacuations(
             self._clock,
             self.metrics,
@@ -92,6 +93,7 @@
         self.targets = watch.TargetWatch(
             self.store, self._clock, self._refresh_gateways
         )
+        counters = traffic.FrameCounters(self.metrics, self._clock)
         own_hello = frames.Hello(
             settings.host_id,
             settings.zone,
@@ -101,7 +103,11 @@
             settings.capacity,
         )
         self.members = members_module.Members(
-            own_hello, self._clock, self.store, self._refresh_gateways
+            own_hello,
+            self._clock,
+            self.store,
+            self._refresh_gateways,
+            counters,
         )
         self._exchange = catalog_exchange.CatalogExchange(
             self._clock,
@@ -180,6 +186,7 @@
             max_descriptors // links.DESCRIPTORS_PART,
             self._descriptors,
             self.sessions.limit_events,
+            counters,
         )
 
     @property
