sessions: Drop waiting work whose caller has left

Cause: a statement that waited at its gateway ran although its caller had closed the connection, or its entry host or key was gone.

Change: the entry host notices the close and sends Withdraw with the call's number; the gateway drops what it hasn't sent to a target. Work of a connection that ended is dropped as well. Hosts of older releases aren't sent the frame, because they would close the connection.

--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -141,6 +141,7 @@
 struct Claims {
   claims @0 :List(Claim);
   settledDepartures @1 :List(Departure);
+  takesWithdrawals @2 :Bool;  # releases that don't would reject the frame
 }
 
 struct Call {
@@ -160,5 +161,6 @@
     snapshot @8 :Snapshot;
     abandon @9 :Call;  # asks to roll back the transaction of this number
     claims @10 :Claims;
+    withdraw @11 :Call;  # the caller of the work of this call has left
   }
 }
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -27,6 +27,7 @@
     'SnapshotRequest',
     'TokenAnswer',
     'TokenRequest',
+    'Withdraw',
     'WorkFrame',
     'decode',
     'encode',
@@ -183,16 +184,29 @@
     transaction: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Withdraw:
+    """Says that nobody waits for the answer to the work of a call any more.
+
+    It is dropped if it waits; what was sent to a target goes on. The answer
+    comes in any case.
+    """
+
+    call_id: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Claims:
     """The complete list of services whose gateway the sender is.
 
     The value is the zone of the service's primary. The departures are those
     of targets of these services that promotions need not wait for.
+    ``takes_withdrawals`` tells whether the sender knows ``Withdraw``.
     """
 
     zones_by_service: dict[str, str]
     settled_departures: frozenset[catalog.TargetStart] = frozenset()
+    takes_withdrawals: bool = False
 
 
 Frame = (
@@ -206,6 +220,7 @@
     | SnapshotRequest
     | Snapshot
     | Abandon
+    | Withdraw
     | Claims
 )
 
@@ -266,6 +281,8 @@
             builder.catalog = frame.catalog
         case Abandon():
             message.init('abandon').call = frame.transaction
+        case Withdraw():
+            message.init('withdraw').call = frame.call_id
         case Claims():
             zones = frame.zones_by_service
             builder = message.init('claims')
@@ -275,6 +292,7 @@
             ):
                 claim.service = service
                 claim.zone = zone
+            builder.takesWithdrawals = frame.takes_withdrawals
             starts = sorted(frame.settled_departures)
             departures = builder.init('settledDepartures', len(starts))
             for departure, start in zip(departures, starts, strict=True):
@@ -373,6 +391,8 @@
             )
         case 'abandon':
             return Abandon(message.abandon.call)
+        case 'withdraw':
+            return Withdraw(message.withdraw.call)
         case 'claims':
             reader = message.claims
             return Claims(
@@ -381,6 +401,7 @@
                     catalog.TargetStart(each.targetId, each.startedMs)
                     for each in reader.settledDepartures
                 ),
+                reader.takesWithdrawals,
             )
         case 'hello':
             reader = message.hello
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import itertools
 from typing import Protocol
 
@@ -281,10 +282,13 @@
         self,
         build_frame: collections.abc.Callable[[int], frames.Frame],
         timeout_ms: int,
+        withdrawal: work_module.Withdrawal | None = None,
     ) -> frames.Frame | exceptions.Sentinel:
         """Send a frame and return its answer.
 
-        ``build_frame`` gets the number of the call. Returns a sentinel if
+        ``build_frame`` gets the number of the call. With ``withdrawal`` the
+        host is told when nobody waits any more; its answer is still waited
+        for. Returns a sentinel if
         no answer comes: ``NOT_SENT`` if the frame did not leave this host,
         otherwise ``DISCONNECTED`` or ``TIMED_OUT``.
         """
@@ -300,14 +304,28 @@
         timer = asyncio.get_running_loop().call_later(
             timeout_ms / 1000, _set_timed_out, future
         )
+        if withdrawal is not None:
+            withdrawal.notify(
+                functools.partial(self._withdraw, connection, call_id)
+            )
         try:
             answer: frames.Frame | exceptions.Sentinel = await future
             return answer
         finally:
             timer.cancel()
+            if withdrawal is not None:
+                withdrawal.notify(None)
             self._futures_by_call_id.pop(call_id, None)
             self._sent_ms_by_call_id.pop(call_id, None)
 
+    def _withdraw(self, connection: FrameConnection, call_id: int) -> None:
+        """Tell the host that nobody waits for a call any more.
+
+        A host of an older release would end the connection.
+        """
+        if self.claims.takes_withdrawals:
+            connection.send(frames.Withdraw(call_id))
+
     def send(self, frame: frames.Frame) -> None:
         """Send a frame that has no answer."""
         if self._connection is not None:
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -1,5 +1,6 @@
 """Handles frames of other hosts; sends statements to gateway hosts."""
 
+import dataclasses
 from typing import TypeGuard
 
 from samphirestand import background
@@ -11,6 +12,7 @@
 from samphirestand.fleet import watch
 from samphirestand.gateway import gateways as gateways_module
 from samphirestand import log
+from samphirestand import metrics as metrics_module
 from samphirestand import work as work_module
 
 __all__ = ['PeerDispatcher', 'PeerService']
@@ -37,18 +39,24 @@
         gateways: gateways_module.ServiceGateways,
         rate_limiter: allowance_module.AccountRateLimiter,
         catalog: watch.CatalogWatch,
+        metrics: metrics_module.Metrics,
     ) -> None:
         self._members = members
         self._gateways = gateways
         self._rate_limiter = rate_limiter
         self._catalog = catalog
         self._background = background.Background()
+        self._metrics = metrics
         self._inbound_connections: set[links.FrameConnection] = set()
+        # Of the work without an outcome, by its call id.
+        self._withdrawals_by_connection: dict[
+            links.FrameConnection, dict[int, work_module.Withdrawal]
+        ] = {}
 
     def announce(self, claims: frames.Claims) -> None:
         """Send this host's gateways to all hosts that connected to it."""
         for connection in self._inbound_connections:
-            connection.send(claims)
+            connection.send(_with_withdrawals(claims))
 
     def announce_state(self) -> None:
         """Tell this host's state to all hosts that connected to it.
@@ -63,7 +71,9 @@
     ) -> None:
         match frame:
             case frames.WorkFrame():
-                self._background.spawn(self._run_work(connection, frame))
+                self._start_work(connection, frame)
+            case frames.Withdraw():
+                self._withdraw(connection, frame.call_id)
             case frames.Ping():
                 self._answer_ping(connection, frame)
             case frames.TokenRequest():
@@ -91,7 +101,7 @@
                 )
             case frames.Hello():
                 self._inbound_connections.add(connection)
-                connection.send(self._gateways.claims)
+                connection.send(_with_withdrawals(self._gateways.claims))
                 self._members.add_host(frame)
             case _:
                 _log.warning(
@@ -100,6 +110,10 @@
 
     def handle_disconnect(self, connection: links.FrameConnection) -> None:
         self._inbound_connections.discard(connection)
+        # No answer can be delivered on this connection any more.
+        pending = self._withdrawals_by_connection.get(connection, {})
+        for withdrawal in list(pending.values()):
+            withdrawal.request()
         owner_id = _owner_id(connection)
         if any(
             _owner_id(each) == owner_id for each in self._inbound_connections
@@ -110,10 +124,44 @@
             return
         self._background.spawn(self._gateways.abandon_all(owner_id))
 
-    async def _run_work(
+    def _start_work(
         self, connection: links.FrameConnection, frame: frames.WorkFrame
     ) -> None:
-        outcome = await self._gateways.run(_owner_id(connection), frame.work)
+        withdrawal = work_module.Withdrawal()
+        pending = self._withdrawals_by_connection.setdefault(connection, {})
+        pending[frame.call_id] = withdrawal
+        self._background.spawn(self._run_work(connection, frame, withdrawal))
+
+    def _withdraw(
+        self, connection: links.FrameConnection, call_id: int
+    ) -> None:
+        """Drop the work of a call if it waits.
+
+        A call that is unknown has been answered meanwhile.
+        """
+        withdrawal = self._withdrawals_by_connection.get(connection, {}).get(
+            call_id
+        )
+        if withdrawal is None:
+            self._metrics.count('withdrawals_unknown')
+            return
+        withdrawal.request()
+
+    async def _run_work(
+        self,
+        connection: links.FrameConnection,
+        frame: frames.WorkFrame,
+        withdrawal: work_module.Withdrawal,
+    ) -> None:
+        try:
+            outcome = await self._gateways.run(
+                _owner_id(connection), frame.work, withdrawal
+            )
+        finally:
+            pending = self._withdrawals_by_connection.get(connection, {})
+            pending.pop(frame.call_id, None)
+            if not pending:
+                self._withdrawals_by_connection.pop(connection, None)
         connection.send(frames.OutcomeFrame(frame.call_id, outcome))
 
     def _answer_ping(
@@ -147,6 +195,10 @@
         return self._gateways.observations()
 
 
+def _with_withdrawals(claims: frames.Claims) -> frames.Claims:
+    return dataclasses.replace(claims, takes_withdrawals=True)
+
+
 def _owner_id(connection: links.FrameConnection) -> str:
     """Return the key of the sending process; '' before its ``Hello``."""
     if connection.hello is None:
@@ -170,10 +222,13 @@
         return self._gateways.gateway_host_id(service)
 
     async def run(
-        self, host_id: str, work: work_module.Work
+        self,
+        host_id: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal,
     ) -> work_module.Outcome:
-        outcome = await self._send_work(host_id, work)
-        if not _is_retryable(outcome, work):
+        outcome = await self._send_work(host_id, work, withdrawal)
+        if withdrawal.is_requested or not _is_retryable(outcome, work):
             return outcome
         other_host_id = self.choose(work.service)
         if other_host_id == host_id:
@@ -185,19 +240,23 @@
             gateway=other_host_id,
             reason=outcome.reason,
         )
-        return await self._send_work(other_host_id, work)
+        return await self._send_work(other_host_id, work, withdrawal)
 
     async def _send_work(
-        self, host_id: str, work: work_module.Work
+        self,
+        host_id: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal,
     ) -> work_module.Outcome:
         if host_id == self._members.local.host_id:
-            return await self._gateways.run(LOCAL_OWNER, work)
+            return await self._gateways.run(LOCAL_OWNER, work, withdrawal)
         link = self._members.link_to(host_id)
         if link is None or self._members.is_cut_off_from(link):
             return links.outcome_without_answer(links.NOT_SENT)
         answer = await link.request(
             lambda call_id: frames.WorkFrame(call_id, work),
             work.budget_ms + ANSWER_MARGIN_MS,
+            withdrawal,
         )
         match answer:
             case frames.OutcomeFrame():
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -408,18 +408,29 @@
         return is_done
 
     async def run(
-        self, entry_host: str, work: work_module.Work
+        self,
+        entry_host: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal | None = None,
     ) -> work_module.Outcome:
         """Run one statement that ``entry_host`` received from a caller."""
         self.last_used_ms = self._clock.now()
+        withdrawal = withdrawal or work_module.Withdrawal()
         match work.stage:
             case work_module.Stage.SINGLE | work_module.Stage.OPEN:
-                return await self._run_first_statement(entry_host, work)
+                return await self._run_first_statement(
+                    entry_host, work, withdrawal
+                )
             case _:
-                return await self._transactions.run_statement(entry_host, work)
+                return await self._transactions.run_statement(
+                    entry_host, work, withdrawal
+                )
 
     async def _run_first_statement(
-        self, entry_host: str, work: work_module.Work
+        self,
+        entry_host: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal,
     ) -> work_module.Outcome:
         now = self._clock.now()
         is_transaction = work.stage is work_module.Stage.OPEN
@@ -435,6 +446,7 @@
             now,
             needs_primary,
             asyncio.get_running_loop().create_future(),
+            withdrawal=withdrawal,
         )
         refusal = self._admission_refusal(slot_request)
         if refusal is not None:
@@ -506,6 +518,8 @@
     ) -> work_module.Outcome | Retry:
         pool = await self._queue.wait_for_slot(slot_request)
         if isinstance(pool, exceptions.Sentinel):
+            if slot_request.withdrawal.is_requested:
+                return _withdrawn_outcome()
             waited_ms = self._clock.now() - slot_request.received_ms
             return self._refuse(slot_request, pool.reason, waited_ms)
         started_ms = self._clock.now()
@@ -563,6 +577,9 @@
         except exceptions.TargetError as error:
             pool.avoid_until_ms = self._clock.now() + FAILED_TARGET_PAUSE_MS
             return Retry(str(error))
+        if slot_request.withdrawal.is_requested:
+            pool.checkin(connection)
+            return _withdrawn_outcome()
 
         preparation = connection.preparation(work)
         begin_step = _begin_step(slot_request)
@@ -776,6 +793,10 @@
         return int(short_timeout_ms)
 
 
+def _withdrawn_outcome() -> work_module.Refused:
+    return work_module.Refused('BUSY', work_module.WITHDRAWN_REASON)
+
+
 def _limit_gauge(target_id: str) -> str:
     return f'target_limit_{target_id}'
 
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -194,7 +194,10 @@
         return tuple(observations)
 
     async def run(
-        self, owner: str, work: work_module.Work
+        self,
+        owner: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal | None = None,
     ) -> work_module.Outcome:
         """Run a statement that the entry host ``owner`` received."""
         if work.service not in self._catalog().services_by_name:
@@ -203,8 +206,13 @@
         if refusal is not None:
             return refusal
         outcome = await self._get_or_open_gateway(work.service).run(
-            owner, work
+            owner, work, withdrawal
         )
+        if (
+            isinstance(outcome, work_module.Refused)
+            and outcome.reason == work_module.WITHDRAWN_REASON
+        ):
+            self._metrics.count('work_withdrawn')
         if isinstance(outcome, work_module.Refused) and _needs_rate_token(
             work
         ):
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -33,6 +33,9 @@
     needs_primary: bool
     future: asyncio.Future[pool_module.TargetPool]
     pinned_pool: pool_module.TargetPool | None = None
+    withdrawal: work_module.Withdrawal = dataclasses.field(
+        default_factory=work_module.Withdrawal
+    )
     attempts: int = 0
     avoided_target_ids: set[str] = dataclasses.field(default_factory=set)
     last_retry_reason: str = ''
@@ -43,6 +46,11 @@
         None  # that the chosen replica must have
     )
 
+    def withdraw(self) -> None:
+        """Stop waiting, unless a slot has been assigned."""
+        self.refusal_reason = work_module.WITHDRAWN_REASON
+        self.future.cancel()
+
     @property
     def deadline_ms(self) -> int:
         return self.received_ms + self.work.budget_ms
@@ -85,6 +93,8 @@
 
         Returns a sentinel with the reason if it times out or is refused.
         """
+        if slot_request.withdrawal.is_requested:
+            return exceptions.Sentinel(work_module.WITHDRAWN_REASON)
         self._waiting_requests.append(slot_request)
         self.assign_slots()
         waited_ms = self._clock.now() - slot_request.received_ms
@@ -92,6 +102,7 @@
         timer = asyncio.get_running_loop().call_later(
             max(0.0, remaining_ms / 1000), slot_request.future.cancel
         )
+        slot_request.withdrawal.notify(slot_request.withdraw)
         try:
             return await slot_request.future
         except asyncio.CancelledError:
@@ -100,6 +111,7 @@
             raise
         finally:
             timer.cancel()
+            slot_request.withdrawal.notify(None)
             if slot_request in self._waiting_requests:
                 self._waiting_requests.remove(slot_request)
 
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -73,7 +73,10 @@
         return transaction
 
     async def run_statement(
-        self, entry_host: str, work: work_module.Work
+        self,
+        entry_host: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal,
     ) -> work_module.Outcome:
         """Run a statement, COMMIT or ROLLBACK in an open transaction."""
         transaction = self._open_by_key.get((entry_host, work.transaction))
@@ -88,6 +91,7 @@
             False,
             asyncio.get_running_loop().create_future(),
             pinned_pool=pool,
+            withdrawal=withdrawal,
         )
         needs_slot = not is_end or work.commits
         if needs_slot:
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -110,7 +110,11 @@
             adaptive_limits=settings.options.targets.adaptive_limits,
         )
         self.peer_service = service_module.PeerService(
-            self.members, self.gateways, self.rate_limiter, self.catalog
+            self.members,
+            self.gateways,
+            self.rate_limiter,
+            self.catalog,
+            self.metrics,
         )
         self.gateways.on_claims = self.peer_service.announce
         self.peers = links.Listener(self.peer_service)
--- a/samphirestand/platform/wire.py
+++ b/samphirestand/platform/wire.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import dataclasses
 
 from samphirestand import exceptions
@@ -348,6 +349,8 @@
         self._waiter: asyncio.Future[None] | None = None
         self._is_reading_paused = False
         self.is_closed = False
+        # Called when the connection is closed, by whomever.
+        self.on_close: collections.abc.Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -373,8 +376,13 @@
         self._wake_reader()
 
     def connection_lost(self, error: Exception | None) -> None:
+        self._mark_closed()
+
+    def _mark_closed(self) -> None:
         self.is_closed = True
         self._wake_reader()
+        if self.on_close is not None:
+            self.on_close()
 
     def _wake_reader(self) -> None:
         if self._waiter is not None and not self._waiter.done():
@@ -426,10 +434,9 @@
 
     def abort(self) -> None:
         """Close the connection at once; unsent data is dropped."""
-        self.is_closed = True
         if self._transport is not None:
             self._transport.abort()
-        self._wake_reader()
+        self._mark_closed()
 
 
 async def connect(address: str, port: int, timeout_ms: int) -> Connection:
--- a/samphirestand/sessions/session.py
+++ b/samphirestand/sessions/session.py
@@ -44,7 +44,10 @@
         """Return the id of the host that is the gateway of ``service``."""
 
     async def run(
-        self, host_id: str, work: work_module.Work
+        self,
+        host_id: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal,
     ) -> work_module.Outcome:
         """Run a statement on the gateway of a host; raises no exception."""
 
@@ -107,6 +110,18 @@
     account: str
 
 
+@dataclasses.dataclass
+class _Pending:
+    """A statement whose outcome is waited for."""
+
+    admission: _Admission
+    withdrawal: work_module.Withdrawal = dataclasses.field(
+        default_factory=work_module.Withdrawal
+    )
+    # Why it may not go on after a configuration change.
+    refusal: work_module.Refused | None = None
+
+
 class Session:
     """Serves one connection of a caller until it is closed."""
 
@@ -119,6 +134,7 @@
         self._prepared_by_name: dict[str, statements.Prepare] = {}
         self._transaction: _Transaction | None = None
         self._position: types.Position | None = None
+        self._pending: _Pending | None = None
         self._is_handling_message = False
         self._is_started = False
         self._is_ending = False
@@ -155,8 +171,15 @@
         """Roll back the transaction if its key has lost the account.
 
         A statement in progress was sent before the configuration changed, so
-        its answer is waited for.
+        its answer is waited for. It is withdrawn if it waits for a target.
         """
+        if self._pending is not None:
+            admission = self._pending.admission
+            self._pending.refusal = self._access_refusal(
+                admission.route, admission.account
+            )
+            if self._pending.refusal is not None:
+                self._pending.withdrawal.request()
         transaction = self._transaction
         if (
             transaction is None
@@ -187,10 +210,16 @@
         Its connection to the target was opened for its account. A change of
         its route takes effect with the next transaction.
         """
-        account = self._context.catalog().account_names_by_key.get(self._key)
-        if account is None and transaction.route.needs_key:
+        return self._access_refusal(transaction.route, transaction.account)
+
+    def _access_refusal(
+        self, route: catalog_module.Route, account: str
+    ) -> work_module.Refused | None:
+        """Return why work of an account may not go on; None if it may."""
+        current = self._context.catalog().account_names_by_key.get(self._key)
+        if current is None and route.needs_key:
             return work_module.Refused('DENIED', KEY_WITHDRAWN_REASON)
-        if (account or '') != transaction.account:
+        if (current or '') != account:
             return work_module.Refused('ABORTED', KEY_MOVED_REASON)
         return None
 
@@ -523,7 +552,7 @@
                 shape=prepared.shape,
                 arguments=statement.arguments,
             )
-        await self._run_work(query, work)
+        await self._run_work(query, work, admission)
 
     async def _end_transaction(
         self,
@@ -549,7 +578,7 @@
         work = dataclasses.replace(
             work, commits=commits, wrote_before=transaction.has_written
         )
-        await self._run_work(query, work)
+        await self._run_work(query, work, admission)
 
     def _build_work(
         self,
@@ -580,7 +609,10 @@
         )
 
     async def _run_work(
-        self, query: wire.Query, work: work_module.Work
+        self,
+        query: wire.Query,
+        work: work_module.Work,
+        admission: _Admission,
     ) -> None:
         """Run a statement on its gateway and answer the caller."""
         transaction = self._transaction
@@ -596,7 +628,7 @@
             transaction.host_id = host_id
             transaction.is_open = True
         started_ms = self._context.clock.now()
-        outcome = await self._wait_for_outcome(host_id, work)
+        outcome = await self._wait_for_outcome(host_id, work, admission)
         took_ms = self._context.clock.now() - started_ms
         self._context.metrics.record('statement', took_ms * 1_000)
         ends_transaction = work.stage is work_module.Stage.END or work.commits
@@ -631,20 +663,41 @@
         )
 
     async def _wait_for_outcome(
-        self, host_id: str, work: work_module.Work
+        self, host_id: str, work: work_module.Work, admission: _Admission
     ) -> work_module.Outcome:
         """Run a statement; its answer is lost if the session ends before."""
         task = asyncio.current_task()
         self._waiting_task = task
+        pending = _Pending(admission)
+        self._pending = pending
+        # What the caller sent ahead stays unread: only its close counts.
+        self._connection.on_close = pending.withdrawal.request
+        if self._connection.is_closed and (
+            work.stage is work_module.Stage.SINGLE and not work.writes
+        ):
+            # A read that was sent ahead by a caller that has left. Writes go
+            # on as before: callers may send one and leave.
+            pending.withdrawal.request()
         try:
-            return await self._context.dispatcher.run(host_id, work)
+            outcome = await self._context.dispatcher.run(
+                host_id, work, pending.withdrawal
+            )
         except asyncio.CancelledError:
             if not self._is_ending or task is None:
                 raise
             task.uncancel()
             return work_module.Lost(STOPPING_REASON)
         finally:
+            self._connection.on_close = None
             self._waiting_task = None
+            self._pending = None
+        if (
+            pending.refusal is not None
+            and isinstance(outcome, work_module.Refused)
+            and outcome.reason == work_module.WITHDRAWN_REASON
+        ):
+            return pending.refusal
+        return outcome
 
     def _abort_transaction(
         self,
--- a/samphirestand/work.py
+++ b/samphirestand/work.py
@@ -1,5 +1,6 @@
 """Statements that entry hosts send to gateways, and their outcomes."""
 
+import collections.abc
 import dataclasses
 import enum
 
@@ -13,9 +14,15 @@
     'Outcome',
     'Refused',
     'Stage',
+    'WITHDRAWN_REASON',
+    'Withdrawal',
     'Work',
 ]
 
+# The reason of a refusal of work that was withdrawn before it was sent to a
+# target.
+WITHDRAWN_REASON = 'the caller has left'
+
 
 class Stage(enum.StrEnum):
     """The position of a statement within its operation."""
@@ -61,6 +68,37 @@
     session_position: types.Position | None = None
 
 
+class Withdrawal:
+    """Tells whoever holds a statement that its caller no longer waits.
+
+    The statement is dropped if it hasn't been sent to a target, and its
+    outcome then says so. Otherwise nothing changes.
+    """
+
+    def __init__(self) -> None:
+        self.is_requested = False
+        self._on_request: collections.abc.Callable[[], None] | None = None
+
+    def request(self) -> None:
+        """Withdraw the statement; more than once has no further effect."""
+        if self.is_requested:
+            return
+        self.is_requested = True
+        if self._on_request is not None:
+            self._on_request()
+
+    def notify(
+        self, on_request: collections.abc.Callable[[], None] | None
+    ) -> None:
+        """Call ``on_request`` from now on; None if nothing can be done.
+
+        It is called at once if the statement has been withdrawn already.
+        """
+        self._on_request = on_request
+        if self.is_requested and on_request is not None:
+            on_request()
+
+
 @dataclasses.dataclass(frozen=True)
 class Answered:
     """The target ran the statement; rows and signature come from it."""
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -77,6 +77,8 @@
         frames.SnapshotRequest(7),
         frames.Snapshot(7, 9, b'{"Version":9}'),
         frames.Abandon(8),
+        frames.Withdraw(9),
+        frames.Claims({}, takes_withdrawals=True),
     ],
 )
 def test_decoded_frame_equals_the_encoded_one(frame):
--- a/tests/gateway/test_transactions.py
+++ b/tests/gateway/test_transactions.py
@@ -42,7 +42,7 @@
     async def main():
         gateways = FakeGateways()
         service = service_module.PeerService(
-            FakeMembers(), gateways, None, None
+            FakeMembers(), gateways, None, None, None
         )
         for each in connections:
             service.handle_frame(each, each.hello)
