--- a/tests/sessions/test_withdrawal.py
+++ b/tests/sessions/test_withdrawal.py
@@ -15,6 +15,7 @@
 from samphirestand import work as work_module
 from tests.fleet import test_links
 from tests.gateway import test_slot_queue
+from tests import nodes
 
 WITHDRAWN = work_module.Refused('BUSY', work_module.WITHDRAWN_REASON)
 ANSWERED = work_module.Answered((), 's', None, 'i-1')
@@ -311,3 +312,28 @@
 
     caller, _ = run_session([b'QUERY q1 READ x'], withdraw_key)
     assert b'ERROR DENIED the key was withdrawn' in caller.written
+
+
+@pytest.mark.parametrize('number', [0, 1])
+def test_close_reaches_the_gateway_of_the_service(number):
+    """Fails if the close of a connection isn't noticed, or not passed on."""
+
+    async def scenario():
+        async with nodes.running(2) as fleet:
+            for server in fleet.group.servers.values():
+                server.work_ms = 400
+            node = fleet.nodes[number]
+            clients = [await nodes.Client.connect(node) for _ in range(8)]
+            for request, client in enumerate(clients):
+                client.send(f'QUERY w{request} READ x')
+            await asyncio.sleep(0.1)
+            for client in clients:
+                client.close()
+            await fleet.until(
+                lambda: sum(
+                    each.metrics.counter('work_withdrawn')
+                    for each in fleet.nodes
+                )
+            )
+
+    asyncio.run(scenario())
