--- a/tests/gateway/test_concurrency.py
+++ b/tests/gateway/test_concurrency.py
@@ -9,8 +9,10 @@
 from samphirestand import catalog
 from samphirestand import clock as clock_module
 from samphirestand.gateway import concurrency
+from samphirestand.gateway import gateway as gateway_module
 from samphirestand.gateway import group as group_module
 from samphirestand.gateway import pool as pool_module
+from samphirestand import metrics as metrics_module
 
 SLOTS = 6
 SHORT = ('primary', 100, 1, False, 'single')
@@ -265,3 +267,34 @@
     )
     pool.record_sample(work, 1.0, sent_ms)
     assert recorded == [15]
+
+
+def test_changes_of_a_limit_are_shown_and_logged_once_a_second(monkeypatch):
+    """Fails if a limit can't be seen, or fills the log."""
+    clock = clock_module.ManualClock()
+    metrics = metrics_module.Metrics()
+    gateway = gateway_module.ServiceGateway(
+        'svc',
+        clock,
+        random.Random(1),
+        FakeTargets(),
+        lambda: catalog.Catalog(version=1),
+        metrics,
+    )
+    logged = []
+    monkeypatch.setattr(
+        gateway_module._log,
+        'info',
+        lambda event, **fields: logged.append((event, fields['limit'])),
+    )
+    for limit in (6, 5, 4, 2, 3, 2):
+        gateway.group.pools_by_id['i-1'].limit.adopt(limit)
+        gateway.review_waiting()
+        clock.set(clock.now() + 400)
+    assert logged == [
+        ('target_limit_changed', 4),
+        ('target_limit_changed', 2),
+    ]
+    assert metrics.snapshot()['gauges'] == {'target_limit_i-1': 2}
+    gateway.close()
+    assert metrics.snapshot()['gauges'] == {}
