--- a/bench/replay.py
+++ b/bench/replay.py
@@ -59,6 +59,9 @@
 
 # A caller's delay before a retry when the refusal has no retry_after_ms.
 DEFAULT_RETRY_DELAY_MS = 50
+
+# How much longer a pattern's rare long operations take.
+LONG_FACTOR = 5
 MAX_RETRIES = 2
 
 
@@ -185,6 +188,13 @@
 )
 
 
+# Short and long statements on the same targets, with half of the slots busy.
+MIXED_KINDS = (
+    dataclasses.replace(OPERATION_KINDS[0], rate_per_s=300, work_ms=3),
+    dataclasses.replace(OPERATION_KINDS[1], rate_per_s=25, work_ms=200),
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Pattern:
     """A load and a disturbance of the targets; times in milliseconds.
@@ -212,6 +222,14 @@
     flood_account: int = -1  # sends flood_factor times as much, disturbed
     flood_kind: str = ''  # of all accounts, or of flood_account
     flood_factor: float = 1.0
+    declared_slots: int = 0  # by the targets; 0: as many as they have
+    # Statements at the slowed target take longer by this power of what runs
+    # there beyond the knee; 0: no knee.
+    knee: float = 0.0
+    knee_power: float = 1.0
+    has_knee_everywhere: bool = False
+    link_delay_ms: float = 0.0  # more one way to the slowed target
+    long_share: float = 0.0  # of the operations, with 5 times the work
     disturbance_start_ms: int = 5_000
     disturbance_end_ms: int = 13_000
     duration_ms: int = 20_000
@@ -224,6 +242,37 @@
     Pattern('slow-replica', slowdown_factor=5.0),
     Pattern('slow-primary', slowdown_factor=12.0, slowed_target=0),
     Pattern('overload', burst_factor=2.6),
+    Pattern(
+        'early-slowdown',
+        knee=2.5,
+        knee_power=2.0,
+        load_factor=0.9,
+        has_knee_everywhere=True,
+    ),
+    Pattern('one-early-slowdown', knee=1.5, knee_power=2.0, load_factor=1.3),
+    Pattern(
+        'primary-early-slowdown',
+        knee=2.5,
+        knee_power=2.0,
+        slowed_target=0,
+        load_factor=1.5,
+    ),
+    Pattern(
+        'slow-for-6s',
+        slowdown_factor=8.0,
+        load_factor=1.3,
+        disturbance_end_ms=11_000,
+    ),
+    Pattern(
+        'slow-for-6s-long-tail',
+        slowdown_factor=8.0,
+        load_factor=1.3,
+        disturbance_end_ms=11_000,
+        long_share=0.01,
+    ),
+    Pattern('slow-link', link_delay_ms=60.0, load_factor=1.2),
+    Pattern('mixed-lengths', kinds=MIXED_KINDS, long_share=0.01),
+    Pattern('false-slots', declared_slots=40, load_factor=2.2),
     Pattern(
         'many-accounts',
         kinds=FELDWACHT_KINDS,
@@ -320,6 +369,7 @@
         )
         self._slots = asyncio.Semaphore(replay.pattern.slots)
         self._queued = 0
+        self._running = 0
         self.opened_count = 0
 
     async def open_connection(self) -> None:
@@ -360,12 +410,11 @@
             await self._slots.acquire()
         finally:
             self._queued -= 1
+        self._running += 1
         try:
-            current_factor = (
-                self._replay.work_factor() if self.is_slowed else 1.0
-            )
-            await asyncio.sleep(work_ms * current_factor / 1000)
+            await asyncio.sleep(work_ms * self._work_factor() / 1000)
         finally:
+            self._running -= 1
             self._slots.release()
         if verb == 'COMMIT':
             model_connection.state = 'I'
@@ -373,6 +422,22 @@
             self._replay.record_write()
         return self._reply(model_connection.state)
 
+    def _work_factor(self) -> float:
+        """Return how many times longer a statement takes that starts now."""
+        factor = self._replay.work_factor() if self.is_slowed else 1.0
+        pattern = self._replay.pattern
+        if pattern.knee and (self.is_slowed or pattern.has_knee_everywhere):
+            excess = max(1.0, self._running / pattern.knee)
+            factor *= excess**pattern.knee_power
+        return factor
+
+    @property
+    def delay_ms(self) -> float:
+        """Return the one-way delay to the target at this moment."""
+        if self.is_slowed and self._replay.is_disturbed():
+            return self.network_delay_ms + self._replay.pattern.link_delay_ms
+        return self.network_delay_ms
+
     def _reply(self, state: str) -> connection_module.Reply:
         return connection_module.Reply(
             (), 'signed', None, state, self.position()
@@ -425,7 +490,7 @@
         replies = []
         try:
             async with asyncio.timeout(max(0, timeout_ms) / 1000):
-                await asyncio.sleep(2 * self.model.network_delay_ms / 1000)
+                await asyncio.sleep(2 * self.model.delay_ms / 1000)
                 for step in steps:
                     work_ms = _WORK_MS_BY_REQUEST_ID.get(step.request_id, 0.0)
                     replies.append(
@@ -515,9 +580,17 @@
 class _Replay:
     """One run of a pattern, with the state that the targets share."""
 
-    def __init__(self, pattern: Pattern, seed: int, fair_shares: bool) -> None:
+    def __init__(
+        self,
+        pattern: Pattern,
+        seed: int,
+        *,
+        fair_shares: bool,
+        adaptive_limits: bool,
+    ) -> None:
         self.pattern = pattern
         self._fair_shares = fair_shares
+        self._adaptive_limits = adaptive_limits
         self.metrics = metrics.Metrics()
         self._random = random.Random(seed)
         self._account_random = random.Random(seed)
@@ -573,7 +646,9 @@
         )
 
     async def run(self) -> None:
-        targets = _TargetRegistry(self.pattern.slots)
+        targets = _TargetRegistry(
+            self.pattern.declared_slots or self.pattern.slots
+        )
         pattern = self.pattern
         service = catalog.Service(
             SERVICE, pattern.max_connections, is_synchronous=True
@@ -594,6 +669,7 @@
             lambda: current_catalog,
             self.metrics,
             fair_shares=self._fair_shares,
+            adaptive_limits=self._adaptive_limits,
         )
         for number, pool in enumerate(gateway.group.pools_by_id.values()):
             model = ModelTarget(self, number)
@@ -682,6 +758,10 @@
         is_write = self._random.random() < kind.write_share
         count = 3 if self._random.random() < kind.transaction_share else 1
         work_ms = self._random.lognormvariate(0, 0.7) * kind.work_ms / 1.28
+        if self.pattern.long_share and (
+            self._random.random() < self.pattern.long_share
+        ):
+            work_ms *= LONG_FACTOR
         for _ in range(1 + MAX_RETRIES):
             refusal = await self._run_attempt(
                 gateway,
@@ -794,10 +874,14 @@
 
 
 def replay(
-    pattern: Pattern, seed: int, *, fair_shares: bool = False
+    pattern: Pattern,
+    seed: int,
+    *,
+    fair_shares: bool = False,
+    adaptive_limits: bool = True,
 ) -> dict[str, Result]:
     """Replay a pattern; returns the outcomes by name of the kind."""
-    return _run(pattern, seed, fair_shares).results
+    return _run(pattern, seed, fair_shares, adaptive_limits).results
 
 
 def replay_disturbance(
@@ -815,22 +899,34 @@
     return _run(pattern, seed, fair_shares=True).metrics.snapshot()
 
 
-def _run(pattern: Pattern, seed: int, fair_shares: bool) -> _Replay:
+def _run(
+    pattern: Pattern,
+    seed: int,
+    fair_shares: bool,
+    adaptive_limits: bool = True,
+) -> _Replay:
     log.silence()
     original_pool_class = pool_module.TargetPool
     pool_module.TargetPool = ModelPool  # type: ignore[misc]
     loop = virtual_time.VirtualLoop()
     try:
-        return loop.run_until_complete(_run_replay(pattern, seed, fair_shares))
+        return loop.run_until_complete(
+            _run_replay(pattern, seed, fair_shares, adaptive_limits)
+        )
     finally:
         pool_module.TargetPool = original_pool_class  # type: ignore[misc]
         loop.close()
 
 
 async def _run_replay(
-    pattern: Pattern, seed: int, fair_shares: bool
+    pattern: Pattern, seed: int, fair_shares: bool, adaptive_limits: bool
 ) -> _Replay:
-    started = _Replay(pattern, seed, fair_shares)
+    started = _Replay(
+        pattern,
+        seed,
+        fair_shares=fair_shares,
+        adaptive_limits=adaptive_limits,
+    )
     await started.run()
     return started
 
@@ -842,6 +938,11 @@
     parser.add_argument('--pattern', choices=[each.name for each in patterns])
     parser.add_argument('--fair-shares', action='store_true')
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument(
+        '--declared-slots',
+        action='store_true',
+        help='use the declared slots instead of adaptive limits',
+    )
     options = parser.parse_args()
     print(
         f'{"pattern":<18} {"kind":<19} {"asked":>6} {"in time":>7} '
@@ -851,7 +952,10 @@
         if options.pattern not in (None, pattern.name):
             continue
         results = replay(
-            pattern, options.seed, fair_shares=options.fair_shares
+            pattern,
+            options.seed,
+            fair_shares=options.fair_shares,
+            adaptive_limits=not options.declared_slots,
         )
         for name, each in results.items():
             mean_failed_ms = (
--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -104,6 +104,13 @@
   # could make another target the primary; term 0 if that isn't known.
   soleTerm @3 :UInt64;
   soleAgeMs @4 :UInt32;
+  limits @5 :List(TargetLimit);  # of targets that get less than their slots
+}
+
+struct TargetLimit {
+  targetId @0 :Text;
+  startedMs @1 :UInt64;
+  limit @2 :UInt16;
 }
 
 struct Tokens {
@@ -150,6 +157,7 @@
 struct Claims {
   claims @0 :List(Claim);
   settledDepartures @1 :List(Departure);
+  takesWithdrawals @2 :Bool;  # releases that don't would reject the frame
 }
 
 struct Directory {
@@ -178,5 +186,6 @@
     claims @10 :Claims;
     directoryRequest @11 :Call;
     directory @12 :Directory;
+    withdraw @13 :Call;  # the caller of the work of this call has left
   }
 }
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -1,6 +1,7 @@
 """Frames, the messages between hosts: data classes, codec and framing."""
 
 import dataclasses
+import itertools
 import pathlib
 from typing import Any
 
@@ -30,6 +31,7 @@
     'SnapshotRequest',
     'TokenAnswer',
     'TokenRequest',
+    'Withdraw',
     'WorkFrame',
     'decode',
     'encode',
@@ -59,6 +61,9 @@
 
 # More evacuated zones than that aren't decoded.
 MAX_EVACUATED_ZONES = 1_000
+# Limits of targets that are read from one observation; a service has three
+# targets.
+MAX_LIMITS = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,15 +130,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Observation:
-    """A log position that covers all commits of a service until a moment.
+    """What a gateway tells the host that may succeed it.
 
-    ``age_ms`` is how long before the sending that moment was.
+    ``position`` covers all commits of the service until a moment ``age_ms``
+    before the sending; None if no such position is known. ``limits_by_start``
+    are the limits of the targets that get fewer statements than they have
+    slots.
     """
 
     service: str
-    position: types.Position
+    position: types.Position | None
     age_ms: int
     sole_primary: SolePrimary | None = None
+    limits_by_start: dict[catalog.TargetStart, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -234,16 +245,29 @@
     transaction: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Withdraw:
+    """Says that nobody waits for the answer to the work of a call any more.
+
+    It is dropped if it waits; what was sent to a target goes on. The answer
+    comes in any case.
+    """
+
+    call_id: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Claims:
     """The complete list of services whose gateway the sender is.
 
     The value is the zone of the service's primary. The departures are those
     of targets of these services that promotions need not wait for.
+    ``takes_withdrawals`` tells whether the sender knows ``Withdraw``.
     """
 
     zones_by_service: dict[str, str]
     settled_departures: frozenset[catalog.TargetStart] = frozenset()
+    takes_withdrawals: bool = False
 
 
 Frame = (
@@ -257,6 +281,7 @@
     | SnapshotRequest
     | Snapshot
     | Abandon
+    | Withdraw
     | Claims
     | DirectoryRequest
     | Directory
@@ -304,6 +329,7 @@
                         observation.sole_primary.age_ms, UINT32_MAX
                     )
                 _fill_position(item.position, observation.position)
+                _fill_limits(item, observation.limits_by_start)
             if frame.catalog_age_ms is not None:
                 builder.isCatalogConfirmed = True
                 builder.catalogAgeMs = min(frame.catalog_age_ms, UINT32_MAX)
@@ -350,6 +376,8 @@
             builder.value = frame.value
         case Abandon():
             message.init('abandon').call = frame.transaction
+        case Withdraw():
+            message.init('withdraw').call = frame.call_id
         case Claims():
             zones = frame.zones_by_service
             builder = message.init('claims')
@@ -359,6 +387,7 @@
             ):
                 claim.service = service
                 claim.zone = zone
+            builder.takesWithdrawals = frame.takes_withdrawals
             starts = sorted(frame.settled_departures)
             departures = builder.init('settledDepartures', len(starts))
             for departure, start in zip(departures, starts, strict=True):
@@ -453,16 +482,8 @@
                 reader.reachesStore,
                 reader.fleetDigest,
                 tuple(
-                    Observation(
-                        each.service,
-                        position,
-                        each.ageMs,
-                        SolePrimary(each.soleTerm, each.soleAgeMs)
-                        if each.soleTerm
-                        else None,
-                    )
+                    _decode_observation(each)
                     for each in _bounded(reader.observations)
-                    if (position := _decode_position(each.position))
                 ),
                 reader.catalogAgeMs if reader.isCatalogConfirmed else None,
                 reader.evacuationVersion,
@@ -503,6 +524,8 @@
             return Directory(reader.call, bytes(reader.value))
         case 'abandon':
             return Abandon(message.abandon.call)
+        case 'withdraw':
+            return Withdraw(message.withdraw.call)
         case 'claims':
             reader = message.claims
             return Claims(
@@ -511,6 +534,7 @@
                     catalog.TargetStart(each.targetId, each.startedMs)
                     for each in _bounded(reader.settledDepartures)
                 ),
+                reader.takesWithdrawals,
             )
         case 'hello':
             reader = message.hello
@@ -644,6 +668,35 @@
     return OutcomeFrame(reader.call, outcome)
 
 
+def _fill_limits(
+    builder: Any, limits_by_start: dict[catalog.TargetStart, int]
+) -> None:
+    if not limits_by_start:
+        return
+    limits = builder.init('limits', len(limits_by_start))
+    for item, (start, limit) in zip(
+        limits, limits_by_start.items(), strict=True
+    ):
+        item.targetId = start.target_id
+        item.startedMs = start.started_ms
+        item.limit = limit
+
+
+def _decode_observation(reader: Any) -> Observation:
+    return Observation(
+        reader.service,
+        _decode_position(reader.position),
+        reader.ageMs,
+        SolePrimary(reader.soleTerm, reader.soleAgeMs)
+        if reader.soleTerm
+        else None,
+        {
+            catalog.TargetStart(each.targetId, each.startedMs): each.limit
+            for each in itertools.islice(reader.limits, MAX_LIMITS)
+        },
+    )
+
+
 def _fill_position(builder: Any, position: types.Position | None) -> None:
     if position is None:
         return
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -7,11 +7,13 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import itertools
 import socket
 from typing import Protocol
 
 from samphirestand import acceptor as acceptor_module
+from samphirestand import catalog
 from samphirestand import clock as clock_module
 from samphirestand import descriptor_budget
 from samphirestand import exceptions
@@ -353,6 +355,10 @@
         # For each of these services, a term and until when nothing could
         # replace its primary.
         self.sole_primary_by_service: dict[str, tuple[int, int]] = {}
+        # For each such service, when its limits of targets were asked for.
+        self.limits_by_service: dict[
+            str, tuple[int, dict[catalog.TargetStart, int]]
+        ] = {}
         self._is_stopped = False
 
     @property
@@ -458,10 +464,13 @@
         self,
         build_frame: collections.abc.Callable[[int], frames.Frame],
         timeout_ms: int,
+        withdrawal: work_module.Withdrawal | None = None,
     ) -> frames.Frame | exceptions.Sentinel:
         """Send a frame and return its answer.
 
-        ``build_frame`` gets the number of the call. Returns a sentinel if
+        ``build_frame`` gets the number of the call. With ``withdrawal`` the
+        host is told when nobody waits any more; its answer is still waited
+        for. Returns a sentinel if
         no answer comes: ``NOT_SENT`` if the frame did not leave this host,
         otherwise ``DISCONNECTED`` or ``TIMED_OUT``.
         """
@@ -477,14 +486,28 @@
         timer = asyncio.get_running_loop().call_later(
             timeout_ms / 1000, _set_timed_out, future
         )
+        if withdrawal is not None:
+            withdrawal.notify(
+                functools.partial(self._withdraw, connection, call_id)
+            )
         try:
             answer: frames.Frame | exceptions.Sentinel = await future
             return answer
         finally:
             timer.cancel()
+            if withdrawal is not None:
+                withdrawal.notify(None)
             self._futures_by_call_id.pop(call_id, None)
             self._sent_ms_by_call_id.pop(call_id, None)
 
+    def _withdraw(self, connection: FrameConnection, call_id: int) -> None:
+        """Tell the host that nobody waits for a call any more.
+
+        A host of an older release would end the connection.
+        """
+        if self.claims.takes_withdrawals:
+            connection.send(frames.Withdraw(call_id))
+
     def send(self, frame: frames.Frame) -> None:
         """Send a frame that has no answer."""
         if self._connection is not None:
@@ -538,6 +561,12 @@
                 else sent_ms - pong.catalog_age_ms
             )
             for each in pong.observations:
+                self.limits_by_service[each.service] = (
+                    sent_ms,
+                    each.limits_by_start,
+                )
+                if each.position is None:
+                    continue
                 self.observed_by_service[each.service] = (
                     sent_ms - each.age_ms,
                     each.position,
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -64,6 +64,11 @@
 ORDERS_TIMEOUT_MS = 700
 ORDERS_RETRY_MS = 500
 
+# A target's limit is logged when it has changed by more than this share, but
+# not more often than this.
+LOGGED_LIMIT_CHANGE = 0.25
+LIMIT_LOG_INTERVAL_MS = 1_000
+
 # Codes of errors after which the target kept no effect of the statement, so
 # that it can safely be tried again.
 RETRYABLE_CODES = frozenset(
@@ -106,6 +111,7 @@
         queue_options: host_options.QueueOptions | None = None,
         *,
         fair_shares: bool = False,
+        adaptive_limits: bool = True,
     ) -> None:
         self.service = service
         self._clock = clock
@@ -113,7 +119,13 @@
         self._metrics = metrics
         self._catalog = catalog
         self.group = group_module.TargetGroup(
-            service, clock, targets, catalog, zones, cold_rules
+            service,
+            clock,
+            targets,
+            catalog,
+            zones,
+            cold_rules,
+            adaptive_limits=adaptive_limits,
         )
         self._queue = slot_queue.SlotQueue(
             clock, self.group, queue_options, fair_shares=fair_shares
@@ -132,6 +144,8 @@
         # Set while an order may still make another target the primary.
         self.awaits_orders = False
         self._left_target_ids: set[str] = set()
+        # The limit of each target that was logged last, and when.
+        self._reported_by_id: dict[str, tuple[int, int]] = {}
         self.last_used_ms = clock.now()
         self.last_bounded_read_ms = 0  # of a read that replicas may run
         self.refresh()
@@ -194,6 +208,40 @@
             ('queue_waiting_bytes', self._queue.waiting_bytes),
         ):
             self._metrics.set_gauge(f'{name}_{self.service}', value)
+        self._report_limits()
+
+    def _report_limits(self) -> None:
+        """Show the limit of each target; log changes by over a quarter."""
+        now = self._clock.now()
+        pools_by_id = self.group.pools_by_id
+        for target_id in self._reported_by_id.keys() - pools_by_id.keys():
+            self._remove_limit_gauge(target_id)
+        for target_id, pool in pools_by_id.items():
+            limit = pool.settled_slots
+            self._metrics.set_gauge(_limit_gauge(target_id), limit)
+            earlier, logged_ms = self._reported_by_id.setdefault(
+                target_id, (limit, now - LIMIT_LOG_INTERVAL_MS)
+            )
+            if (
+                abs(limit - earlier) <= LOGGED_LIMIT_CHANGE * earlier
+                or now - logged_ms < LIMIT_LOG_INTERVAL_MS
+            ):
+                continue
+            self._reported_by_id[target_id] = limit, now
+            _log.info(
+                'target_limit_changed',
+                service=self.service,
+                target=target_id,
+                limit=limit,
+                earlier=earlier,
+                slots=pool.target.slots,
+                statement_ms=round(pool.statement_ms),
+                running=pool.running_count,
+            )
+
+    def _remove_limit_gauge(self, target_id: str) -> None:
+        self._reported_by_id.pop(target_id, None)
+        self._metrics.remove_gauge(_limit_gauge(target_id))
 
     async def roll_back_abandoned(self, entry_host: str, number: int) -> None:
         """Roll back a transaction whose caller has disconnected."""
@@ -211,6 +259,8 @@
         """Close all connections to targets."""
         if self._evidence_task is not None:
             self._evidence_task.cancel()
+        for target_id in list(self._reported_by_id):
+            self._remove_limit_gauge(target_id)
         self._background.cancel()
         self.group.close()
 
@@ -455,18 +505,29 @@
         return is_done
 
     async def run(
-        self, entry_host: str, work: work_module.Work
+        self,
+        entry_host: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal | None = None,
     ) -> work_module.Outcome:
         """Run one statement that ``entry_host`` received from a caller."""
         self.last_used_ms = self._clock.now()
+        withdrawal = withdrawal or work_module.Withdrawal()
         match work.stage:
             case work_module.Stage.SINGLE | work_module.Stage.OPEN:
-                return await self._run_first_statement(entry_host, work)
+                return await self._run_first_statement(
+                    entry_host, work, withdrawal
+                )
             case _:
-                return await self._transactions.run_statement(entry_host, work)
+                return await self._transactions.run_statement(
+                    entry_host, work, withdrawal
+                )
 
     async def _run_first_statement(
-        self, entry_host: str, work: work_module.Work
+        self,
+        entry_host: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal,
     ) -> work_module.Outcome:
         now = self._clock.now()
         is_transaction = work.stage is work_module.Stage.OPEN
@@ -482,6 +543,7 @@
             now,
             needs_primary,
             asyncio.get_running_loop().create_future(),
+            withdrawal=withdrawal,
         )
         account = self._catalog().accounts_by_name.get(work.account)
         if account is not None:
@@ -576,10 +638,7 @@
         if wait_ms is None:
             wait_ms = policy.expected_wait_ms(
                 len(self._queue),
-                sum(
-                    each.target.slots
-                    for each in self.group.pools_by_id.values()
-                ),
+                sum(each.slots for each in self.group.pools_by_id.values()),
                 self._queue.statement_ms,
             )
         self._metrics.count('gateway_refused')
@@ -646,6 +705,8 @@
     ) -> work_module.Outcome | Retry:
         pool = await self._queue.wait_for_slot(slot_request)
         if isinstance(pool, exceptions.Sentinel):
+            if slot_request.withdrawal.is_requested:
+                return _withdrawn_outcome()
             waited_ms = self._clock.now() - slot_request.received_ms
             return self._refuse(
                 slot_request,
@@ -709,6 +770,9 @@
         except exceptions.TargetError as error:
             pool.avoid_until_ms = self._clock.now() + FAILED_TARGET_PAUSE_MS
             return Retry(str(error))
+        if slot_request.withdrawal.is_requested:
+            pool.checkin(connection)
+            return _withdrawn_outcome()
 
         preparation = connection.preparation(work)
         begin_step = _begin_step(slot_request)
@@ -801,6 +865,7 @@
                 )
             )
         sent_ms = self._clock.now()
+        concurrency = pool.concurrency
         if is_transaction:
             transaction = self._transactions.register(
                 entry_host, work.transaction, pool, connection
@@ -837,6 +902,7 @@
             if is_transaction:
                 return replies.failed_outcome(pool, reply)
             return self._handle_error(pool, slot_request, reply)
+        pool.record_sample(work, concurrency, sent_ms)
         if work.writes and not is_transaction and reply.position is not None:
             self.group.record_commit(pool, sent_ms, reply.position)
         return replies.answered_outcome(pool, reply)
@@ -925,6 +991,14 @@
         return int(short_timeout_ms)
 
 
+def _withdrawn_outcome() -> work_module.Refused:
+    return work_module.Refused('BUSY', work_module.WITHDRAWN_REASON)
+
+
+def _limit_gauge(target_id: str) -> str:
+    return f'target_limit_{target_id}'
+
+
 def _begin_step(
     slot_request: slot_queue.SlotRequest,
 ) -> connection_module.TargetStatement | None:
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -106,6 +106,7 @@
         queue_options: host_options.QueueOptions | None = None,
         *,
         fair_shares: bool = False,
+        adaptive_limits: bool = True,
     ) -> None:
         self._clock = clock
         self._random = generator
@@ -119,6 +120,7 @@
         self._cold_rules = cold_rules
         self._queue_options = queue_options
         self._fair_shares = fair_shares
+        self._adaptive_limits = adaptive_limits
         self._gateways_by_service: dict[
             str, gateway_module.ServiceGateway
         ] = {}
@@ -166,9 +168,11 @@
                 self._cold_rules,
                 self._queue_options,
                 fair_shares=self._fair_shares,
+                adaptive_limits=self._adaptive_limits,
             )
             self._gateways_by_service[service] = found
             self._adopt_observations(found)
+            found.group.adopt_limits(self._members.observed_limits(service))
             _log.info('gateway_opened', service=service)
         return found
 
@@ -186,11 +190,12 @@
             freshness.record(moment_ms, position)
 
     def observations(self) -> tuple[frames.Observation, ...]:
-        """Return the newest log position of each gateway with its age."""
+        """Return the newest log position and the limits of each gateway."""
         now = self._clock.now()
         observations = []
         for service, gateway in self._gateways_by_service.items():
             latest = gateway.group.freshness.latest
+            limits = gateway.group.limits_by_start()
             if latest is not None:
                 moment_ms, position = latest
                 observations.append(
@@ -199,12 +204,22 @@
                         position,
                         max(0, now - moment_ms),
                         _sole_primary(gateway, now),
+                        limits,
+                    )
+                )
+            elif limits:
+                observations.append(
+                    frames.Observation(
+                        service, None, 0, limits_by_start=limits
                     )
                 )
         return tuple(observations)
 
     async def run(
-        self, owner: str, work: work_module.Work
+        self,
+        owner: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal | None = None,
     ) -> work_module.Outcome:
         """Run a statement that the entry host ``owner`` received."""
         if work.service not in self._catalog().services_by_name:
@@ -219,8 +234,13 @@
         if refusal is not None:
             return refusal
         outcome = await self._get_or_open_gateway(work.service).run(
-            owner, work
+            owner, work, withdrawal
         )
+        if (
+            isinstance(outcome, work_module.Refused)
+            and outcome.reason == work_module.WITHDRAWN_REASON
+        ):
+            self._metrics.count('work_withdrawn')
         if isinstance(outcome, work_module.Refused) and _needs_rate_token(
             work
         ):
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -5,6 +5,7 @@
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand.fleet import watch
+from samphirestand.gateway import concurrency
 from samphirestand.gateway import evacuation
 from samphirestand.gateway import freshness as freshness_module
 from samphirestand.gateway import leadership as leadership_module
@@ -32,6 +33,8 @@
         catalog: collections.abc.Callable[[], catalog_module.Catalog],
         zones: evacuation.ZoneView | None = None,
         cold_rules: warmup.ColdRules | None = None,
+        *,
+        adaptive_limits: bool = True,
     ) -> None:
         self.service = service
         self._clock = clock
@@ -40,6 +43,9 @@
         self._zones = zones or evacuation.ZoneView()
         self._cold_rules = cold_rules or warmup.ColdRules()
         self.freshness = freshness_module.Freshness()
+        self._adaptive_limits = adaptive_limits
+        self._kind_times = concurrency.KindTimes()
+        self._is_opened = False
         self.pools_by_id: dict[str, pool_module.TargetPool] = {}
         self._cold_bound = 0  # requests a second from this gateway; 0: any
         # Targets that have left the registry but may still run. They are
@@ -111,7 +117,10 @@
             pool = self.pools_by_id.get(target_id)
             if pool is None:
                 pool = pool_module.TargetPool(
-                    target, self._clock, max_connections
+                    target,
+                    self._clock,
+                    max_connections,
+                    self._create_limit(target),
                 )
                 self.pools_by_id[target_id] = pool
                 pool.warmup = earlier_warmups_by_id.get(target_id, pool.warmup)
@@ -132,10 +141,13 @@
             pool.zone_limit = self._zones.limit_of(target.zone)
             if pool.zone_limit is None and earlier_limit is not None:
                 self._begin_return(pool, earlier_limit, bound, warmup_ms)
+            if pool.limit is not None:
+                pool.limit.slots = target.slots
             pool.max_connections = max_connections
             if not target.claims_primary:
                 self._not_primary_ids.discard(target_id)
         self._cold_bound = bound
+        self._is_opened = True
         self._choose_primary()
 
     def _warm_ms(
@@ -191,6 +203,39 @@
             requests_per_s=pool.warmup.limit(now),
         )
 
+    def _create_limit(
+        self, target: catalog_module.Target
+    ) -> concurrency.ConcurrencyLimit | None:
+        if not self._adaptive_limits:
+            return None
+        # A target that appears while the gateway is open has just started.
+        return concurrency.ConcurrencyLimit(
+            self._clock,
+            target.slots,
+            self._kind_times,
+            starts_carefully=self._is_opened,
+        )
+
+    def limits_by_start(self) -> dict[catalog_module.TargetStart, int]:
+        """Return the limits of the targets that have fewer than slots."""
+        return {
+            each.target.start: each.limit.settled_limit
+            for each in self.pools_by_id.values()
+            if each.limit is not None and each.limit.is_limited
+        }
+
+    def adopt_limits(
+        self,
+        limits_by_start: collections.abc.Mapping[
+            catalog_module.TargetStart, int
+        ],
+    ) -> None:
+        """Start from the limits that an earlier gateway has found."""
+        for pool in self.pools_by_id.values():
+            limit = limits_by_start.get(pool.target.start)
+            if limit is not None and pool.limit is not None:
+                pool.limit.adopt(limit)
+
     def _choose_primary(self) -> None:
         """Set the registered primary unless this host knows a newer one."""
         claimed = self._targets.claimed_primary(self.service)
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -67,6 +67,9 @@
     needs_primary: bool
     future: asyncio.Future[pool_module.TargetPool]
     pinned_pool: pool_module.TargetPool | None = None
+    withdrawal: work_module.Withdrawal = dataclasses.field(
+        default_factory=work_module.Withdrawal
+    )
     attempts: int = 0
     avoided_target_ids: set[str] = dataclasses.field(default_factory=set)
     last_retry_reason: str = ''
@@ -81,6 +84,11 @@
         None  # that the chosen replica must have
     )
 
+    def withdraw(self) -> None:
+        """Stop waiting, unless a slot has been assigned."""
+        self.refusal_reason = work_module.WITHDRAWN_REASON
+        self.future.cancel()
+
     @property
     def deadline_ms(self) -> int:
         return self.received_ms + self.work.budget_ms
@@ -143,6 +151,8 @@
 
         Returns a sentinel with the reason if it times out or is refused.
         """
+        if slot_request.withdrawal.is_requested:
+            return exceptions.Sentinel(work_module.WITHDRAWN_REASON)
         self.enqueue(slot_request)
         self.assign_slots()
         if slot_request in self._entries:
@@ -152,6 +162,7 @@
         timer = asyncio.get_running_loop().call_later(
             max(0.0, remaining_ms / 1000), self._end_wait, slot_request
         )
+        slot_request.withdrawal.notify(slot_request.withdraw)
         try:
             return await slot_request.future
         except asyncio.CancelledError:
@@ -160,6 +171,7 @@
             raise
         finally:
             timer.cancel()
+            slot_request.withdrawal.notify(None)
             if slot_request in self._entries:
                 self._remove(slot_request)
 
@@ -318,19 +330,19 @@
         pools = self._group.pools_by_id.values()
         if backlog is self._primary_backlog and primary is not None:
             return policy.expected_wait_ms(
-                len(backlog) - 1, primary.target.slots, primary.statement_ms
+                len(backlog) - 1, primary.slots, primary.statement_ms
             )
         pinned_count = len(self._pinned) + len(self._late_pinned)
         all_count = len(self) - 1
         all_ms = policy.expected_wait_ms(
             all_count,
-            sum(each.target.slots for each in pools),
+            sum(each.slots for each in pools),
             self.statement_ms,
         )
         # Replicas needn't wait for what only the primary can run.
         replica_ms = policy.expected_wait_ms(
             all_count - len(self._primary_backlog),
-            sum(each.target.slots for each in pools if each is not primary),
+            sum(each.slots for each in pools if each is not primary),
             self.statement_ms,
         )
         return min(all_ms, replica_ms) if pinned_count < all_count else all_ms
@@ -519,7 +531,7 @@
         # doesn't attract reads that replicas can serve.
         needs_opening = is_primary or not pool.has_idle(account)
         return policy.placement_cost(
-            (pool.running_count + 1) / pool.target.slots,
+            (pool.running_count + 1) / pool.slots,
             pool.statement_ms,
             pool.round_trip_ms,
             opening_ms=pool.opening_ms if needs_opening else 0.0,
@@ -534,7 +546,7 @@
         ):
             return False
         return pool.running_count < policy.max_running(
-            pool.target.slots, pool.round_trip_ms, self.statement_ms
+            pool.slots, pool.round_trip_ms, self.statement_ms
         )
 
     def _is_eligible(
@@ -648,7 +660,7 @@
         primary = self._group.primary
         if primary is None or suitable_pools not in ([], [primary]):
             slots = sum(
-                each.target.slots for each in suitable_pools or reachable_pools
+                each.slots for each in suitable_pools or reachable_pools
             )
             ahead = self._count_ahead(
                 slot_request,
@@ -666,7 +678,7 @@
             slot_request, (self._primary_backlog,), [primary]
         )
         return policy.expected_wait_ms(
-            ahead, primary.target.slots, primary.statement_ms
+            ahead, primary.slots, primary.statement_ms
         )
 
     def _count_ahead(
@@ -775,6 +787,8 @@
                 self._refuse_if_hopeless(slot_request)
         for pool in self._group.pools_by_id.values():
             pool.decay_estimates(self.statement_ms)
+            if pool.limit is not None:
+                pool.limit.review()
         self.assign_slots()
 
     def _refuse_if_hopeless(self, slot_request: SlotRequest) -> None:
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -73,7 +73,10 @@
         return transaction
 
     async def run_statement(
-        self, entry_host: str, work: work_module.Work
+        self,
+        entry_host: str,
+        work: work_module.Work,
+        withdrawal: work_module.Withdrawal,
     ) -> work_module.Outcome:
         """Run a statement, COMMIT or ROLLBACK in an open transaction."""
         transaction = self._open_by_key.get((entry_host, work.transaction))
@@ -92,6 +95,7 @@
             False,
             asyncio.get_running_loop().create_future(),
             pinned_pool=pool,
+            withdrawal=withdrawal,
         )
         needs_slot = not is_end or work.commits
         if needs_slot:
@@ -101,6 +105,7 @@
                 pool.discard(connection)
                 return work_module.Refused('ABORTED', slot_pool.reason)
         sent_ms = self._clock.now()
+        concurrency = pool.concurrency
         is_sent = False
         try:
             # Sent together: if a step fails, the target refuses all further
@@ -141,6 +146,8 @@
             if reply.error.code == 'READONLY':
                 self._group.mark_not_primary(pool)
             return replies.failed_outcome(pool, reply)
+        if needs_slot:
+            pool.record_sample(work, concurrency, sent_ms)
         if work.commits and work.wrote_before and reply.position is not None:
             self._group.record_commit(pool, sent_ms, reply.position)
         return replies.answered_outcome(pool, reply)
--- a/samphirestand/metrics.py
+++ b/samphirestand/metrics.py
@@ -39,6 +39,10 @@
         """Return the value of the gauge ``name``, 0 if it doesn't exist."""
         return self._gauges_by_name.get(name, 0)
 
+    def remove_gauge(self, name: str) -> None:
+        """Remove the gauge ``name`` of something that no longer exists."""
+        self._gauges_by_name.pop(name, None)
+
     def record(self, name: str, duration_us: int) -> None:
         """Add a duration in microseconds to the histogram ``name``.
 
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -149,12 +149,14 @@
             ),
             settings.options.queue,
             fair_shares=settings.fair_shares,
+            adaptive_limits=settings.options.targets.adaptive_limits,
         )
         self.peer_service = service_module.PeerService(
             self.members,
             self.gateways,
             self.rate_limiter,
             self.catalog,
+            self.metrics,
             self.evacuations,
         )
         self.gateways.on_claims = self.peer_service.announce
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -60,6 +60,13 @@
             7,
             observations=(
                 frames.Observation('svc', types.Position(3, 1 << 40), 250),
+                frames.Observation(
+                    'other',
+                    None,
+                    0,
+                    None,
+                    {catalog.TargetStart('i-1', 1 << 41): 3},
+                ),
             ),
         ),
         frames.WorkFrame(1, WORK),
@@ -74,6 +81,8 @@
         frames.SnapshotRequest(7),
         frames.Snapshot(7, 9, b'{"Version":9}'),
         frames.Abandon(8),
+        frames.Withdraw(9),
+        frames.Claims({}, takes_withdrawals=True),
     ],
 )
 def test_decoded_frame_equals_the_encoded_one(frame):
