--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -75,6 +75,9 @@
     ('BUSY', 'LAGGING', 'READONLY', 'WRONGNODE', 'TOOMANY', 'NOSTMT')
 )
 
+# Gauges of what waits, each followed by the name of the service.
+QUEUE_GAUGES = ('queue_waiting', 'queue_waiting_bytes')
+
 _log = log.get_logger(__name__)
 
 # Returns the targets of a service for which an order to promote them may still
@@ -203,9 +206,10 @@
     def review_waiting(self) -> None:
         """Refuse waiting work that can't be in time; start what can run."""
         self._queue.review_requests()
-        for name, value in (
-            ('queue_waiting', len(self._queue)),
-            ('queue_waiting_bytes', self._queue.waiting_bytes),
+        for name, value in zip(
+            QUEUE_GAUGES,
+            (len(self._queue), self._queue.waiting_bytes),
+            strict=True,
         ):
             self._metrics.set_gauge(f'{name}_{self.service}', value)
         self._report_limits()
@@ -261,6 +265,8 @@
             self._evidence_task.cancel()
         for target_id in list(self._reported_by_id):
             self._remove_limit_gauge(target_id)
+        for name in QUEUE_GAUGES:
+            self._metrics.remove_gauge(f'{name}_{self.service}')
         self._background.cancel()
         self.group.close()
 
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -478,6 +478,7 @@
             return True
         return (
             not pool.is_down
+            and pool.may_start(self._group.is_primary(pool))
             and self._clock.now() >= pool.avoid_until_ms
             and pool.can_provide_connection('')
         )
