fleet: Encode claims once, count connections by owner

A job host encoded its claims for each host that dialled it, and looked through all connections at each end of one, which is quadratic when all hosts are killed.

tests/fleet/test_peer_service.py: the test of the claims failed before and passes now; the other one holds before and after.

--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -119,14 +119,16 @@
         self.closed.set()
         self._handler.handle_disconnect(self)
 
-    def send(self, frame: frames.Frame) -> None:
+    def send(self, frame: frames.Frame, data: bytes | None = None) -> None:
         """Send a frame without waiting; drop it if the connection is closed.
 
-        Closes the connection if too many bytes are unsent.
+        ``data`` is the encoded frame if that goes to several hosts. Closes the
+        connection if too many bytes are unsent.
         """
         if self.is_closed or self._transport is None:
             return
-        data = frames.encode(frame, self._peer_reads_deflated)
+        if data is None:
+            data = frames.encode(frame, self._peer_reads_deflated)
         self._transport.write(data)
         if self._counters is not None:
             self._counters.count_sent(frame, len(data))
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -1,5 +1,6 @@
 """Handles frames of other hosts; sends statements to gateway hosts."""
 
+import collections
 from typing import TypeGuard
 
 from samphirestand import background
@@ -43,19 +44,24 @@
         self._rate_limiter = rate_limiter
         self._catalog = catalog
         self._background = background.Background()
-        self._inbound_connections: set[links.FrameConnection] = set()
+        # The process that opened each connection, and how many it has open.
+        self._owners_by_connection: dict[links.FrameConnection, str] = {}
+        self._connection_counts_by_owner: collections.Counter[str] = (
+            collections.Counter()
+        )
 
     def announce(self, claims: frames.Claims) -> None:
         """Send this host's gateways to all hosts that connected to it."""
-        for connection in self._inbound_connections:
-            connection.send(claims)
+        data = frames.encode(claims)
+        for connection in self._owners_by_connection:
+            connection.send(claims, data)
 
     def announce_state(self) -> None:
         """Tell this host's state to all hosts that connected to it.
 
         Their pings may be seconds apart.
         """
-        for connection in self._inbound_connections:
+        for connection in self._owners_by_connection:
             connection.send(self._pong(connection, UNSOLICITED))
 
     def handle_frame(
@@ -98,7 +104,10 @@
                         frame.catalog, _owner_id(connection)
                     )
             case frames.Hello():
-                self._inbound_connections.add(connection)
+                self._forget_owner(connection)
+                owner_id = _owner_id(connection)
+                self._owners_by_connection[connection] = owner_id
+                self._connection_counts_by_owner[owner_id] += 1
                 connection.send(self._gateways.claims)
                 self._members.add_host(frame)
             case _:
@@ -107,17 +116,23 @@
                 )
 
     def handle_disconnect(self, connection: links.FrameConnection) -> None:
-        self._inbound_connections.discard(connection)
+        self._forget_owner(connection)
         owner_id = _owner_id(connection)
-        if any(
-            _owner_id(each) == owner_id for each in self._inbound_connections
-        ):
+        if owner_id in self._connection_counts_by_owner:
             # The host has connected again already, and its transactions go
             # on there. Those that it has given up are rolled back when they
             # have been idle for too long.
             return
         self._background.spawn(self._gateways.abandon_all(owner_id))
 
+    def _forget_owner(self, connection: links.FrameConnection) -> None:
+        owner_id = self._owners_by_connection.pop(connection, None)
+        if owner_id is None:
+            return
+        self._connection_counts_by_owner[owner_id] -= 1
+        if not self._connection_counts_by_owner[owner_id]:
+            del self._connection_counts_by_owner[owner_id]
+
     async def _run_work(
         self, connection: links.FrameConnection, frame: frames.WorkFrame
     ) -> None:
