--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -1,5 +1,6 @@
 """Handles frames of other hosts; sends statements to gateway hosts."""
 
+import collections
 import dataclasses
 from typing import TypeGuard
 
@@ -51,23 +52,29 @@
         self._evacuations = evacuations
         self._background = background.Background()
         self._metrics = metrics
-        self._inbound_connections: set[links.FrameConnection] = set()
         # Of the work without an outcome, by its call id.
         self._withdrawals_by_connection: dict[
             links.FrameConnection, dict[int, work_module.Withdrawal]
         ] = {}
+        # The process that opened each connection, and how many it has open.
+        self._owners_by_connection: dict[links.FrameConnection, str] = {}
+        self._connection_counts_by_owner: collections.Counter[str] = (
+            collections.Counter()
+        )
 
     def announce(self, claims: frames.Claims) -> None:
         """Send this host's gateways to all hosts that connected to it."""
-        for connection in self._inbound_connections:
-            connection.send(_with_withdrawals(claims))
+        claims = _with_withdrawals(claims)
+        data = frames.encode(claims)
+        for connection in self._owners_by_connection:
+            connection.send(claims, data)
 
     def announce_state(self) -> None:
         """Tell this host's state to all hosts that connected to it.
 
         Their pings may be seconds apart.
         """
-        for connection in self._inbound_connections:
+        for connection in self._owners_by_connection:
             connection.send(self._pong(connection, UNSOLICITED))
 
     def handle_frame(
@@ -114,7 +121,10 @@
                     _owner_id(connection),
                 )
             case frames.Hello():
-                self._inbound_connections.add(connection)
+                self._forget_owner(connection)
+                owner_id = _owner_id(connection)
+                self._owners_by_connection[connection] = owner_id
+                self._connection_counts_by_owner[owner_id] += 1
                 connection.send(_with_withdrawals(self._gateways.claims))
                 self._members.add_host(frame)
             case _:
@@ -123,21 +133,27 @@
                 )
 
     def handle_disconnect(self, connection: links.FrameConnection) -> None:
-        self._inbound_connections.discard(connection)
+        self._forget_owner(connection)
         # No answer can be delivered on this connection any more.
         pending = self._withdrawals_by_connection.get(connection, {})
         for withdrawal in list(pending.values()):
             withdrawal.request()
         owner_id = _owner_id(connection)
-        if any(
-            _owner_id(each) == owner_id for each in self._inbound_connections
-        ):
+        if owner_id in self._connection_counts_by_owner:
             # The host has connected again already, and its transactions go
             # on there. Those that it has given up are rolled back when they
             # have been idle for too long.
             return
         self._background.spawn(self._gateways.abandon_all(owner_id))
 
+    def _forget_owner(self, connection: links.FrameConnection) -> None:
+        owner_id = self._owners_by_connection.pop(connection, None)
+        if owner_id is None:
+            return
+        self._connection_counts_by_owner[owner_id] -= 1
+        if not self._connection_counts_by_owner[owner_id]:
+            del self._connection_counts_by_owner[owner_id]
+
     def _start_work(
         self, connection: links.FrameConnection, frame: frames.WorkFrame
     ) -> None:
