--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -193,8 +193,10 @@
         primary, replica, _ = fleet.group.servers.values()
         zones.evacuate('north')
         # At once: a promotion that the store knows of is carried out.
-        while not any(each.evacuations.zones for each in fleet.nodes):
-            await asyncio.sleep(0)
+        await fleet.until(
+            lambda: any(each.evacuations.zones for each in fleet.nodes),
+            interval_s=0,
+        )
         fleet.store.is_down = fault == 'store'
         replica.is_silent = fault == 'replica'
         await fleet.until(lambda: fleet.nodes[0].evacuations.zones)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -188,13 +188,13 @@
         await node.start()
         return node
 
-    async def until(self, condition, limit_s=TIMEOUT_S):
+    async def until(self, condition, limit_s=TIMEOUT_S, interval_s=0.02):
         """Wait until ``condition`` holds; fails after ``limit_s`` seconds."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + limit_s
         while not condition():
             assert loop.time() < deadline, 'the condition did not hold in time'
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(interval_s)
 
     async def close(self):
         for node in self.nodes:
