slot queue: Look again at set-aside requests at an interval in any mode

More than 16 such requests are now offered again every 20 ms, as with fair shares before, and whenever evidence, the registry or the configuration change.

--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -167,7 +167,7 @@
     def refresh(self) -> None:
         """Adopt the current registry and configuration; assign free slots."""
         self.group.refresh()
-        self._queue.assign_slots()
+        self._queue.recheck_all()
 
     def leave_evacuated_zones(self) -> None:
         """End what may not go on at targets of evacuated zones.
@@ -282,7 +282,7 @@
     async def _gather_evidence(self) -> None:
         while True:
             await self._ask_for_evidence()
-            self._queue.assign_slots()
+            self._queue.recheck_all()
             if not self._queue.lacks_evidence:
                 return
             await self._clock.sleep(EVIDENCE_RETRY_MS)
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -29,10 +29,10 @@
 # Connections that transactions leave free for operations of one statement.
 SINGLE_STATEMENT_CONNECTIONS = 2
 
-# With fair shares, requests that no free target could run are tried again
-# whenever a slot becomes free if there are at most this many, otherwise at
-# this interval. Each is thus looked at once per target and interval, however
-# many statements end meanwhile.
+# Requests that no free target could run are tried again whenever a slot
+# becomes free if there are at most this many, otherwise at this interval and
+# whenever evidence, registry or configuration change. Each is thus looked at
+# once per target and interval, however many statements end meanwhile.
 RECHECK_COUNT = 16
 RECHECK_INTERVAL_MS = 20
 
@@ -364,6 +364,14 @@
             if self._has_slot(each)
         ]
 
+    def recheck_all(self) -> None:
+        """Assign slots after a change that requests were set aside for.
+
+        For new evidence, a new primary or a new registry.
+        """
+        self._rechecked_ms = self._clock.now() - RECHECK_INTERVAL_MS
+        self.assign_slots()
+
     def assign_slots(self) -> None:
         """Assign free slots to waiting statements, the most urgent first.
 
@@ -421,8 +429,7 @@
     def _recheck_blocked(self, now: int) -> None:
         blocked_count = sum(each.blocked_count for each in self._queues)
         if (
-            self.fair_shares
-            and blocked_count > RECHECK_COUNT
+            blocked_count > RECHECK_COUNT
             and now - self._rechecked_ms < RECHECK_INTERVAL_MS
         ):
             return
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -164,6 +164,9 @@
         return transport
 
     async def connect_accepted_socket(self, factory, sock):
+        if sock.is_connected.cancelled():
+            # The host that connects was killed meanwhile.
+            raise ConnectionResetError
         far = self._connect(sock.host_id, factory())
         sock.near.peer, far.peer = far, sock.near
         far.protocol.connection_made(far)
--- a/tests/gateway/test_slot_queue.py
+++ b/tests/gateway/test_slot_queue.py
@@ -107,3 +107,35 @@
     assert [each.future.done() for each in later] == [True, False, False]
     assert len(queue) == 2
     assert group.primary.running_count == 2
+
+
+def test_requests_that_cannot_run_are_not_looked_at_for_each_slot():
+    """Fails if an overload without evidence costs the square of its size.
+
+    Statements that only an unconfirmed primary may run were looked at again
+    whenever any other statement ended: a gateway at 300 hosts spent most of
+    its processor time on that.
+    """
+
+    async def scenario():
+        clock = clock_module.ManualClock()
+        group = FakeGroup(clock, 3)
+        group.leadership = leadership.Leadership('t0', 1)
+        queue = slot_queue.SlotQueue(clock, group)
+        for _ in range(200):
+            queue.enqueue(create_request(clock, needs_primary=True))
+        examined = []
+        choose_target = queue._choose_target
+
+        def choose_and_count(slot_request, free_pools):
+            examined.append(slot_request)
+            return choose_target(slot_request, free_pools)
+
+        queue._choose_target = choose_and_count
+        for _ in range(50):
+            queue.assign_slots()
+        assert len(examined) <= 200, len(examined)
+        queue.recheck_all()
+        assert len(examined) <= 400, len(examined)
+
+    asyncio.run(scenario())
