--- a/tests/sessions/test_withdrawal.py
+++ b/tests/sessions/test_withdrawal.py
@@ -219,6 +219,15 @@
     def write(self, data):
         self.written += data
 
+    def mark_started(self):
+        pass
+
+    async def admit_message(self, message_bytes):
+        return True
+
+    def finish_message(self):
+        pass
+
     def close(self):
         self.is_closed = True
 
