targets: Limit concurrency only where the settings ask for it

Limits of targets were in force on all deployments, also on those whose settings say nothing of slow targets or competing accounts.

targets.adaptive_limits is null by default now: on with the contract pressure or health. Of the new test, 5 of 5 cases failed before.

--- a/samphirestand/host_options.py
+++ b/samphirestand/host_options.py
@@ -56,9 +56,14 @@
 
 
 class TargetOptions(_Group):
-    """How much a target is given at once."""
+    """How much a target is given at once.
 
-    adaptive_limits: bool = True
+    ``adaptive_limits`` says whether that follows its statement times; None
+    means where the platform's settings say that targets slow down or that
+    accounts compete.
+    """
+
+    adaptive_limits: bool | None = None
 
 
 class LogOptions(_Group):
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -149,7 +149,7 @@
             ),
             settings.options.queue,
             fair_shares=settings.fair_shares,
-            adaptive_limits=settings.options.targets.adaptive_limits,
+            adaptive_limits=settings.adaptive_limits,
         )
         self.peer_service = service_module.PeerService(
             self.members,
--- a/samphirestand/node_settings.py
+++ b/samphirestand/node_settings.py
@@ -39,7 +39,8 @@
     ``cold_excess`` and ``cold_slack`` (requests) say by how much a cold target
     may get more requests in a second than its service allows. With
     ``accounts_compete``, there is too little room for all accounts at times.
-    With ``zones_can_be_evacuated``, zones are taken out of service.
+    With ``zones_can_be_evacuated``, zones are taken out of service. With
+    ``targets_degrade``, targets become slow or fail part of their statements.
     """
 
     drain_ms: int = 10_000
@@ -48,6 +49,7 @@
     cold_slack: float = 5.0
     accounts_compete: bool = False
     zones_can_be_evacuated: bool = False
+    targets_degrade: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,3 +80,11 @@
         if configured is None:
             return self.bounds.accounts_compete
         return configured
+
+    @property
+    def adaptive_limits(self) -> bool:
+        """Tell whether targets that slow down get fewer statements."""
+        configured = self.options.targets.adaptive_limits
+        if configured is None:
+            return self.bounds.targets_degrade or self.bounds.accounts_compete
+        return configured
--- a/samphirestand/platform/node_file.py
+++ b/samphirestand/platform/node_file.py
@@ -16,10 +16,11 @@
 FILE_VARIABLE = 'SAMPHIRESTAND_NODE_FILE'
 
 
-# Names of sets of rules: accounts compete for room, and zones can be taken out
-# of service.
+# Names of sets of rules: accounts compete for room, zones can be taken out of
+# service, and targets fail or slow down while their health checks succeed.
 _COMPETING_ACCOUNTS = 'pressure'
 _PLACES = 'places'
+_HEALTH = 'health'
 
 # The port from which the platform fetches metrics, the same on all machines.
 # It must match deploy/system.toml.
@@ -128,6 +129,7 @@
             cold_slack=model.Bounds.ColdSlack,
             accounts_compete=_COMPETING_ACCOUNTS in model.Contracts,
             zones_can_be_evacuated=_PLACES in model.Contracts,
+            targets_degrade=_HEALTH in model.Contracts,
         ),
         options=options,
     )
--- a/tests/test_host_options.py
+++ b/tests/test_host_options.py
@@ -34,6 +34,20 @@
         host_options.load(path)
 
 
+def create_settings(options, bounds):
+    endpoint = node_settings.Endpoint('127.0.0.1', 1)
+    return node_settings.NodeSettings(
+        'h',
+        'z',
+        *[endpoint] * 5,
+        promotions=None,
+        grace_ms=1,
+        rate_slack=0,
+        bounds=bounds,
+        options=options,
+    )
+
+
 @pytest.mark.parametrize(
     ('option', 'competes', 'expected'),
     [
@@ -49,15 +63,30 @@
     """Fails if the order of work changes where nobody asked for it."""
     path = tmp_path / 'host.yaml'
     path.write_text(f'queue: {{fair_shares: {option}}}')
-    endpoint = node_settings.Endpoint('127.0.0.1', 1)
-    settings = node_settings.NodeSettings(
-        'h',
-        'z',
-        *[endpoint] * 5,
-        promotions=None,
-        grace_ms=1,
-        rate_slack=0,
-        bounds=node_settings.Bounds(accounts_compete=competes),
-        options=host_options.load(path),
+    settings = create_settings(
+        host_options.load(path),
+        node_settings.Bounds(accounts_compete=competes),
     )
     assert settings.fair_shares is expected
+
+
+@pytest.mark.parametrize(
+    ('option', 'bounds', 'expected'),
+    [
+        ('null', {}, False),
+        ('null', {'targets_degrade': True}, True),
+        ('null', {'accounts_compete': True}, True),
+        ('true', {}, True),
+        ('false', {'targets_degrade': True}, False),
+    ],
+)
+def test_target_limits_follow_the_option_then_the_settings(
+    tmp_path, option, bounds, expected
+):
+    """Fails if targets get fewer statements where nobody asked for it."""
+    path = tmp_path / 'host.yaml'
+    path.write_text(f'targets: {{adaptive_limits: {option}}}')
+    settings = create_settings(
+        host_options.load(path), node_settings.Bounds(**bounds)
+    )
+    assert settings.adaptive_limits is expected
