log: Count lines about ended transactions with those about requests

An evacuation ends all open transactions at the targets of a zone while the primaries there are replaced. Their lines, transaction_ended, used the budget of lines about state, 200 a second, so they could displace those of the promotion. The test failed for this event before (1 of 2 cases).

--- a/samphirestand/log.py
+++ b/samphirestand/log.py
@@ -29,6 +29,7 @@
         'statement_failed',
         'target_refused_session',
         'transaction_access_ended',
+        'transaction_ended',
         'transaction_idle',
         'work_refused',
         'work_refused_rate',
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -46,12 +46,17 @@
         return [each['event'] for each in self.written]
 
 
-def test_refusals_dont_displace_lines_of_a_promotion():
-    """Fails if a flood of refusals hides why a primary was replaced."""
+@pytest.mark.parametrize('event', ['work_refused', 'transaction_ended'])
+def test_refusals_dont_displace_lines_of_a_promotion(event):
+    """Fails if a flood of refusals hides why a primary was replaced.
+
+    An evacuated zone ends all transactions at its targets while their primary
+    is replaced.
+    """
     lines = Lines()
     for number in range(5_000):
         lines.now_s = 10 + number / 5_000
-        lines.write('work_refused', reason='no slot', request=f'r{number}')
+        lines.write(event, reason='no slot', request=f'r{number}')
         if number % 1_000 == 999:
             lines.write(PROMOTION_LINES[number // 1_000])
     assert set(PROMOTION_LINES) <= set(lines.events())
@@ -61,7 +66,7 @@
     [folded] = lines.folded
     assert folded['count'] == 5_000 - log.MAX_LINES_PER_REASON
     assert folded['request'] == f'r{log.MAX_LINES_PER_REASON}'
-    assert lines.counts == {'log_lines_left_out_work_refused': folded['count']}
+    assert lines.counts == {f'log_lines_left_out_{event}': folded['count']}
 
 
 def test_frequent_reason_leaves_room_for_a_rare_one():
