--- a/samphirestand/host_options.py
+++ b/samphirestand/host_options.py
@@ -16,7 +16,6 @@
     'DEFAULTS',
     'CallerOptions',
     'HostOptions',
-    'LogOptions',
     'QueueOptions',
     'TargetOptions',
     'load',
@@ -66,17 +65,12 @@
     adaptive_limits: bool | None = None
 
 
-class LogOptions(_Group):
-    """How many log lines are written."""
-
-
 class HostOptions(_Group):
     """All options of a host, by group."""
 
     callers: CallerOptions = CallerOptions()
     queue: QueueOptions = QueueOptions()
     targets: TargetOptions = TargetOptions()
-    logging: LogOptions = LogOptions()
 
 
 DEFAULTS = HostOptions()
