fleet: Keep hosts without jobs registered after their first minute

Job hosts deleted the rows of all hosts without jobs 50 s after the start of a fleet.

Cause: a host that starts knows no other host, counts itself as a job host, and announces in its row that it renews it each 10 s. Once it knows that it does no job it renews each 60 s. Job hosts have no link to it, and took five missed renewals for its end. Without its row a host that restarts waits for its registration like one of a new fleet, which delays the return after a loss of power.

Rows of hosts that do no job are now kept for five renewals of such a host. The choice is made by who reads the row, so it also holds for rows of earlier releases. Fleets of up to 12 hosts, where all are job hosts, are as before.

--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -9,6 +9,7 @@
 import dataclasses
 import ipaddress
 import json
+import math
 
 import pydantic
 
@@ -220,8 +221,8 @@
         self._rows_version: int | None = None
         # The version of each host's row, and when this host first read it.
         self._seen_versions_by_id: dict[str, tuple[int, int]] = {}
-        # How long a readable row may stay as it is.
-        self._expiry_ms_by_id: dict[str, int] = {}
+        # The interval of renewals that a readable row announces.
+        self._renew_ms_by_id: dict[str, int] = {}
         # When the store first answered; None before.
         self._first_read_ms: int | None = None
         # Set when this host has joined the fleet without a row of its own.
@@ -1156,21 +1157,16 @@
                 since_ms = now
             self._seen_versions_by_id[row.key] = (row.version, since_ms)
             if is_new:
-                self._expiry_ms_by_id.pop(row.key, None)
+                self._renew_ms_by_id.pop(row.key, None)
                 model = _decode_row(row)
                 if model is None:
                     continue
-                self._expiry_ms_by_id[row.key] = model.renew_ms * (
-                    MAX_MISSED_RENEWALS + 1
-                )
+                self._renew_ms_by_id[row.key] = model.renew_ms
                 hellos.append(_hello_from_row(row.key, model))
                 continue
-            expiry_ms = self._expiry_ms_by_id.get(row.key)
-            if (
-                expiry_ms is not None
-                and now - since_ms > expiry_ms
-                and not self._is_reachable(row.key)
-            ):
+            if now - since_ms > self._expiry_ms(
+                row.key
+            ) and not self._is_reachable(row.key):
                 removed_rows.append(row)
         self._remove_deleted(set(self._rows_by_id))
         self.add_hosts(hellos)
@@ -1178,6 +1174,20 @@
             self._first_read_ms = now
         await self._remove_hosts(removed_rows)
 
+    def _expiry_ms(self, host_id: str) -> float:
+        """Return how long the row of a host may stay as it is.
+
+        The first row of a host that does no job announces the renewals of a
+        job host: it didn't know the fleet when it was written. Job hosts have
+        no link to it that would show that it runs.
+        """
+        renew_ms = self._renew_ms_by_id.get(host_id)
+        if renew_ms is None:
+            return math.inf
+        if host_id not in self._job_host_ids:
+            renew_ms = max(renew_ms, OTHER_HOST_RENEW_MS)
+        return renew_ms * (MAX_MISSED_RENEWALS + 1)
+
     def _remove_deleted(self, present_ids: set[str]) -> None:
         """Remove hosts whose row another host has deleted."""
         removed_ids = [
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -199,6 +199,7 @@
         self._idle_from_s = 0.0
         self._changed = asyncio.Event()
         self.whole_reads_by_table = collections.Counter()
+        self.deleted_count = 0
 
     def close(self):
         pass
@@ -273,7 +274,15 @@
         conflict = self._conflict(table, key, expected_version)
         return conflict or self.write(table, key, value)
 
+    def keys(self, table):
+        return [
+            each.key
+            for each in self._rows_by_table[table].values()
+            if not each.is_deleted
+        ]
+
     async def delete(self, table, key, expected_version):
+        self.deleted_count += 1
         await self._wait_for_turn(0)
         conflict = self._conflict(table, key, expected_version)
         return conflict or self.write(table, key, b'', is_deleted=True)
--- a/tests/fleet/test_control_traffic.py
+++ b/tests/fleet/test_control_traffic.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from samphirestand.fleet import members
 from tests.fleet import simulation
 
 SIZES = (30, 100, 300)
@@ -71,6 +72,23 @@
     assert fleet.traffic(start_s)[1] <= BUSIEST_BYTES_PER_S
 
 
+@pytest.mark.parametrize('host_count', SIZES[:1])
+@simulation.simulated
+async def test_running_hosts_stay_registered(loop, host_count):
+    """Fails if job hosts remove hosts that they have no link to.
+
+    A host that starts doesn't know yet that it does no job. Its first row
+    announced the renewals of a job host, and was deleted before the next one.
+    """
+    fleet, _ = await started(loop, host_count)
+    # Beyond five renewals of a job host, and one of another host.
+    await asyncio.sleep(1.2 * members.OTHER_HOST_RENEW_MS / 1_000)
+    assert len(fleet.store.keys(members.HOSTS_TABLE)) == host_count
+    for node in fleet.nodes_by_id.values():
+        assert node.members.host_count == host_count
+    assert fleet.store.deleted_count == 0
+
+
 @pytest.mark.parametrize('host_count', SIZES)
 @simulation.simulated
 async def test_kill_of_all_hosts(loop, host_count):
