succession: Repeat the read of the token, keep gateways after an outage

The row of the token is read again beside a read that has had no answer for 500 ms, twice at most. A gateway moves away from a host that failed to reach the store only if the store has answered no other call of this host since. Writes are sent as before.

--- a/samphirestand/gateway/fencing.py
+++ b/samphirestand/gateway/fencing.py
@@ -6,6 +6,7 @@
 that sent it.
 """
 
+import asyncio
 import collections.abc
 import dataclasses
 
@@ -25,6 +26,12 @@
 # replicas, orders the promotion and waits until it takes effect.
 TOKEN_HOLD_MS = 5_000
 
+# The row is read again beside a read that has had no answer for this long: an
+# outage of the store loses the calls in it, and no primary is replaced until
+# one is answered. A degraded store takes 400 ms.
+READ_REPEAT_MS = 500
+MAX_READ_ATTEMPTS = 3
+
 # A write whose answer was lost is tried again: the second attempt shows
 # whether it took effect, the third one follows it.
 MAX_WRITE_ATTEMPTS = 3
@@ -185,12 +192,35 @@
     async def _read(self, service: str) -> tuple[_Duty, int]:
         """Return a service's duty and the store's time in milliseconds."""
         key = _duty_key(service)
-        feed = await self._store.read(DUTIES_TABLE, key)
+        feed = await self._read_repeatedly(key)
         row = next((each for each in feed.rows if each.key == key), None)
         if row is None:
             return _Duty(0, '', 0, frozenset(), 0), feed.now_ms
         return _decode_duty(row, feed), feed.now_ms
 
+    async def _read_repeatedly(self, key: str) -> store_module.TableRows:
+        """Return the first answer to a read that is repeated meanwhile."""
+        reads: set[asyncio.Task[store_module.TableRows]] = set()
+        try:
+            for attempt in range(MAX_READ_ATTEMPTS):
+                reads.add(
+                    asyncio.create_task(self._store.read(DUTIES_TABLE, key))
+                )
+                is_last = attempt == MAX_READ_ATTEMPTS - 1
+                done, _ = await asyncio.wait(
+                    reads,
+                    timeout=None if is_last else READ_REPEAT_MS / 1000,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    break
+            # An error is raised only if no read of these has an answer.
+            answered = [each for each in done if each.exception() is None]
+            return (answered or list(done))[0].result()
+        finally:
+            for each in reads:
+                each.cancel()
+
     async def _write(
         self, token: Token, version: int
     ) -> int | store_module.Conflict:
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -518,6 +518,7 @@
         reason: str,
     ) -> None:
         assert self._succession is not None
+        started_ms = self._clock.now()
         try:
             is_done = await self._succession.replace_primary(
                 gateway, service, reason
@@ -527,7 +528,8 @@
                 'succession_failed', service=service.name, reason=str(error)
             )
             is_done = False
-            self._members.note_store_failure()
+            if not self._succession.has_reached_store(started_ms):
+                self._members.note_store_failure()
         if not is_done:
             await self._clock.sleep(succession_module.RETRY_MS)
 
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -129,6 +129,7 @@
     ) -> None:
         self._host_id = host_id
         self._clock = clock
+        self._store = store
         self._tokens = fencing.FencingTokens(host_id, clock, store)
         self._promotions = promotions
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -145,6 +146,11 @@
         """
         return await self._tokens.read_ordered_ids(service)
 
+    def has_reached_store(self, since_ms: int) -> bool:
+        """Tell whether the store has answered a call of this host since."""
+        answered_ms = self._store.answered_ms
+        return answered_ms is not None and answered_ms > since_ms
+
     async def replace_primary(
         self,
         gateway: gateway_module.ServiceGateway,
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -76,7 +76,9 @@
         self._probe_servers: list[probe_server.ProbeServer] = []
         self.metrics = metrics_module.Metrics()
         log.count_with(self.metrics.count)
-        self.store = store_module.Store(settings.store, self.metrics)
+        self.store = store_module.Store(
+            settings.store, self.metrics, self._clock
+        )
         self.evacuations = evacuations_module.Evacuations(
             self._clock,
             self.metrics,
--- a/samphirestand/platform/store.py
+++ b/samphirestand/platform/store.py
@@ -12,6 +12,7 @@
 import pydantic
 from tornado import httpclient
 
+from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand import log
 from samphirestand import metrics as metrics_module
@@ -87,8 +88,12 @@
         self,
         endpoint: node_settings.Endpoint,
         metrics: metrics_module.Metrics | None = None,
+        clock: clock_module.Clock | None = None,
     ) -> None:
         self._metrics = metrics
+        self._clock = clock or clock_module.SystemClock()
+        # When the store last answered a call of this host; None before.
+        self.answered_ms: int | None = None
         self._url = f'http://{endpoint}'
         self._client = httpclient.AsyncHTTPClient(
             force_instance=True, max_clients=16
@@ -240,6 +245,7 @@
                 str(error), step=_ERROR_STEP, peer=self._url
             ) from error
         if response.code in (200, 410, 412):
+            self.answered_ms = self._clock.now()
             return response
         if response.code in (429, 503, 599):
             raise exceptions.PlatformUnavailable(
