draining: Send nothing to a draining target after DrainMs

A draining primary was used for as long as no replica could be promoted, and open transactions stayed on any draining target. Requests could reach it later than DrainMs after its report.

A report counts from the newest read that still showed the target as ready.

The fleet of test_evacuation takes its bounds as an argument, so that the new tests share it.

--- a/samphirestand/fleet/watch.py
+++ b/samphirestand/fleet/watch.py
@@ -251,6 +251,7 @@
         self._on_change = on_change
         self._targets_by_id: dict[str, catalog_module.Target] = {}
         self._claim_versions_by_id: dict[str, int] = {}
+        self._draining_since_ms_by_id: dict[str, int] = {}
         self._missing_since_ms_by_id: dict[str, int] = {}
         self._departures: list[Departure] = []
         self._settled_until_ms_by_start: dict[
@@ -445,6 +446,15 @@
         """
         return self._claim_versions_by_id.get(target_id, 0)
 
+    def draining_since_ms(self, target_id: str) -> int | None:
+        """Return the earliest moment of a target's report that it drains.
+
+        Rows don't bear a time, so that is when the newest read began that
+        still showed it as ready. None if this start of the target was never
+        seen as ready.
+        """
+        return self._draining_since_ms_by_id.get(target_id)
+
     async def run(self) -> None:
         """Follow the registry in the store until cancelled."""
         version: int | None = None
@@ -543,6 +553,7 @@
             previous is not None and previous.claims_primary
         ):
             self._claim_versions_by_id[row.key] = row.version
+        self._note_draining(target, previous)
         self._targets_by_id[row.key] = target
         _log.info(
             'target_changed',
@@ -555,6 +566,26 @@
         )
         return True
 
+    def _note_draining(
+        self,
+        target: catalog_module.Target,
+        previous: catalog_module.Target | None,
+    ) -> None:
+        """Record since when a target may have been draining."""
+        is_same_start = previous is not None and previous.start == target.start
+        if not target.is_draining or not is_same_start:
+            self._draining_since_ms_by_id.pop(target.target_id, None)
+        if (
+            target.is_draining
+            and is_same_start
+            and previous is not None
+            and not previous.is_draining
+            and self._read_sent_ms is not None
+        ):
+            self._draining_since_ms_by_id[target.target_id] = (
+                self._read_sent_ms
+            )
+
     def _remove_missing(self, now: int) -> None:
         if now < self._removal_paused_until_ms:
             return
@@ -566,6 +597,7 @@
     def _remove_target(self, target_id: str) -> bool:
         """Remove a target and remember it; return whether it was known."""
         target = self._targets_by_id.pop(target_id, None)
+        self._draining_since_ms_by_id.pop(target_id, None)
         if target is None:
             return False
         self._departures.append(Departure(target, self._clock.now()))
--- a/samphirestand/gateway/evacuation.py
+++ b/samphirestand/gateway/evacuation.py
@@ -9,13 +9,17 @@
 
 import collections.abc
 import dataclasses
+from typing import Protocol
 
 __all__ = [
+    'SendingLimit',
     'ZoneLimit',
     'ZoneView',
+    'closing_ms',
     'may_continue',
     'may_start',
     'must_replace',
+    'resetting_ms',
 ]
 
 # Nothing is sent any more this long before the limit. It covers the way to the
@@ -28,6 +32,31 @@
 RESET_MARGIN_MS = 200
 
 
+class SendingLimit(Protocol):
+    """Until when a target may get requests."""
+
+    @property
+    def closes_ms(self) -> int:
+        """Return from when on nothing is sent to the target."""
+
+    @property
+    def resets_ms(self) -> int:
+        """Return when connections that await an answer are reset."""
+
+
+def closing_ms(since_ms: int, allowed_ms: int) -> int:
+    """Return when to stop sending, so that nothing arrives too late."""
+    return since_ms + max(0, allowed_ms - SENDING_MARGIN_MS)
+
+
+def resetting_ms(since_ms: int, allowed_ms: int) -> int:
+    """Return when to reset connections on which an answer is awaited."""
+    return max(
+        closing_ms(since_ms, allowed_ms),
+        since_ms + allowed_ms - RESET_MARGIN_MS,
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class ZoneLimit:
     """Until when the targets of an evacuated zone may get requests.
@@ -43,15 +72,12 @@
     @property
     def closes_ms(self) -> int:
         """Return from when on nothing is sent to the zone's targets."""
-        return self.since_ms + max(0, self.evacuation_ms - SENDING_MARGIN_MS)
+        return closing_ms(self.since_ms, self.evacuation_ms)
 
     @property
     def resets_ms(self) -> int:
         """Return when connections that await an answer are reset."""
-        return max(
-            self.closes_ms,
-            self.since_ms + self.evacuation_ms - RESET_MARGIN_MS,
-        )
+        return resetting_ms(self.since_ms, self.evacuation_ms)
 
 
 def _no_limit(zone: str) -> ZoneLimit | None:
@@ -71,18 +97,21 @@
     revoked_ms: collections.abc.Callable[[str], int | None] = lambda zone: None
 
 
-def may_start(limit: ZoneLimit | None, is_primary: bool, now_ms: int) -> bool:
+def may_start(
+    limit: SendingLimit | None, is_primary: bool, now_ms: int
+) -> bool:
     """Tell whether a target may get new work.
 
-    For an evacuation under load: reads move to other zones at once, and work
-    that only the primary can run goes on while it is being replaced.
+    For a target that drains, and for an evacuation under load: reads move to
+    other targets at once, and work that only the primary can run goes on while
+    it is being replaced.
     """
     if limit is None:
         return True
     return is_primary and now_ms < limit.closes_ms
 
 
-def may_continue(limit: ZoneLimit | None, now_ms: int) -> bool:
+def may_continue(limit: SendingLimit | None, now_ms: int) -> bool:
     """Tell whether an open transaction may send to its target.
 
     For transactions that are open when a zone is evacuated: most of them end
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -115,6 +115,7 @@
         *,
         fair_shares: bool = False,
         adaptive_limits: bool = True,
+        drain_ms: int | None = None,
     ) -> None:
         self.service = service
         self._clock = clock
@@ -129,6 +130,7 @@
             zones,
             cold_rules,
             adaptive_limits=adaptive_limits,
+            drain_ms=drain_ms,
         )
         self._queue = slot_queue.SlotQueue(
             clock, self.group, queue_options, fair_shares=fair_shares
@@ -169,8 +171,8 @@
         self.group.refresh()
         self._queue.recheck_all()
 
-    def leave_evacuated_zones(self) -> None:
-        """End what may not go on at targets of evacuated zones.
+    def leave_closed_targets(self) -> None:
+        """End what may not go on at targets that drain or are evacuated.
 
         Open transactions end when nothing may be sent any more; a running
         statement still gets its answer until the connections are reset.
@@ -178,30 +180,43 @@
         now = self._clock.now()
         self._transactions.end_closed()
         for target_id, pool in self.group.pools_by_id.items():
-            limit = pool.zone_limit
-            if limit is None:
+            limits = pool.limits
+            if not limits:
                 self._left_target_ids.discard(target_id)
                 continue
-            if now >= limit.resets_ms:
+            if now >= min(each.resets_ms for each in limits):
                 pool.reset_connections()
-            elif now >= limit.closes_ms:
+            elif now >= min(each.closes_ms for each in limits):
                 pool.close_idle_connections(0)
             is_left = not pool.may_start(self.group.is_primary(pool)) and not (
                 pool.running_count or pool.pinned_count
             )
             if is_left and target_id not in self._left_target_ids:
                 self._left_target_ids.add(target_id)
-                _log.warning(
-                    'evacuation_target_left',
-                    service=self.service,
-                    target=target_id,
-                    zone=limit.zone,
-                    after_ms=now - limit.since_ms,
-                    # A primary that could not be replaced in time.
-                    decided_by='no lost commit'
-                    if self.group.is_primary(pool)
-                    else 'evacuation',
-                )
+                self._log_left(pool)
+
+    def _log_left(self, pool: pool_module.TargetPool) -> None:
+        """Log that nothing runs or is sent at a target any more."""
+        now = self._clock.now()
+        # A primary that could not be replaced in time stays the primary.
+        is_primary = self.group.is_primary(pool)
+        if pool.zone_limit is not None:
+            _log.warning(
+                'evacuation_target_left',
+                service=self.service,
+                target=pool.target.target_id,
+                zone=pool.zone_limit.zone,
+                after_ms=now - pool.zone_limit.since_ms,
+                decided_by='no lost commit' if is_primary else 'evacuation',
+            )
+        elif pool.drain_limit is not None:
+            _log.warning(
+                'draining_target_left',
+                service=self.service,
+                target=pool.target.target_id,
+                after_ms=now - pool.drain_limit.since_ms,
+                decided_by='no lost commit' if is_primary else 'drain',
+            )
 
     def review_waiting(self) -> None:
         """Refuse waiting work that can't be in time; start what can run."""
@@ -307,7 +322,7 @@
         other_pools = sorted(
             (each for each in group.pools_by_id.values() if each != primary),
             key=lambda each: (
-                each.zone_limit is not None,
+                bool(each.limits),
                 # Commands leave less to the statements of a cold target.
                 each.warmup.limit(sent_ms) is not None,
                 each.needs_probe,
@@ -593,16 +608,16 @@
         self, slot_request: slot_queue.SlotRequest
     ) -> work_module.Refused | None:
         reachable_pools = self.group.reachable_pools()
-        zone_reason = self.group.zone_refusal(slot_request.needs_primary)
+        closure = self.group.closure(slot_request.needs_primary)
         if slot_request.needs_primary and self._queue.is_primary_expected(
             slot_request
         ):
-            zone_reason = None
-        if zone_reason is not None:
+            closure = None
+        if closure is not None:
             return self._refuse(
                 slot_request,
-                zone_reason,
-                slot_queue.Cause.EVACUATED,
+                closure.reason,
+                slot_queue.closure_cause(closure),
                 NO_PRIMARY_RETRY_MS,
             )
         if all(each.is_down for each in self.group.pools_by_id.values()) or (
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -11,6 +11,7 @@
 from samphirestand.fleet import frames
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import watch
+from samphirestand.gateway import draining
 from samphirestand.gateway import evacuation
 from samphirestand.gateway import gateway as gateway_module
 from samphirestand.gateway import pool as pool_module
@@ -107,6 +108,7 @@
         *,
         fair_shares: bool = False,
         adaptive_limits: bool = True,
+        drain_ms: int | None = None,
     ) -> None:
         self._clock = clock
         self._random = generator
@@ -121,6 +123,7 @@
         self._queue_options = queue_options
         self._fair_shares = fair_shares
         self._adaptive_limits = adaptive_limits
+        self._drain_ms = drain_ms
         self._gateways_by_service: dict[
             str, gateway_module.ServiceGateway
         ] = {}
@@ -169,6 +172,7 @@
                 self._queue_options,
                 fair_shares=self._fair_shares,
                 adaptive_limits=self._adaptive_limits,
+                drain_ms=self._drain_ms,
             )
             self._gateways_by_service[service] = found
             self._adopt_observations(found)
@@ -381,7 +385,7 @@
         is_owner: bool,
     ) -> None:
         now = self._clock.now()
-        gateway.leave_evacuated_zones()
+        gateway.leave_closed_targets()
         max_idle_ms = IDLE_CONNECTION_MS
         if not is_owner and now - gateway.last_used_ms > HANDED_OVER_IDLE_MS:
             max_idle_ms = 0
@@ -487,7 +491,22 @@
             return 'no target is the primary'
         if primary.is_down:
             return 'the primary does not answer'
-        if primary.target.is_draining:
+        others = [
+            each
+            for each in gateway.group.pools_by_id.values()
+            if each is not primary
+            and each.zone_limit is None
+            and not each.is_down
+        ]
+        if draining.must_replace(
+            is_draining=primary.target.is_draining,
+            is_open=primary.may_start(is_primary=True),
+            staying_count=sum(not each.target.is_draining for each in others),
+            open_draining_count=sum(
+                each.target.is_draining and each.may_start(is_primary=True)
+                for each in others
+            ),
+        ):
             return 'the primary is draining'
         if evacuation.must_replace(
             primary.zone_limit,
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -1,11 +1,13 @@
 """The targets of one service, and which of them is the primary."""
 
 import collections.abc
+import dataclasses
 
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand.fleet import watch
 from samphirestand.gateway import concurrency
+from samphirestand.gateway import draining
 from samphirestand.gateway import evacuation
 from samphirestand.gateway import freshness as freshness_module
 from samphirestand.gateway import leadership as leadership_module
@@ -14,11 +16,19 @@
 from samphirestand import log
 from samphirestand import types
 
-__all__ = ['TargetGroup']
+__all__ = ['Closure', 'TargetGroup']
 
 _log = log.get_logger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class Closure:
+    """Why targets get no requests; ``is_evacuated`` if by their zones."""
+
+    reason: str
+    is_evacuated: bool
+
+
 class TargetGroup:
     """The target pools of one service and its current primary.
 
@@ -35,6 +45,7 @@
         cold_rules: warmup.ColdRules | None = None,
         *,
         adaptive_limits: bool = True,
+        drain_ms: int | None = None,
     ) -> None:
         self.service = service
         self._clock = clock
@@ -42,6 +53,8 @@
         self._catalog = catalog
         self._zones = zones or evacuation.ZoneView()
         self._cold_rules = cold_rules or warmup.ColdRules()
+        # How long a target that drains may get requests; None: any time.
+        self._drain_ms = drain_ms
         self.freshness = freshness_module.Freshness()
         self._adaptive_limits = adaptive_limits
         self._kind_times = concurrency.KindTimes()
@@ -139,6 +152,7 @@
             pool.target = target
             pool.cold_bound = bound
             pool.zone_limit = self._zones.limit_of(target.zone)
+            pool.drain_limit = self._find_drain_limit(pool)
             if pool.zone_limit is None and earlier_limit is not None:
                 self._begin_return(pool, earlier_limit, bound, warmup_ms)
             if pool.limit is not None:
@@ -150,6 +164,23 @@
         self._is_opened = True
         self._choose_primary()
 
+    def _find_drain_limit(
+        self, pool: pool_module.TargetPool
+    ) -> draining.DrainLimit | None:
+        """Return until when a target that drains may get requests.
+
+        A host that has never seen the target before it drained can't know how
+        old the report is, so the time counts as over.
+        """
+        if self._drain_ms is None or not pool.target.is_draining:
+            return None
+        since_ms = self._targets.draining_since_ms(pool.target.target_id)
+        if since_ms is not None:
+            return draining.DrainLimit(since_ms, self._drain_ms)
+        return pool.drain_limit or draining.DrainLimit(
+            self._clock.now() - self._drain_ms, self._drain_ms
+        )
+
     def _warm_ms(
         self,
         target: catalog_module.Target,
@@ -426,32 +457,38 @@
             if not each.is_down and each.may_start(self.is_primary(each))
         ]
 
-    def zone_refusal(
+    def closure(
         self,
         needs_primary: bool,
         pinned_pool: pool_module.TargetPool | None = None,
-    ) -> str | None:
-        """Return why work can't run because of evacuated zones, or None."""
+    ) -> Closure | None:
+        """Return why no target may get work; None if that isn't so.
+
+        Targets in evacuated zones, and those that drain, get no requests.
+        """
         if pinned_pool is not None:
             pools = [pinned_pool] if not pinned_pool.may_continue else []
         elif needs_primary:
             pools = [self.primary] if self.primary is not None else []
         else:
             pools = list(self.pools_by_id.values())
-        limits = [
+        zone_limits = [
             each.zone_limit
             for each in pools
             if pinned_pool is not None
             or not each.may_start(self.is_primary(each))
         ]
-        if not limits or len(limits) < len(pools):
+        if not zone_limits or len(zone_limits) < len(pools):
             return None
-        zones = sorted({each.zone for each in limits if each is not None})
+        zones = sorted({each.zone for each in zone_limits if each is not None})
         if pinned_pool is not None:
             who = "the transaction's target"
         else:
             who = 'the primary' if needs_primary else 'each target'
-        return f'{who} is in an evacuated zone: {", ".join(zones)}'
+        reasons = ['draining'] if None in zone_limits else []
+        if zones:
+            reasons.append(f'in an evacuated zone: {", ".join(zones)}')
+        return Closure(f'{who} is {" or ".join(reasons)}', bool(zones))
 
     def close(self) -> None:
         """Close all connections to the targets."""
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -9,6 +9,7 @@
 from samphirestand import exceptions
 from samphirestand.gateway import concurrency
 from samphirestand.gateway import connection as connection_module
+from samphirestand.gateway import draining
 from samphirestand.gateway import evacuation
 from samphirestand.gateway import warmup
 from samphirestand import log
@@ -100,6 +101,8 @@
         self.target = target
         # Set while the target's zone is evacuated.
         self.zone_limit: evacuation.ZoneLimit | None = None
+        # Set while the target drains.
+        self.drain_limit: draining.DrainLimit | None = None
         self.warmup = warmup.Warmup()
         self.cold_bound = 0  # requests a second while it is cold; 0: any
         self._clock = clock
@@ -137,15 +140,26 @@
         # carry no id: without the lock one would read another's answer.
         self._command_lock = asyncio.Lock()
 
+    @property
+    def limits(self) -> list[evacuation.SendingLimit]:
+        """Return until when the target may get requests; empty if always."""
+        return [
+            each
+            for each in (self.zone_limit, self.drain_limit)
+            if each is not None
+        ]
+
     @property
     def may_continue(self) -> bool:
-        """Tell whether statements may be sent, as far as the zone allows."""
-        return evacuation.may_continue(self.zone_limit, self._clock.now())
+        """Tell whether statements may be sent, as far as limits allow."""
+        now = self._clock.now()
+        return all(evacuation.may_continue(each, now) for each in self.limits)
 
     def may_start(self, is_primary: bool) -> bool:
-        """Tell whether new work may be sent, as far as the zone allows."""
-        return evacuation.may_start(
-            self.zone_limit, is_primary, self._clock.now()
+        """Tell whether new work may be sent, as far as limits allow."""
+        now = self._clock.now()
+        return all(
+            evacuation.may_start(each, is_primary, now) for each in self.limits
         )
 
     @property
@@ -302,11 +316,14 @@
     ) -> list[connection_module.Reply]:
         """Run steps on a connection and record whether the target answered.
 
-        Raises ``AnswerLost``, or ``NotSent`` if an evacuation forbids it.
+        Raises ``AnswerLost``, or ``NotSent`` if an evacuation or the drain of
+        the target forbids it.
         """
         if not self.may_continue:
             raise exceptions.NotSent(
-                'the zone of the target is evacuated',
+                'the target is draining'
+                if self.zone_limit is None
+                else 'the zone of the target is evacuated',
                 step='statement',
                 peer=self.target.target_id,
             )
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -49,6 +49,7 @@
 
     ATTEMPTS = 'attempts'
     DISPLACED = 'displaced'
+    DRAINING = 'draining'
     EVACUATED = 'evacuated'
     EXPECTED_WAIT = 'expected_wait'
     NO_PRIMARY = 'no_primary'
@@ -786,10 +787,7 @@
         if (
             primary is None
             or primary.is_down
-            or any(
-                each.zone_limit is not None
-                for each in self._group.pools_by_id.values()
-            )
+            or any(each.limits for each in self._group.pools_by_id.values())
         ):
             for slot_request in list(self._entries):
                 self._refuse_if_hopeless(slot_request)
@@ -801,19 +799,21 @@
 
     def _refuse_if_hopeless(self, slot_request: SlotRequest) -> None:
         """Refuse a request that no target will run in time."""
-        cause = Cause.EVACUATED
-        reason = self._group.zone_refusal(
+        closure = self._group.closure(
             slot_request.needs_primary, slot_request.pinned_pool
         )
-        if slot_request.needs_primary:
-            if self.is_primary_expected(slot_request):
-                return
-            if reason is None:
-                cause, reason = Cause.NO_PRIMARY, NO_PRIMARY
-        if reason is None:
+        if slot_request.needs_primary and self.is_primary_expected(
+            slot_request
+        ):
+            return
+        if closure is not None:
+            slot_request.refusal_reason = closure.reason
+            slot_request.refusal_cause = closure_cause(closure)
+        elif slot_request.needs_primary:
+            slot_request.refusal_reason = NO_PRIMARY
+            slot_request.refusal_cause = Cause.NO_PRIMARY
+        else:
             return
-        slot_request.refusal_reason = reason
-        slot_request.refusal_cause = cause
         self._remove(slot_request)
         slot_request.future.cancel()
 
@@ -827,6 +827,11 @@
         pool.record_statement_served(took_ms)
 
 
+def closure_cause(closure: group_module.Closure) -> Cause:
+    """Return the cause for work that no target may get."""
+    return Cause.EVACUATED if closure.is_evacuated else Cause.DRAINING
+
+
 def work_bytes(work: work_module.Work) -> int:
     """Return how many bytes the texts of a statement have."""
     return sum(
--- a/samphirestand/gateway/transactions.py
+++ b/samphirestand/gateway/transactions.py
@@ -83,10 +83,10 @@
         if transaction is None or transaction.is_running:
             return work_module.Refused('ABORTED', 'the transaction is gone')
         pool, connection = transaction.pool, transaction.connection
-        zone_reason = self._group.zone_refusal(False, pool)
-        if zone_reason is not None:
-            self._end(entry_host, work.transaction, zone_reason)
-            return work_module.Refused('ABORTED', zone_reason)
+        closure = self._group.closure(False, pool)
+        if closure is not None:
+            self._end(entry_host, work.transaction, closure.reason)
+            return work_module.Refused('ABORTED', closure.reason)
         transaction.is_running = True
         is_end = work.stage is work_module.Stage.END
         slot_request = slot_queue.SlotRequest(
@@ -155,13 +155,14 @@
     def end_closed(self) -> None:
         """End transactions whose target may get nothing more.
 
-        For zones that are evacuated while callers hold transactions open. The
-        connection is closed, after which the target rolls back.
+        For zones that are evacuated, and targets that drain, while callers
+        hold transactions open. The connection is closed, after which the
+        target rolls back.
         """
         for key, transaction in list(self._open_by_key.items()):
-            reason = self._group.zone_refusal(False, transaction.pool)
-            if reason is not None and not transaction.is_running:
-                self._end(*key, reason)
+            closure = self._group.closure(False, transaction.pool)
+            if closure is not None and not transaction.is_running:
+                self._end(*key, closure.reason)
 
     def _end(self, entry_host: str, number: int, reason: str) -> None:
         """End a transaction without sending anything to its target."""
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -150,6 +150,7 @@
             settings.options.queue,
             fair_shares=settings.fair_shares,
             adaptive_limits=settings.adaptive_limits,
+            drain_ms=settings.bounds.drain_ms,
         )
         self.peer_service = service_module.PeerService(
             self.members,
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -121,8 +121,8 @@
 
 
 @contextlib.asynccontextmanager
-async def loaded_fleet(hosts=2, readers=1):
-    async with nodes.running(hosts, bounds=BOUNDS) as fleet:
+async def loaded_fleet(hosts=2, readers=1, bounds=BOUNDS):
+    async with nodes.running(hosts, bounds=bounds) as fleet:
         reading = [
             asyncio.create_task(read_all_the_time(fleet))
             for _ in range(readers)
