succession: Don't promote a draining replica that is a bit ahead

choose_candidate compared positions first, so a draining replica with the newest log became the primary: it was promoted 1.7 s after the new primary had been partitioned, and requests reached it 8.7 s after its report. The replica that replaced it at once needn't have its commits.

While the primary runs, replicas that leave are paused first, and a staying one receives the rest of the log from the primary before it is paused as well. A draining replica leads only if the primary is gone (relay), or if the primary's time is over. A primary that drains is replaced only by a target that has all that it had, unless a commit of its term shows that.

Tests in tests/gateway/test_draining.py: the four new ones with a fleet fail on the code before, with the wrong primary (twice), a promotion of the draining replica, and requests after the limit. In test_evacuation only the name of an argument changes: may_relay=True is waiver=RELAY.

--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 
 from samphirestand import exceptions
 from samphirestand import types
@@ -12,6 +13,7 @@
 __all__ = [
     'Candidate',
     'ReplicaState',
+    'Waiver',
     'choose_candidate',
     'expected_wait_ms',
     'max_running',
@@ -152,13 +154,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReplicaState:
-    """The status of a replica while the primary is being replaced."""
+    """The status of a replica while the primary is being replaced.
+
+    A draining replica with ``is_open`` may still get requests for a while.
+    """
 
     target_id: str
     received: types.Position
     is_draining: bool
     is_registered: bool = True
     is_evacuated: bool = False
+    is_open: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -168,13 +174,26 @@
     target_id: str
 
 
+class Waiver(enum.Enum):
+    """What a replica may be chosen for that leaves or isn't up to date."""
+
+    NONE = enum.auto()
+    # The primary runs and sends its log: a staying replica catches up.
+    CATCH_UP = enum.auto()
+    # The primary runs, but may get no more requests: one that drains may for
+    # longer.
+    EXTEND = enum.auto()
+    # The primary is gone: a leaving replica passes its log on to the others.
+    RELAY = enum.auto()
+
+
 def choose_candidate(
     states: collections.abc.Sequence[ReplicaState],
     unanswered: collections.abc.Collection[str],
     is_synchronous: bool,
     ordered_ids: collections.abc.Set[str] = frozenset(),
     *,
-    may_relay: bool = False,
+    waiver: Waiver = Waiver.NONE,
 ) -> Candidate | exceptions.Sentinel:
     """Return the replica that is certain to have every acknowledged commit.
 
@@ -184,15 +203,16 @@
     copy, so all replicas must answer. The one with the newest received
     position is chosen. Among equals one is preferred for which an earlier
     order may still be carried out (``ordered_ids``), so that it doesn't matter
-    which order comes first, then one that isn't draining. The id decides last,
-    so that any two hosts choose the same replica. A replica that runs but has
-    left the registry isn't chosen, since callers couldn't be sent to it, and
-    none is while it is ahead of all others.
+    which order comes first. The id decides last, so that any two hosts choose
+    the same replica. A replica that runs but has left the registry isn't
+    chosen, since callers couldn't be sent to it, and none is while it is ahead
+    of all others.
 
-    A replica in an evacuated zone isn't chosen either. If it is ahead and the
-    primary is gone (``may_relay``), it is the only way to the newest commits:
-    it is promoted, which sends it no work of callers, and replaced as soon as
-    another replica has received these commits.
+    A replica that drains or is in an evacuated zone isn't chosen either, even
+    if it is ahead, unless ``waiver`` allows it. With ``RELAY`` it is the only
+    way to the newest commits: it is promoted, which sends it no more work of
+    callers than its limit allows, and replaced as soon as another replica has
+    received these commits.
 
     Returns a sentinel with the reason if no replica is certain.
     """
@@ -208,34 +228,104 @@
     if is_synchronous and unanswered:
         names = ', '.join(sorted(unanswered))
         return exceptions.Sentinel(f'no answer from {names}')
-    best = max(
-        candidates,
+    best = _choose_staying(candidates, ordered_ids)
+    if best is None:
+        relay = _choose_relay(states, ordered_ids, waiver)
+        return relay or exceptions.Sentinel(
+            'each replica that answers is draining'
+        )
+    ahead = [each for each in states if each.received > best.received]
+    relay = _choose_relay(ahead, ordered_ids, waiver)
+    if relay is not None:
+        return relay
+    if waiver is Waiver.CATCH_UP:
+        return Candidate(best.target_id)
+    reason = _ahead_reason(ahead, is_synchronous)
+    if reason is not None:
+        return exceptions.Sentinel(reason)
+    return Candidate(best.target_id)
+
+
+def _choose_staying(
+    candidates: collections.abc.Sequence[ReplicaState],
+    ordered_ids: collections.abc.Set[str],
+) -> ReplicaState | None:
+    """Return the newest replica that doesn't drain; None if all do.
+
+    Instead, one that drains if it is as new and an earlier order for it may
+    still be carried out.
+    """
+    newest = max(
+        (each.received for each in candidates if not each.is_draining),
+        default=None,
+    )
+    return max(
+        (
+            each
+            for each in candidates
+            if each.received == newest
+            and (
+                not each.is_draining
+                or (each.is_open and each.target_id in ordered_ids)
+            )
+        ),
         key=lambda each: (
-            each.received,
             each.target_id in ordered_ids,
             not each.is_draining,
             each.target_id,
         ),
+        default=None,
+    )
+
+
+def _choose_relay(
+    ahead: collections.abc.Sequence[ReplicaState],
+    ordered_ids: collections.abc.Set[str],
+    waiver: Waiver,
+) -> Candidate | None:
+    """Return the leaving replica that has what all others lack, or None."""
+    relay = max(
+        (
+            each
+            for each in ahead
+            if each.is_registered
+            and (each.is_draining or each.is_evacuated)
+            and (
+                waiver is Waiver.RELAY
+                or (
+                    waiver is Waiver.EXTEND
+                    and each.is_open
+                    and not each.is_evacuated
+                )
+            )
+        ),
+        key=lambda each: (
+            each.received,
+            not each.is_evacuated,
+            each.target_id in ordered_ids,
+            each.target_id,
+        ),
+        default=None,
+    )
+    if relay is None or any(each.received > relay.received for each in ahead):
+        return None
+    return Candidate(relay.target_id)
+
+
+def _ahead_reason(
+    ahead: collections.abc.Sequence[ReplicaState], is_synchronous: bool
+) -> str | None:
+    """Return why the replicas that are ahead forbid a promotion, or None."""
+    for reason, is_concerned in (
+        ('in an evacuated zone', lambda each: each.is_evacuated),
+        ('draining', lambda each: each.is_draining),
+    ):
+        names = sorted(each.target_id for each in ahead if is_concerned(each))
+        if names:
+            return f'{", ".join(names)} {reason} has commits that others lack'
+    if not is_synchronous or not ahead:
+        return None
+    names = sorted(each.target_id for each in ahead)
+    return (
+        f'{", ".join(names)} left the registry with commits that others lack'
     )
-    ahead = [each for each in states if each.received > best.received]
-    evacuated = [each for each in ahead if each.is_evacuated]
-    if evacuated and may_relay:
-        relay = max(
-            evacuated, key=lambda each: (each.received, each.target_id)
-        )
-        if relay.is_registered and not any(
-            each.received > relay.received for each in ahead
-        ):
-            return Candidate(relay.target_id)
-    if evacuated:
-        names = ', '.join(sorted(each.target_id for each in evacuated))
-        return exceptions.Sentinel(
-            f'{names} in an evacuated zone has commits that others lack'
-        )
-    ahead_ids = [each.target_id for each in ahead]
-    if is_synchronous and ahead_ids:
-        names = ', '.join(sorted(ahead_ids))
-        return exceptions.Sentinel(
-            f'{names} left the registry with commits that others lack'
-        )
-    return Candidate(best.target_id)
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -54,6 +54,12 @@
 # it is in force or never will be.
 MAX_PROMOTION_MS = PROMOTION_TIMEOUT_MS
 
+# How long a staying replica may take to receive what leaving ones have, and
+# how often it is asked. A replica that follows its primary is some statements
+# behind; while the leaving ones are paused, commits wait for the staying one.
+CATCH_UP_MS = 300
+CATCH_UP_POLL_INTERVAL_MS = 30
+
 # The delay after an unfinished attempt.
 RETRY_MS = 400
 
@@ -82,6 +88,14 @@
         """Return the newest term that a target knows of; 0 without answers."""
         return max((each.term for each in self.states.values()), default=0)
 
+    def joined(self, others: '_Answers') -> '_Answers':
+        """Return these answers and those of other targets."""
+        return _Answers(
+            {**self.states, **others.states},
+            [*self.unanswered, *others.unanswered],
+            min(self.sent_ms, others.sent_ms),
+        )
+
     def updated(self, later: '_Answers') -> '_Answers':
         """Return these answers, replaced where there are later ones."""
         return _Answers(
@@ -191,15 +205,23 @@
         answers = await self._send_to_all(pools, wire.STATUS)
         if await self._follow_existing_primary(gateway, pools, answers):
             return True
-        candidate = _choose_candidate(gateway, service, pools, answers)
-        if isinstance(candidate, exceptions.Sentinel):
-            _log.warning(
-                'succession_waits',
-                service=service.name,
-                reason=candidate.reason,
+        candidate = _choose_candidate(
+            gateway, service, pools, answers, may_catch_up=True
+        )
+        needed = (
+            candidate
+            if isinstance(candidate, exceptions.Sentinel)
+            else await _position_to_keep(group, service, was_down=was_down)
+        )
+        if (
+            isinstance(candidate, policy.Candidate)
+            and not isinstance(needed, exceptions.Sentinel)
+            and candidate.target_id not in _leaving_pools(group, pools)
+            and not await self._wait_for_log(group, pools, answers, needed)
+        ):
+            needed = exceptions.Sentinel(
+                'no staying replica has received what leaving ones have'
             )
-            return False
-        needed = await _position_to_keep(old_primary, was_down=was_down)
         if isinstance(needed, exceptions.Sentinel):
             _log.warning(
                 'succession_waits', service=service.name, reason=needed.reason
@@ -234,6 +256,15 @@
             await self._tokens.release(token, token.ordered_ids)
             return False
 
+        target = pools[plan.target_id].target
+        if target.is_draining:
+            _log.warning(
+                'draining_target_promoted',
+                service=service.name,
+                target=plan.target_id,
+                is_open=pools[plan.target_id].may_start(is_primary=True),
+                decided_by='no lost commit',
+            )
         # From here on the replicas stay paused until the promotion is known
         # to have taken effect, or its order to have no effect any more. Until
         # then no commit that the candidate lacks may be acknowledged.
@@ -279,7 +310,9 @@
             max(each.term, each.held, each.received.term)
             for each in answers.states.values()
         )
-        answers = await self._send_to_all(pools, wire.pause_text(term))
+        answers = await self._pause(
+            group, pools, wire.pause_text(term), needed
+        )
         paused_ms = self._clock.now()
         candidate = _choose_candidate(
             gateway, service, pools, answers, token.ordered_ids
@@ -357,6 +390,74 @@
             return exceptions.Sentinel('the order could not be recorded')
         return _Plan(candidate.target_id, answers, is_stepped_down)
 
+    async def _pause(
+        self,
+        group: group_module.TargetGroup,
+        pools: dict[str, pool_module.TargetPool],
+        text: str,
+        needed: types.Position | None,
+    ) -> _Answers:
+        """Pause the replicas, those that leave first.
+
+        Under load a leaving replica is often some records ahead. Once it is
+        paused, only the staying ones receive and confirm commits, so they
+        reach its position while the primary runs.
+        """
+        leaving_pools = _leaving_pools(group, pools)
+        if not _sends_log(group.primary) or not leaving_pools:
+            return await self._send_to_all(pools, text)
+        leaving = await self._send_to_all(leaving_pools, text)
+        await self._wait_for_log(group, pools, leaving, needed)
+        return leaving.joined(
+            await self._send_to_all(
+                {
+                    target_id: pool
+                    for target_id, pool in pools.items()
+                    if target_id not in leaving_pools
+                },
+                text,
+            )
+        )
+
+    async def _wait_for_log(
+        self,
+        group: group_module.TargetGroup,
+        pools: dict[str, pool_module.TargetPool],
+        answers: _Answers,
+        needed: types.Position | None,
+    ) -> bool:
+        """Wait until a staying replica has received what leaving ones have.
+
+        ``answers`` are those of the leaving ones at least, ``needed`` is what
+        must be received in any case. Returns whether one has; also True if
+        there is nothing to wait for.
+        """
+        leaving_pools = _leaving_pools(group, pools)
+        staying_pools = {
+            target_id: pool
+            for target_id, pool in pools.items()
+            if target_id not in leaving_pools
+        }
+        wanted = [
+            status.received
+            for target_id, status in answers.states.items()
+            if target_id in leaving_pools
+        ]
+        if needed is not None:
+            wanted.append(needed)
+        if not _sends_log(group.primary) or not (wanted and staying_pools):
+            return True
+        position = max(wanted)
+        deadline = self._clock.now() + CATCH_UP_MS
+        while self._clock.now() < deadline:
+            staying = await self._send_to_all(staying_pools, wire.STATUS)
+            if any(
+                each.received >= position for each in staying.states.values()
+            ):
+                return True
+            await self._clock.sleep(CATCH_UP_POLL_INTERVAL_MS)
+        return False
+
     def _spawn(
         self, coroutine: collections.abc.Coroutine[object, object, _Result]
     ) -> asyncio.Task[_Result]:
@@ -754,8 +855,18 @@
     pools: dict[str, pool_module.TargetPool],
     answers: _Answers,
     ordered_ids: collections.abc.Set[str] = frozenset(),
+    *,
+    may_catch_up: bool = False,
 ) -> policy.Candidate | exceptions.Sentinel:
     group = gateway.group
+    if group.primary is None or group.primary.is_down:
+        waiver = policy.Waiver.RELAY
+    elif not group.primary.may_start(is_primary=True):
+        waiver = policy.Waiver.EXTEND
+    elif may_catch_up:
+        waiver = policy.Waiver.CATCH_UP
+    else:
+        waiver = policy.Waiver.NONE
     return policy.choose_candidate(
         [
             policy.ReplicaState(
@@ -764,6 +875,7 @@
                 pools[target_id].target.is_draining,
                 target_id in group.pools_by_id,
                 is_evacuated=pools[target_id].zone_limit is not None,
+                is_open=pools[target_id].may_start(is_primary=True),
             )
             for target_id, status in answers.states.items()
             if target_id in group.pools_by_id or not status.is_primary
@@ -776,20 +888,56 @@
         ],
         service.is_synchronous,
         ordered_ids,
-        may_relay=group.primary is None or group.primary.is_down,
+        waiver=waiver,
     )
 
 
+def _leaving_pools(
+    group: group_module.TargetGroup, pools: dict[str, pool_module.TargetPool]
+) -> dict[str, pool_module.TargetPool]:
+    """Return the pools of replicas that should not become the primary."""
+    return {
+        target_id: pool
+        for target_id, pool in pools.items()
+        if pool.target.is_draining
+        or pool.zone_limit is not None
+        or target_id not in group.pools_by_id
+    }
+
+
+def _sends_log(primary: pool_module.TargetPool | None) -> bool:
+    """Tell whether replicas may still receive from the primary."""
+    return primary is not None and not primary.is_down
+
+
 async def _position_to_keep(
-    old_primary: pool_module.TargetPool | None, *, was_down: bool
+    group: group_module.TargetGroup,
+    service: catalog_module.Service,
+    *,
+    was_down: bool,
 ) -> types.Position | exceptions.Sentinel | None:
-    """Return what the next primary must have if the zone is evacuated.
+    """Return what the next primary must have if this one is leaving.
 
-    A primary that is replaced only because of its zone runs and can be asked,
-    so nothing that it has committed needs to be given up. None if it is
-    replaced for another reason.
+    A primary that is replaced only because it drains, or because of its zone,
+    runs and can be asked, so nothing that it has committed needs to be given
+    up. It may have become the primary just before, with commits that no other
+    target has received yet. None if it is replaced for another reason, or if
+    a replica has confirmed a commit of its term, and so has all earlier ones.
     """
-    if old_primary is None or was_down or old_primary.zone_limit is None:
+    old_primary = group.primary
+    if old_primary is None or was_down:
+        return None
+    acknowledged = group.acknowledged_position
+    term = group.leadership.term
+    is_confirmed = (
+        service.is_synchronous
+        and acknowledged is not None
+        and term is not None
+        and acknowledged.term >= term
+    )
+    if old_primary.zone_limit is None and (
+        is_confirmed or not old_primary.target.is_draining
+    ):
         return None
     status = await old_primary.run_command(wire.STATUS, COMMAND_TIMEOUT_MS)
     return (
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -8,8 +8,10 @@
 from samphirestand import clock as clock_module
 from samphirestand.fleet import watch
 from samphirestand.gateway import draining
+from samphirestand.gateway import policy
 from samphirestand import node_settings
 from samphirestand.platform import store as store_module
+from samphirestand import types
 from tests.gateway import test_evacuation
 from tests import nodes
 
@@ -18,6 +20,68 @@
 DRAIN_MS = 4_000
 BOUNDS = node_settings.Bounds(drain_ms=DRAIN_MS)
 
+# How far a replica is behind: some writes of the callers.
+LAG_MS = 100
+
+Waiver = policy.Waiver
+
+
+def replica(target_id, offset, **fields):
+    return policy.ReplicaState(
+        target_id,
+        types.Position(1, offset),
+        fields.pop('is_draining', False),
+        **fields,
+    )
+
+
+@pytest.mark.parametrize(
+    ('waiver', 'expected'),
+    [
+        (Waiver.NONE, None),
+        (Waiver.CATCH_UP, 'stays'),
+        (Waiver.EXTEND, 'leaves'),
+        (Waiver.RELAY, 'leaves'),
+    ],
+)
+@pytest.mark.parametrize('is_synchronous', [True, False])
+def test_staying_replica_that_lacks_two_records(
+    waiver, expected, is_synchronous
+):
+    """Fails if a draining replica leads although its log can be passed on."""
+    states = [replica('leaves', 9, is_draining=True), replica('stays', 7)]
+    chosen = policy.choose_candidate(states, [], is_synchronous, waiver=waiver)
+    assert getattr(chosen, 'target_id', None) == expected
+
+
+@pytest.mark.parametrize(
+    ('waiver', 'expected'),
+    [
+        (Waiver.CATCH_UP, None),
+        (Waiver.EXTEND, 'open'),
+        (Waiver.RELAY, 'newest'),
+    ],
+)
+def test_all_replicas_drain(waiver, expected):
+    """Fails if primaries change without need, or none is left."""
+    states = [
+        replica('open', 7, is_draining=True),
+        replica('newest', 7 + (waiver is Waiver.RELAY), is_draining=True),
+    ]
+    if waiver is Waiver.EXTEND:
+        states[1] = replica('newest', 7, is_draining=True, is_open=False)
+    chosen = policy.choose_candidate(states, [], True, waiver=waiver)
+    assert getattr(chosen, 'target_id', None) == expected
+
+
+def test_all_replicas_but_the_draining_one_are_silent():
+    """Fails if the draining one is promoted without asking the others."""
+    states = [replica('leaves', 9, is_draining=True)]
+    for waiver in Waiver:
+        assert not policy.choose_candidate(
+            states, ['silent'], True, waiver=waiver
+        )
+
 
 @pytest.mark.parametrize(
     ('is_open', 'staying_count', 'open_draining_count', 'expected'),
@@ -128,6 +192,56 @@
     return result
 
 
+def copy_log(fleet, server):
+    """Let a server that was cut off receive from the primary again."""
+    server.is_deaf = False
+    server.log = list(fleet.group.primary.log)
+
+
+def test_newest_commits_of_a_draining_replica_are_passed_on():
+    """Fails if they are lost, or callers use the replica after its time."""
+
+    async def scenario(fleet, drains, callers):
+        primary, leaving, staying = fleet.group.servers.values()
+        staying.is_deaf = True
+        await callers.until_served()
+        drains.drain(leaving)
+
+        async def replace():
+            primary.crash()
+            fleet.store.delete('servers', primary.server_id)
+            await fleet.until(lambda: fleet.group.primary is leaving)
+            await asyncio.sleep(1)
+            assert fleet.group.primary is leaving
+            copy_log(fleet, staying)
+            await fleet.until(lambda: fleet.group.primary is staying)
+            await callers.until_served()
+
+        await drains.stay_unused(leaving, replace())
+        assert callers.lost() == []
+
+    run_loaded(scenario)
+
+
+def test_draining_primary_waits_for_the_staying_replica():
+    """Fails if a draining replica leads, or a replica without all commits."""
+
+    async def scenario(fleet, drains, callers):
+        primary, leaving, staying = fleet.group.servers.values()
+        staying.is_deaf = True
+        await callers.until_served()
+        drains.drain(leaving)
+        drains.drain(primary)
+        await asyncio.sleep(2)
+        assert fleet.group.primary is primary
+        copy_log(fleet, staying)
+        await fleet.until(lambda: fleet.group.primary is staying)
+        await drains.stay_unused(primary, callers.until_served())
+        assert callers.lost() == []
+
+    run_loaded(scenario)
+
+
 def test_nothing_is_sent_while_all_others_are_silent():
     """Fails if callers use a draining primary for as long as it runs."""
 
@@ -149,3 +263,72 @@
         assert callers.lost() == []
 
     run_loaded(scenario)
+
+
+def test_two_primaries_are_replaced_within_the_time_of_one():
+    """Fails if the first one gets requests again when the second fails."""
+
+    async def scenario(fleet, drains, callers):
+        first, _, _ = fleet.group.servers.values()
+        drains.drain(first)
+        await fleet.until(lambda: fleet.group.primary not in (None, first))
+        second = fleet.group.primary
+        [third] = set(fleet.group.servers.values()) - {first, second}
+        third.is_deaf = True
+        await callers.until_served()
+
+        async def replace():
+            second.crash()
+            fleet.store.delete('servers', second.server_id)
+            await fleet.until(lambda: fleet.group.primary is first)
+            await asyncio.sleep(1)
+            copy_log(fleet, third)
+            await fleet.until(lambda: fleet.group.primary is third)
+            await callers.until_served()
+
+        await drains.stay_unused(first, replace())
+        assert callers.lost() == []
+
+    run_loaded(scenario)
+
+
+def test_staying_replica_catches_up_under_load():
+    """Fails if a draining replica leads because it is always a bit ahead."""
+
+    async def scenario(fleet, drains, callers):
+        primary, leaving, staying = fleet.group.servers.values()
+        loop = asyncio.get_running_loop()
+
+        def receive(term, log):
+            if staying.receives_log and not staying.is_primary:
+                staying.log, staying.term = log, term
+
+        def commit(leader, writes):
+            leader.log.append(writes)
+            log, term = list(leader.log), leader.term
+            if leaving.receives_log and leader is primary:
+                leaving.log, leaving.term = list(log), term
+                loop.call_later(LAG_MS / 1000, receive, term, log)
+                return True
+            for each in fleet.group.servers.values():
+                if each is not leader and each.receives_log:
+                    each.log, each.term = list(log), term
+            return any(
+                each.receives_log
+                for each in fleet.group.servers.values()
+                if each is not leader
+            )
+
+        fleet.group.commit_writes = commit
+        await callers.until_served()
+        drains.drain(leaving)
+        drains.drain(primary)
+        # Long before the primary gets no more requests.
+        await fleet.until(lambda: fleet.group.primary is staying, 5)
+        assert {each[1] for each in fleet.store.promotions} == {
+            staying.server_id
+        }
+        await callers.until_served()
+        assert callers.lost() == []
+
+    run_loaded(scenario, node_settings.Bounds(drain_ms=15_000))
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -67,10 +67,12 @@
     assert chosen == policy.Candidate('b')
     assert not policy.choose_candidate(ahead, [], is_synchronous)
     assert not policy.choose_candidate(
-        only, [], is_synchronous, may_relay=True
+        only, [], is_synchronous, waiver=policy.Waiver.RELAY
     )
     # The primary is gone: its newest commits are reached only through 'a'.
-    relay = policy.choose_candidate(ahead, [], is_synchronous, may_relay=True)
+    relay = policy.choose_candidate(
+        ahead, [], is_synchronous, waiver=policy.Waiver.RELAY
+    )
     assert relay == policy.Candidate('a')
 
 
