gateway: Use a primary that was promoted a second time

If the platform carries out two orders for the same target, the target leads in a later term than its gateway knows. Replicas then answer with that term, none of them leads in it, and the primary's own term wasn't asked again: no write was served until something else replaced the primary.

The new test fails before.

--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -335,6 +335,7 @@
             ):
                 leadership.confirm(sent_ms)
             return
+        newest_term = leadership.term
         first_count = 1 if group.is_synchronous else len(other_pools)
         for pools in (other_pools[:first_count], other_pools[first_count:]):
             sent_ms = self._clock.now()
@@ -354,6 +355,14 @@
             ]
             if await self._apply_verdicts(primary, pools, verdicts, sent_ms):
                 return
+            terms = [
+                each.term
+                for each in statuses
+                if not isinstance(each, exceptions.Sentinel)
+            ]
+            newest_term = max([newest_term, *terms])
+        if newest_term > leadership.term:
+            await self._follow_same_primary(leadership, primary, newest_term)
 
     async def _ask_for_term(
         self,
@@ -418,6 +427,28 @@
             return True
         return False
 
+    async def _follow_same_primary(
+        self,
+        leadership: leadership_module.Leadership,
+        primary: pool_module.TargetPool,
+        later_term: int,
+    ) -> None:
+        """Adopt a later term if the primary itself leads in it.
+
+        The platform may carry out two orders for the same target. The term
+        says only that no other target leads in it: evidence is gathered anew.
+        """
+        status = await primary.run_command(wire.STATUS, EVIDENCE_TIMEOUT_MS)
+        if (
+            self.group.leadership is leadership
+            and not isinstance(status, exceptions.Sentinel)
+            and status.is_primary
+            and status.term >= later_term
+        ):
+            self.group.set_primary(
+                primary.target.target_id, 'status', status.term
+            )
+
     def note_orders_settled(self) -> None:
         """Ask the store again before the next use of the primary."""
         self.awaits_orders = False
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -50,6 +50,29 @@
     run_scenario(scenario)
 
 
+def test_primary_that_is_promoted_again_is_used():
+    """Guards against refusing all writes after a repeated order.
+
+    The platform carries out two orders for the same target, so that it leads
+    in a later term than its gateway knows.
+    """
+
+    async def scenario(fleet):
+        await write_until_served(fleet, fleet.nodes[0], 'before')
+        primary = fleet.group.primary
+        fleet.group.promote_server(primary.server_id)
+        # The evidence for the earlier term ends.
+        await asyncio.sleep(2 * policy.PROMOTION_DELAY_MS / 1000)
+        client = await nodes.Client.connect(fleet.nodes[0])
+        await client.query('READ x')
+        client.close()
+        await write_until_served(fleet, fleet.nodes[0], 'after')
+        assert fleet.group.primary is primary
+        assert fleet.store.promotions == []
+
+    run_scenario(scenario)
+
+
 def test_silent_primary_is_replaced():
     """Guards against keeping a primary that doesn't answer."""
 
