succession: Test both states of a replica hidden by an unreadable row

test_no_promotion_when_an_unreadable_row_hides_a_replica expected the replica among the unconfirmed departures. It still runs, so as soon as the gateway has asked it (up to 100 ms after its row was read), it is among the absent targets that answer instead. The product accounts for the replica in both states.

--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -497,24 +497,38 @@
     run_scenario(scenario, hosts=1)
 
 
-def test_no_promotion_when_an_unreadable_row_hides_a_replica():
+@pytest.mark.parametrize('answers', [True, False])
+def test_no_promotion_when_an_unreadable_row_hides_a_replica(answers):
     """Guards against a promotion without a replica that may hold a commit.
 
     Another writer overwrote the registration of the only replica that had
-    received it.
+    received it. The replica still runs, and is counted as one that answers
+    once it has been asked, or as one that may hold the commit.
     """
 
     async def scenario(fleet):
         primary, hidden, lagging = fleet.group.servers.values()
         lagging.is_deaf = True
         await write_until_served(fleet, fleet.nodes[0], 'kept')
+        hidden.is_silent = not answers
         fleet.store.put('servers', hidden.server_id, b'\xff{')
         node = fleet.nodes[0]
         await fleet.until(
             lambda: len(node.targets.of_service(nodes.SERVICE)) == 2
         )
         group = node.gateways._get_or_open_gateway(nodes.SERVICE).group
-        assert group.unconfirmed_departures() == [hidden.server_id]
+        await fleet.until(
+            lambda: (
+                hidden.server_id in group._is_answering_by_id
+                or group.unconfirmed_departures() != [hidden.server_id]
+            )
+        )
+        assert set(group.answering_absent_pools()) == (
+            {hidden.server_id} if answers else set()
+        )
+        assert group.unconfirmed_departures() == (
+            [] if answers else [hidden.server_id]
+        )
         group.acknowledged_position = None
         group.acknowledged_sent_ms = 0
         primary.crash()
