warmup: Limit a target that restarts without being found down

A target that restarts within a second answers the next probe, so it got all of its load until its row of the restart was read, up to 2 s later.

A restart closes all connections. A target that has closed one counts as cold for 3 s, in which its row is read, and no longer once it answers on a connection that was opened before. Time-outs don't count.

--- a/samphirestand/gateway/connection.py
+++ b/samphirestand/gateway/connection.py
@@ -72,6 +72,7 @@
         self._connection = connection
         self.target = target
         self.account = account
+        self.opened_ms = opened_ms
         self.last_used_ms = opened_ms
         self.session_values: dict[str, str] = {}
         self._prepared_names_by_shape: dict[tuple[types.Mode, str], str] = {}
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -131,6 +131,7 @@
         self._failing_since_ms: int | None = None
         self._sent_ms_by_run: dict[object, int] = {}
         self._last_reply_ms = clock.now()
+        self._closed_by_target_ms = 0
         self._reply_count = 0
         self.round_trip_ms = 1.0
         self._command_connection: connection_module.TargetConnection | None = (
@@ -287,6 +288,7 @@
             if not each.is_busy and not each.is_usable:
                 self.discard(each)
                 self.record_failure()
+                self.record_closed_by_target()
 
     def close_idle_connections(self, max_idle_ms: int) -> None:
         """Close connections that have been idle for ``max_idle_ms``."""
@@ -339,12 +341,15 @@
         self._sent_ms_by_run[run_key] = self._clock.now()
         try:
             replies = await connection.run(steps, timeout_ms)
-        except exceptions.AnswerLost:
+        except exceptions.AnswerLost as error:
             self.record_failure()
+            if not isinstance(error.__cause__, TimeoutError):
+                self.record_closed_by_target()
             raise
         finally:
             del self._sent_ms_by_run[run_key]
         self.record_reply()
+        self.record_reply_since(connection.opened_ms)
         return replies
 
     def record_reply(self) -> None:
@@ -360,6 +365,24 @@
             )
         self.is_down = False
 
+    def record_closed_by_target(self) -> None:
+        """Record that the target has closed a connection.
+
+        A target that restarts within a second isn't found down, but it closes
+        all connections. It counts as cold until its row must have been read.
+        """
+        self._closed_by_target_ms = now = self._clock.now()
+        self.warmup.suspect(self.cold_bound, now + RESTART_NOTICE_MS, now)
+
+    def record_reply_since(self, opened_ms: int) -> None:
+        """Record an answer on a connection that was opened at a moment.
+
+        A target that answers on an earlier connection has not restarted since
+        it closed another one.
+        """
+        if opened_ms < self._closed_by_target_ms:
+            self.warmup.clear_suspicion()
+
     def record_failure(self) -> None:
         """Record that the target is unreachable or doesn't answer."""
         if self._failing_since_ms is None:
--- a/samphirestand/gateway/warmup.py
+++ b/samphirestand/gateway/warmup.py
@@ -59,6 +59,8 @@
     def __init__(self) -> None:
         self._bound = 0  # 0 while there is none
         self._warm_ms = 0  # the target is cold until then
+        # Whether only the end of a connection tells that it may be cold.
+        self._is_suspected = False
         self._sent: collections.deque[tuple[int, int]] = collections.deque()
         self._sent_count = 0
 
@@ -69,6 +71,19 @@
         """
         if bound > 0 and warm_ms > 0 and warm_ms >= self._warm_ms:
             self._bound, self._warm_ms = bound, warm_ms
+            self._is_suspected = False
+
+    def suspect(self, bound: int, warm_ms: int, now_ms: int) -> None:
+        """Limit a target until ``warm_ms`` because it may have restarted."""
+        was_limited = self.limit(now_ms) is not None and not self._is_suspected
+        self.begin(bound, warm_ms)
+        self._is_suspected = self._bound > 0 and not was_limited
+
+    def clear_suspicion(self) -> None:
+        """End the limit of a target that has not restarted after all."""
+        if self._is_suspected:
+            self._is_suspected = False
+            self._end()
 
     def set_bound(self, bound: int) -> None:
         """Adopt a bound that operators have changed while a target is cold."""
@@ -82,9 +97,7 @@
         warm_for_ms = max(0, now_ms - self._warm_ms)
         growth = 2.0 ** min(warm_for_ms / DOUBLING_MS, MAX_GROWTH)
         if growth >= MAX_GROWTH:
-            self._bound = 0
-            self._sent.clear()
-            self._sent_count = 0
+            self._end()
             return None
         return int(self._bound * growth)
 
@@ -112,6 +125,11 @@
             self._sent.append((now_ms, count))
             self._sent_count += count
 
+    def _end(self) -> None:
+        self._bound = 0
+        self._sent.clear()
+        self._sent_count = 0
+
     def _recent_count(self, now_ms: int) -> int:
         while self._sent and self._sent[0][0] <= now_ms - WINDOW_MS:
             self._sent_count -= self._sent.popleft()[1]
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -134,6 +134,45 @@
     test_evacuation.run_loaded(scenario, readers=READERS)
 
 
+def test_target_that_restarts_at_once_is_limited():
+    """Fails if it gets all of its load until its row of the restart is read.
+
+    It is never found down.
+    """
+
+    async def scenario(fleet, zones, callers):
+        await configure(fleet, 2, ColdRateS=COLD_RATE, WarmupS=30)
+        server = list(fleet.group.servers.values())[1]
+        sent = record(fleet)
+        await fleet.until(
+            lambda: (
+                busiest_second(sent.get(server.server_id, [(0, 0)])) > BOUND
+            )
+        )
+        server.crash()
+        server.warm_left_ms = 30_000
+        server.born = 2
+        sent[server.server_id].clear()
+        await server.start()
+        await asyncio.sleep(4)
+        assert 1 < busiest_second(sent[server.server_id]) <= BOUND
+
+    test_evacuation.run_loaded(scenario, readers=READERS)
+
+
+def test_connection_that_a_target_closes_limits_it_only_after_a_restart():
+    """Fails if a target that runs on is limited when one connection ends."""
+    pool = test_pool.create_pool(1)
+    pool.cold_bound = 5
+    now = pool._clock.now()
+    pool.record_closed_by_target()
+    assert pool.warmup.limit(now) == 5
+    pool.record_reply_since(now + 1)
+    assert pool.warmup.limit(now) == 5
+    pool.record_reply_since(now - 1)
+    assert pool.warmup.limit(now) is None
+
+
 def test_load_returns_gradually_after_an_evacuation():
     """Fails if a zone gets all of its load in the moment of its return."""
 
