--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -9,6 +9,7 @@
 from samphirestand import exceptions
 from samphirestand.gateway import concurrency
 from samphirestand.gateway import connection as connection_module
+from samphirestand.gateway import draining
 from samphirestand.gateway import evacuation
 from samphirestand.gateway import warmup
 from samphirestand import log
@@ -100,6 +101,8 @@
         self.target = target
         # Set while the target's zone is evacuated.
         self.zone_limit: evacuation.ZoneLimit | None = None
+        # Set while the target drains.
+        self.drain_limit: draining.DrainLimit | None = None
         self.warmup = warmup.Warmup()
         self.cold_bound = 0  # requests a second while it is cold; 0: any
         self._clock = clock
@@ -128,6 +131,7 @@
         self._failing_since_ms: int | None = None
         self._sent_ms_by_run: dict[object, int] = {}
         self._last_reply_ms = clock.now()
+        self._closed_by_target_ms = 0
         self._reply_count = 0
         self.round_trip_ms = 1.0
         self._command_connection: connection_module.TargetConnection | None = (
@@ -137,15 +141,26 @@
         # carry no id: without the lock one would read another's answer.
         self._command_lock = asyncio.Lock()
 
+    @property
+    def limits(self) -> list[evacuation.SendingLimit]:
+        """Return until when the target may get requests; empty if always."""
+        return [
+            each
+            for each in (self.zone_limit, self.drain_limit)
+            if each is not None
+        ]
+
     @property
     def may_continue(self) -> bool:
-        """Tell whether statements may be sent, as far as the zone allows."""
-        return evacuation.may_continue(self.zone_limit, self._clock.now())
+        """Tell whether statements may be sent, as far as limits allow."""
+        now = self._clock.now()
+        return all(evacuation.may_continue(each, now) for each in self.limits)
 
     def may_start(self, is_primary: bool) -> bool:
-        """Tell whether new work may be sent, as far as the zone allows."""
-        return evacuation.may_start(
-            self.zone_limit, is_primary, self._clock.now()
+        """Tell whether new work may be sent, as far as limits allow."""
+        now = self._clock.now()
+        return all(
+            evacuation.may_start(each, is_primary, now) for each in self.limits
         )
 
     @property
@@ -273,6 +288,7 @@
             if not each.is_busy and not each.is_usable:
                 self.discard(each)
                 self.record_failure()
+                self.record_closed_by_target()
 
     def close_idle_connections(self, max_idle_ms: int) -> None:
         """Close connections that have been idle for ``max_idle_ms``."""
@@ -302,11 +318,14 @@
     ) -> list[connection_module.Reply]:
         """Run steps on a connection and record whether the target answered.
 
-        Raises ``AnswerLost``, or ``NotSent`` if an evacuation forbids it.
+        Raises ``AnswerLost``, or ``NotSent`` if an evacuation or the drain of
+        the target forbids it.
         """
         if not self.may_continue:
             raise exceptions.NotSent(
-                'the zone of the target is evacuated',
+                'the target is draining'
+                if self.zone_limit is None
+                else 'the zone of the target is evacuated',
                 step='statement',
                 peer=self.target.target_id,
             )
@@ -322,12 +341,15 @@
         self._sent_ms_by_run[run_key] = self._clock.now()
         try:
             replies = await connection.run(steps, timeout_ms)
-        except exceptions.AnswerLost:
+        except exceptions.AnswerLost as error:
             self.record_failure()
+            if not isinstance(error.__cause__, TimeoutError):
+                self.record_closed_by_target()
             raise
         finally:
             del self._sent_ms_by_run[run_key]
         self.record_reply()
+        self.record_reply_since(connection.opened_ms)
         return replies
 
     def record_reply(self) -> None:
@@ -343,6 +365,24 @@
             )
         self.is_down = False
 
+    def record_closed_by_target(self) -> None:
+        """Record that the target has closed a connection.
+
+        A target that restarts within a second isn't found down, but it closes
+        all connections. It counts as cold until its row must have been read.
+        """
+        self._closed_by_target_ms = now = self._clock.now()
+        self.warmup.suspect(self.cold_bound, now + RESTART_NOTICE_MS, now)
+
+    def record_reply_since(self, opened_ms: int) -> None:
+        """Record an answer on a connection that was opened at a moment.
+
+        A target that answers on an earlier connection has not restarted since
+        it closed another one.
+        """
+        if opened_ms < self._closed_by_target_ms:
+            self.warmup.clear_suspicion()
+
     def record_failure(self) -> None:
         """Record that the target is unreachable or doesn't answer."""
         if self._failing_since_ms is None:
