succession: Prefer the replica near the gateway among equals

Among replicas with the same position, none of which has an order that may still be carried out, the one in the zone of the gateway's host is promoted. Two hosts may now prefer different ones; the second prefers the one whose order the first recorded, as before. Both new tests failed before.

--- a/samphirestand/gateway/policy.py
+++ b/samphirestand/gateway/policy.py
@@ -156,7 +156,8 @@
 class ReplicaState:
     """The status of a replica while the primary is being replaced.
 
-    A draining replica with ``is_open`` may still get requests for a while.
+    A draining replica with ``is_open`` may still get requests for a while. One
+    with ``is_near`` is in the availability zone of the gateway.
     """
 
     target_id: str
@@ -165,6 +166,7 @@
     is_registered: bool = True
     is_evacuated: bool = False
     is_open: bool = True
+    is_near: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -203,10 +205,10 @@
     copy, so all replicas must answer. The one with the newest received
     position is chosen. Among equals one is preferred for which an earlier
     order may still be carried out (``ordered_ids``), so that it doesn't matter
-    which order comes first. The id decides last, so that any two hosts choose
-    the same replica. A replica that runs but has left the registry isn't
-    chosen, since callers couldn't be sent to it, and none is while it is ahead
-    of all others.
+    which order comes first; another host thus chooses the same one, too. Next
+    is one near the gateway, which needn't move then. A replica that runs but
+    has left the registry isn't chosen, since callers couldn't be sent to it,
+    and none is while it is ahead of all others.
 
     A replica that drains or is in an evacuated zone isn't chosen either, even
     if it is ahead, unless ``waiver`` allows it. With ``RELAY`` it is the only
@@ -272,6 +274,7 @@
         key=lambda each: (
             each.target_id in ordered_ids,
             not each.is_draining,
+            each.is_near,
             each.target_id,
         ),
         default=None,
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -137,11 +137,13 @@
     def __init__(
         self,
         host_id: str,
+        zone: str,
         clock: clock_module.Clock,
         store: store_module.Store,
         promotions: promotion.PromotionClient,
     ) -> None:
         self._host_id = host_id
+        self._zone = zone
         self._clock = clock
         self._store = store
         self._tokens = fencing.FencingTokens(host_id, clock, store)
@@ -212,7 +214,12 @@
         if await self._follow_existing_primary(gateway, pools, answers):
             return True
         candidate = _choose_candidate(
-            gateway, service, pools, answers, may_catch_up=True
+            gateway,
+            service,
+            pools,
+            answers,
+            zone=self._zone,
+            may_catch_up=True,
         )
         needed = (
             candidate
@@ -321,7 +328,12 @@
         )
         paused_ms = self._clock.now()
         candidate = _choose_candidate(
-            gateway, service, pools, answers, token.ordered_ids
+            gateway,
+            service,
+            pools,
+            answers,
+            token.ordered_ids,
+            zone=self._zone,
         )
         if isinstance(candidate, exceptions.Sentinel):
             return candidate
@@ -382,7 +394,12 @@
             answers = answers.updated(again)
         is_recorded = await recording
         if candidate != _choose_candidate(
-            gateway, service, pools, answers, token.ordered_ids
+            gateway,
+            service,
+            pools,
+            answers,
+            token.ordered_ids,
+            zone=self._zone,
         ):
             return exceptions.Sentinel('the replicas have changed')
         if old_primary is not None and was_down and not old_primary.is_down:
@@ -862,6 +879,7 @@
     answers: _Answers,
     ordered_ids: collections.abc.Set[str] = frozenset(),
     *,
+    zone: str,
     may_catch_up: bool = False,
 ) -> policy.Candidate | exceptions.Sentinel:
     group = gateway.group
@@ -882,6 +900,7 @@
                 target_id in group.pools_by_id,
                 is_evacuated=pools[target_id].zone_limit is not None,
                 is_open=pools[target_id].may_start(is_primary=True),
+                is_near=pools[target_id].target.zone == zone,
             )
             for target_id, status in answers.states.items()
             if target_id in group.pools_by_id or not status.is_primary
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -128,6 +128,7 @@
         if settings.promotions is not None:
             succession = succession_module.PrimaryFailover(
                 settings.host_id,
+                settings.zone,
                 self._clock,
                 self.store,
                 promotion.PromotionClient(settings.promotions),
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -1,6 +1,7 @@
 """Replacing primaries, with real hosts and stand-ins for targets."""
 
 import asyncio
+import dataclasses
 import time
 
 import pytest
@@ -155,6 +156,40 @@
     assert chosen == policy.Candidate('b')
 
 
+def test_candidate_among_equals_is_the_one_near_the_gateway():
+    """Fails if a gateway moves to another zone right after a promotion.
+
+    Its successor opens all connections anew, while callers return.
+    """
+    near, far = replica_state('a', 5), replica_state('b', 5)
+    near = dataclasses.replace(near, is_near=True)
+    assert policy.choose_candidate([near, far], [], True).target_id == 'a'
+    # The other one has more, or an order for it may still be carried out.
+    newer = replica_state('b', 6)
+    assert policy.choose_candidate([near, newer], [], True).target_id == 'b'
+    choice = policy.choose_candidate([near, far], [], True, {'b'})
+    assert choice.target_id == 'b'
+
+
+def test_primary_in_a_lost_zone_is_replaced_near_its_gateway():
+    """Fails if the failover doesn't tell in which zone the gateway is."""
+
+    async def scenario(fleet):
+        [node] = fleet.nodes
+        first, second, third = fleet.group.servers.values()
+        await write_until_served(fleet, node, 'x')
+        for server, zone in ((second, nodes.ZONES[0]), (third, 'far')):
+            server.zone = zone
+            server.register()
+        await fleet.until(
+            lambda: node.targets.zones == {nodes.ZONES[0], 'far'}
+        )
+        first.crash()
+        await fleet.until(lambda: fleet.group.primary is second)
+
+    run_scenario(scenario, hosts=1)
+
+
 def test_draining_replica_is_not_the_candidate_among_equals():
     chosen = policy.choose_candidate(
         [replica_state('a', 7, is_draining=True), replica_state('b', 7)],
