slot queue: Don't use the fair queue where fair shares are off

Every statement went through heaps by account, virtual times and the bookkeeping of refusals, also where no shares are in force and nothing waits.

Without fair shares, work waits in plain heaps now (plain_queue.py), a statement that finds a free slot and an empty queue isn't queued, and the checks for evacuated zones, cold targets and the retry budget are skipped where none is in force.

--- a/samphirestand/gateway/fair_queue.py
+++ b/samphirestand/gateway/fair_queue.py
@@ -97,7 +97,7 @@
     size: int = 0  # bytes
     is_late: bool = False
     allowed: frozenset[str] = frozenset()
-    queue: 'FairQueue | None' = None
+    queue: Any = None  # in which it waits
 
     @property
     def rank(self) -> tuple[int, int, int]:
--- a/samphirestand/gateway/freshness.py
+++ b/samphirestand/gateway/freshness.py
@@ -12,6 +12,9 @@
 # An observation closer than this to the last one is dropped.
 MIN_SPACING_MS = 50
 
+# Before all positions, to search observations by their time.
+_LOWEST = types.Position(-1, -1)
+
 
 class Freshness:
     """Log positions that the primary reported, with the time of each request.
@@ -56,9 +59,7 @@
             return
         self._observations.append((sent_ms, position))
         oldest = bisect.bisect_left(
-            self._observations,
-            sent_ms - RETENTION_MS,
-            key=_observation_sent_ms,
+            self._observations, (sent_ms - RETENTION_MS, _LOWEST)
         )
         del self._observations[:oldest]
 
@@ -68,15 +69,9 @@
         Returns the lowest known one, so that lagging replicas are used for as
         long as the route allows. None if no observation is that new.
         """
-        index = bisect.bisect_left(
-            self._observations, needed_ms, key=_observation_sent_ms
-        )
+        index = bisect.bisect_left(self._observations, (needed_ms, _LOWEST))
         return (
             self._observations[index][1]
             if index < len(self._observations)
             else None
         )
-
-
-def _observation_sent_ms(observation: tuple[int, types.Position]) -> int:
-    return observation[0]
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -551,10 +551,11 @@
             asyncio.get_running_loop().create_future(),
             withdrawal=withdrawal,
         )
-        account = self._catalog().accounts_by_name.get(work.account)
-        if account is not None:
-            slot_request.weight = account.weight
-        self._retry_budget.record_statement(now)
+        if self._queue.fair_shares:
+            account = self._catalog().accounts_by_name.get(work.account)
+            if account is not None:
+                slot_request.weight = account.weight
+            self._retry_budget.record_statement(now)
         refusal = self._admission_refusal(slot_request)
         if refusal is not None:
             return refusal
@@ -593,11 +594,13 @@
         self, slot_request: slot_queue.SlotRequest
     ) -> work_module.Refused | None:
         reachable_pools = self.group.reachable_pools()
-        zone_reason = self.group.zone_refusal(slot_request.needs_primary)
-        if slot_request.needs_primary and self._queue.is_primary_expected(
-            slot_request
-        ):
-            zone_reason = None
+        lacks_primary = (
+            slot_request.needs_primary
+            and not self._queue.is_primary_expected(slot_request)
+        )
+        zone_reason = None
+        if lacks_primary or not slot_request.needs_primary:
+            zone_reason = self.group.zone_refusal(slot_request.needs_primary)
         if zone_reason is not None:
             return self._refuse(
                 slot_request,
@@ -605,17 +608,16 @@
                 slot_queue.Cause.EVACUATED,
                 NO_PRIMARY_RETRY_MS,
             )
-        if all(each.is_down for each in self.group.pools_by_id.values()) or (
-            not reachable_pools and not slot_request.needs_primary
+        if not reachable_pools and (
+            not slot_request.needs_primary
+            or all(each.is_down for each in self.group.pools_by_id.values())
         ):
             return self._refuse(
                 slot_request,
                 'no target of the service is up',
                 slot_queue.Cause.NO_TARGET,
             )
-        if slot_request.needs_primary and not self._queue.is_primary_expected(
-            slot_request
-        ):
+        if lacks_primary:
             return self._refuse(
                 slot_request,
                 slot_queue.NO_PRIMARY,
@@ -726,7 +728,8 @@
         finally:
             self._queue.release_slot(pool)
         if isinstance(outcome, work_module.Answered):
-            self._retry_schedule.record_served(self._clock.now())
+            if self._queue.fair_shares:
+                self._retry_schedule.record_served(self._clock.now())
             took_ms = self._clock.now() - started_ms
             self._queue.record_statement_time(pool, took_ms)
         elif isinstance(outcome, work_module.Failed):
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -416,14 +416,18 @@
         return await self._targets.read_since(moment_ms, timeout_ms)
 
     def is_primary(self, pool: pool_module.TargetPool) -> bool:
-        return pool.target.target_id == self.primary_id
+        return pool.target.target_id == self.leadership.target_id
 
     def reachable_pools(self) -> list[pool_module.TargetPool]:
         """Return the pools of targets that are not down and get new work."""
         return [
             each
             for each in self.pools_by_id.values()
-            if not each.is_down and each.may_start(self.is_primary(each))
+            if not each.is_down
+            and (
+                each.zone_limit is None
+                or each.may_start(self.is_primary(each))
+            )
         ]
 
     def zone_refusal(
@@ -433,7 +437,9 @@
     ) -> str | None:
         """Return why work can't run because of evacuated zones, or None."""
         if pinned_pool is not None:
-            pools = [pinned_pool] if not pinned_pool.may_continue else []
+            if pinned_pool.may_continue:
+                return None
+            pools = [pinned_pool]
         elif needs_primary:
             pools = [self.primary] if self.primary is not None else []
         else:
@@ -442,7 +448,10 @@
             each.zone_limit
             for each in pools
             if pinned_pool is not None
-            or not each.may_start(self.is_primary(each))
+            or (
+                each.zone_limit is not None
+                and not each.may_start(self.is_primary(each))
+            )
         ]
         if not limits or len(limits) < len(pools):
             return None
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -140,11 +140,13 @@
     @property
     def may_continue(self) -> bool:
         """Tell whether statements may be sent, as far as the zone allows."""
-        return evacuation.may_continue(self.zone_limit, self._clock.now())
+        return self.zone_limit is None or evacuation.may_continue(
+            self.zone_limit, self._clock.now()
+        )
 
     def may_start(self, is_primary: bool) -> bool:
         """Tell whether new work may be sent, as far as the zone allows."""
-        return evacuation.may_start(
+        return self.zone_limit is None or evacuation.may_start(
             self.zone_limit, is_primary, self._clock.now()
         )
 
@@ -311,7 +313,9 @@
                 peer=self.target.target_id,
             )
         now = self._clock.now()
-        if not self.warmup.may_send(now, len(steps)):
+        if self.warmup.is_bounded and not self.warmup.may_send(
+            now, len(steps)
+        ):
             raise exceptions.NotSent(
                 'the target is cold and has got its requests',
                 step='statement',
@@ -319,7 +323,7 @@
             )
         self.warmup.record(now, len(steps))
         run_key = object()
-        self._sent_ms_by_run[run_key] = self._clock.now()
+        self._sent_ms_by_run[run_key] = now
         try:
             replies = await connection.run(steps, timeout_ms)
         except exceptions.AnswerLost:
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -12,6 +12,7 @@
 from samphirestand import exceptions
 from samphirestand.gateway import fair_queue
 from samphirestand.gateway import group as group_module
+from samphirestand.gateway import plain_queue
 from samphirestand.gateway import policy
 from samphirestand.gateway import pool as pool_module
 from samphirestand import host_options
@@ -44,6 +45,10 @@
 PRIMARY_KEY_SHARE = 0.5
 
 
+_Queue = fair_queue.FairQueue | plain_queue.PlainQueue
+_Backlog = fair_queue.Backlog | plain_queue.KeyRanks
+
+
 class Cause(enum.StrEnum):
     """Why work is refused; part of the names of counters."""
 
@@ -123,13 +128,24 @@
         self._entries: dict[SlotRequest, fair_queue.Entry] = {}
         self._sequence = itertools.count()
         # The first queue that has something to run on a target goes first.
-        self._pinned = fair_queue.FairQueue()
-        self._late_pinned = fair_queue.FairQueue()
-        self._in_time = fair_queue.FairQueue()
-        self._late = fair_queue.FairQueue()
+        self._pinned = plain_queue.PlainQueue()
+        self._late_pinned = plain_queue.PlainQueue()
+        create_queue: type[_Queue] = plain_queue.PlainQueue
+        create_backlog: type[_Backlog] = plain_queue.KeyRanks
+        if fair_shares:
+            create_queue = fair_queue.FairQueue
+            create_backlog = fair_queue.Backlog
+        self._in_time = create_queue()
+        self._late = create_queue()
+        self._queues: tuple[_Queue, ...] = (
+            self._pinned,
+            self._late_pinned,
+            self._in_time,
+            self._late,
+        )
         # What only the primary can run, and the rest without transactions.
-        self._primary_backlog = fair_queue.Backlog()
-        self._backlog = fair_queue.Backlog()
+        self._primary_backlog = create_backlog()
+        self._backlog = create_backlog()
         self._balance = fair_queue.UrgencyBalance()
         self._objective_ends: list[tuple[int, int, fair_queue.Entry]] = []
         self._placed_for: tuple[str, tuple[str, ...]] = ('', ())
@@ -140,10 +156,6 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    @property
-    def _queues(self) -> tuple[fair_queue.FairQueue, ...]:
-        return self._pinned, self._late_pinned, self._in_time, self._late
-
     async def wait_for_slot(
         self, slot_request: SlotRequest
     ) -> pool_module.TargetPool | exceptions.Sentinel:
@@ -153,10 +165,11 @@
         """
         if slot_request.withdrawal.is_requested:
             return exceptions.Sentinel(work_module.WITHDRAWN_REASON)
-        self.enqueue(slot_request)
-        self.assign_slots()
-        if slot_request in self._entries:
-            self._limit_waiting(slot_request)
+        if not self._start_at_once(slot_request):
+            self.enqueue(slot_request)
+            self.assign_slots()
+            if slot_request in self._entries:
+                self._limit_waiting(slot_request)
         waited_ms = self._clock.now() - slot_request.received_ms
         remaining_ms = self.max_wait_ms(slot_request) - waited_ms
         timer = asyncio.get_running_loop().call_later(
@@ -175,6 +188,22 @@
             if slot_request in self._entries:
                 self._remove(slot_request)
 
+    def _start_at_once(self, slot_request: SlotRequest) -> bool:
+        """Give a request a slot if nothing else waits; return whether it has.
+
+        Most statements don't wait; this spares them the cost of the queue.
+        With fair shares the queue counts what each account gets.
+        """
+        if self.fair_shares or self._entries:
+            return False
+        self._rechecked_ms = self._clock.now()
+        pool = self._choose_target(slot_request, self._free_pools())
+        if pool is None:
+            return False
+        pool.running_count += 1
+        slot_request.future.set_result(pool)
+        return True
+
     def enqueue(self, slot_request: SlotRequest) -> None:
         """Add a request; ``assign_slots`` gives it a slot."""
         work = slot_request.work
@@ -238,7 +267,7 @@
         # Heaps may hold the entry until its objective ends.
         entry.item = None
 
-    def _backlog_of(self, slot_request: SlotRequest) -> fair_queue.Backlog:
+    def _backlog_of(self, slot_request: SlotRequest) -> _Backlog:
         is_primary_only = slot_request.is_primary_only or (
             self.fair_shares and slot_request.needs_primary
         )
@@ -324,7 +353,7 @@
             slot_request.displaced_by = newcomer.work.request_id
         self._refuse(slot_request)
 
-    def _backlog_wait_ms(self, backlog: fair_queue.Backlog) -> float:
+    def _backlog_wait_ms(self, backlog: _Backlog) -> float:
         """Return the expected wait in ms of a backlog's last request."""
         primary = self._group.primary
         pools = self._group.pools_by_id.values()
@@ -440,7 +469,7 @@
 
     def _assign_from(
         self,
-        queue: fair_queue.FairQueue,
+        queue: _Queue,
         free_pools: list[pool_module.TargetPool],
     ) -> list[pool_module.TargetPool]:
         """Assign slots to requests of one queue; return what is left free.
@@ -470,12 +499,11 @@
                 )
                 continue
             self._start(entry, pool)
-            free_pools = [each for each in free_pools if self._has_slot(each)]
+            if not self._has_slot(pool):
+                free_pools = [each for each in free_pools if each is not pool]
         return free_pools
 
-    def _is_usable(
-        self, pool: pool_module.TargetPool, queue: fair_queue.FairQueue
-    ) -> bool:
+    def _is_usable(self, pool: pool_module.TargetPool, queue: _Queue) -> bool:
         """Tell whether a target with a slot can run anything of a queue.
 
         Asked once for all requests, unlike ``_is_eligible``. The connections
@@ -549,8 +577,11 @@
         )
 
     def _has_slot(self, pool: pool_module.TargetPool) -> bool:
-        if not pool.may_continue or not pool.warmup.may_start(
-            self._clock.now(), pool.running_count
+        if (pool.zone_limit is not None and not pool.may_continue) or (
+            pool.warmup.is_bounded
+            and not pool.warmup.may_start(
+                self._clock.now(), pool.running_count
+            )
         ):
             return False
         return pool.running_count < policy.max_running(
@@ -572,7 +603,7 @@
         """Tell whether a target may run the statement once it has a slot."""
         target_id = pool.target.target_id
         is_primary = self._group.is_primary(pool)
-        if not pool.may_start(is_primary):
+        if pool.zone_limit is not None and not pool.may_start(is_primary):
             return False
         # A draining primary is used until a replica is promoted: no other
         # target accepts writes.
@@ -692,7 +723,7 @@
     def _count_ahead(
         self,
         slot_request: SlotRequest,
-        backlogs: collections.abc.Iterable[fair_queue.Backlog],
+        backlogs: collections.abc.Iterable[_Backlog],
         pools: list[pool_module.TargetPool],
     ) -> int:
         """Return how many requests of backlogs go before a new one.
@@ -701,6 +732,8 @@
         an account also waits for no more than everyone's share while its own
         earlier requests are served.
         """
+        if not self.fair_shares and not self._entries:
+            return 0
         work = slot_request.work
         key = self._key(slot_request)
         if not self.fair_shares:
@@ -765,7 +798,10 @@
         if (
             primary is not None
             and not primary.is_down
-            and primary.may_start(is_primary=True)
+            and (
+                primary.zone_limit is None
+                or primary.may_start(is_primary=True)
+            )
         ):
             return True
         if self._group.primary_expected_ms is None:
--- a/samphirestand/gateway/warmup.py
+++ b/samphirestand/gateway/warmup.py
@@ -75,6 +75,11 @@
         if self._bound > 0:
             self._bound = bound
 
+    @property
+    def is_bounded(self) -> bool:
+        """Tell whether the target may have a bound now."""
+        return self._bound > 0
+
     def limit(self, now_ms: int) -> int | None:
         """Return the bound for a second; None if there is none."""
         if self._bound <= 0:
