--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -151,8 +151,9 @@
             earlier_limit = pool.zone_limit
             pool.target = target
             pool.cold_bound = bound
-            pool.zone_limit = self._zones.limit_of(target.zone)
-            pool.drain_limit = self._find_drain_limit(pool)
+            pool.set_limits(
+                self._zones.limit_of(target.zone), self._find_drain_limit(pool)
+            )
             if pool.zone_limit is None and earlier_limit is not None:
                 self._begin_return(pool, earlier_limit, bound, warmup_ms)
             if pool.limit is not None:
@@ -447,14 +448,15 @@
         return await self._targets.read_since(moment_ms, timeout_ms)
 
     def is_primary(self, pool: pool_module.TargetPool) -> bool:
-        return pool.target.target_id == self.primary_id
+        return pool.target.target_id == self.leadership.target_id
 
     def reachable_pools(self) -> list[pool_module.TargetPool]:
         """Return the pools of targets that are not down and get new work."""
         return [
             each
             for each in self.pools_by_id.values()
-            if not each.is_down and each.may_start(self.is_primary(each))
+            if not each.is_down
+            and (not each.limits or each.may_start(self.is_primary(each)))
         ]
 
     def closure(
@@ -467,7 +469,9 @@
         Targets in evacuated zones, and those that drain, get no requests.
         """
         if pinned_pool is not None:
-            pools = [pinned_pool] if not pinned_pool.may_continue else []
+            if pinned_pool.may_continue:
+                return None
+            pools = [pinned_pool]
         elif needs_primary:
             pools = [self.primary] if self.primary is not None else []
         else:
@@ -476,7 +480,7 @@
             each.zone_limit
             for each in pools
             if pinned_pool is not None
-            or not each.may_start(self.is_primary(each))
+            or (each.limits and not each.may_start(self.is_primary(each)))
         ]
         if not zone_limits or len(zone_limits) < len(pools):
             return None
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -103,6 +103,7 @@
         self.zone_limit: evacuation.ZoneLimit | None = None
         # Set while the target drains.
         self.drain_limit: draining.DrainLimit | None = None
+        self.limits: tuple[evacuation.SendingLimit, ...] = ()  # of both
         self.warmup = warmup.Warmup()
         self.cold_bound = 0  # requests a second while it is cold; 0: any
         self._clock = clock
@@ -141,23 +142,30 @@
         # carry no id: without the lock one would read another's answer.
         self._command_lock = asyncio.Lock()
 
-    @property
-    def limits(self) -> list[evacuation.SendingLimit]:
-        """Return until when the target may get requests; empty if always."""
-        return [
-            each
-            for each in (self.zone_limit, self.drain_limit)
-            if each is not None
-        ]
+    def set_limits(
+        self,
+        zone_limit: evacuation.ZoneLimit | None,
+        drain_limit: draining.DrainLimit | None,
+    ) -> None:
+        """Set until when the target may get requests; None if always."""
+        self.zone_limit = zone_limit
+        self.drain_limit = drain_limit
+        self.limits = tuple(
+            each for each in (zone_limit, drain_limit) if each is not None
+        )
 
     @property
     def may_continue(self) -> bool:
         """Tell whether statements may be sent, as far as limits allow."""
+        if not self.limits:
+            return True
         now = self._clock.now()
         return all(evacuation.may_continue(each, now) for each in self.limits)
 
     def may_start(self, is_primary: bool) -> bool:
         """Tell whether new work may be sent, as far as limits allow."""
+        if not self.limits:
+            return True
         now = self._clock.now()
         return all(
             evacuation.may_start(each, is_primary, now) for each in self.limits
@@ -330,7 +338,9 @@
                 peer=self.target.target_id,
             )
         now = self._clock.now()
-        if not self.warmup.may_send(now, len(steps)):
+        if self.warmup.is_bounded and not self.warmup.may_send(
+            now, len(steps)
+        ):
             raise exceptions.NotSent(
                 'the target is cold and has got its requests',
                 step='statement',
@@ -338,7 +348,7 @@
             )
         self.warmup.record(now, len(steps))
         run_key = object()
-        self._sent_ms_by_run[run_key] = self._clock.now()
+        self._sent_ms_by_run[run_key] = now
         try:
             replies = await connection.run(steps, timeout_ms)
         except exceptions.AnswerLost as error:
