warmup: Keep the bound of a cold target while its gateway moves twice

Each gateway had half of the bound, so three within a second exceeded it. A host now has a quarter until it has been the gateway host for 3 s, and again when it no longer is, or is isolated. A gateway that stays has half as before.

--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -386,6 +386,7 @@
     ) -> None:
         now = self._clock.now()
         gateway.leave_closed_targets()
+        gateway.group.note_owner(is_owner and not self._members.is_isolated)
         max_idle_ms = IDLE_CONNECTION_MS
         if not is_owner and now - gateway.last_used_ms > HANDED_OVER_IDLE_MS:
             max_idle_ms = 0
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -61,6 +61,9 @@
         self._is_opened = False
         self.pools_by_id: dict[str, pool_module.TargetPool] = {}
         self._cold_bound = 0  # requests a second from this gateway; 0: any
+        self._cold_share = warmup.NEW_SHARE
+        # Since when this host is the gateway host; None if it isn't.
+        self._owner_since_ms: int | None = None
         # Targets that have left the registry but may still run. They are
         # asked and paused like others, and run no statements of callers.
         self.absent_pools_by_id: dict[str, pool_module.TargetPool] = {}
@@ -111,7 +114,8 @@
             for each in self._targets.of_service(self.service)
         }
         bound = self._cold_rules.gateway_bound(
-            service.cold_rate_per_s if service is not None else 0
+            service.cold_rate_per_s if service is not None else 0,
+            self._cold_share,
         )
         warmup_ms = service.warmup_ms if service is not None else 0
         earlier_warmups_by_id = {
@@ -164,6 +168,25 @@
         self._is_opened = True
         self._choose_primary()
 
+    def note_owner(self, is_owner: bool) -> None:
+        """Record whether this host is the gateway host of the service.
+
+        Its share of what cold targets may get depends on that.
+        """
+        now = self._clock.now()
+        if not is_owner:
+            self._owner_since_ms = None
+        elif self._owner_since_ms is None:
+            self._owner_since_ms = now
+        share = warmup.gateway_share(
+            None
+            if self._owner_since_ms is None
+            else now - self._owner_since_ms
+        )
+        if share != self._cold_share:
+            self._cold_share = share
+            self.refresh()
+
     def _find_drain_limit(
         self, pool: pool_module.TargetPool
     ) -> draining.DrainLimit | None:
--- a/samphirestand/gateway/warmup.py
+++ b/samphirestand/gateway/warmup.py
@@ -8,13 +8,23 @@
 import collections
 import dataclasses
 
-__all__ = ['ColdRules', 'Warmup']
+__all__ = ['NEW_SHARE', 'ColdRules', 'Warmup', 'gateway_share']
 
 # While a gateway moves, the earlier and the next gateway host may both send,
 # and neither can know for certain that the other one doesn't: they may be cut
-# off from each other. So each has this share of the bound at all times, and
-# two gateways together never exceed it, without any message between them.
-GATEWAY_SHARE = 0.5
+# off from each other. So each has at most this share of the bound at all
+# times, and two gateways together never exceed it, without any message between
+# them.
+ESTABLISHED_SHARE = 0.5
+
+# The share of a gateway on a host that isn't its established gateway host. A
+# gateway that moves twice is on three hosts, at most one of them established.
+NEW_SHARE = 0.25
+
+# A host is established when it has been the gateway host for this long: by
+# then an earlier one has learned of its claim, or found out that it is
+# isolated (1.3 s), and what it sent before no longer counts.
+ESTABLISHED_AFTER_MS = 3_000
 
 # Requests sent within this time count, more than a second: delays differ from
 # request to request, so more may arrive within a second than were sent in one.
@@ -41,12 +51,29 @@
     excess: float = 1.5
     slack: float = 5.0
 
-    def gateway_bound(self, rate_per_s: float) -> int:
-        """Return how many requests a second one gateway may send; 0 if any."""
+    def gateway_bound(
+        self, rate_per_s: float, share: float = ESTABLISHED_SHARE
+    ) -> int:
+        """Return how many requests a second one gateway may send; 0 if any.
+
+        ``share`` is its part of what all gateways may send together.
+        """
         if rate_per_s <= 0:
             return 0
         bound = rate_per_s * self.excess + self.slack
-        return max(1, int(bound * GATEWAY_SHARE))
+        return max(1, int(bound * share))
+
+
+def gateway_share(owner_for_ms: int | None) -> float:
+    """Return a gateway's share of the bound of a cold target.
+
+    For gateways that move twice within a second, as in a rolling stop.
+    ``owner_for_ms`` tells how long this host has been the gateway host; None
+    if it isn't, or is cut off from the fleet.
+    """
+    if owner_for_ms is None or owner_for_ms < ESTABLISHED_AFTER_MS:
+        return NEW_SHARE
+    return ESTABLISHED_SHARE
 
 
 class Warmup:
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -51,6 +51,19 @@
     assert busiest_second(sent) <= rate * RULES.excess + RULES.slack
 
 
+@pytest.mark.parametrize('rate', [3, 20, 77.5])
+@pytest.mark.parametrize('seed', range(3))
+def test_three_gateways_stay_within_the_bound(rate, seed):
+    """Fails if a gateway that moves twice within a second exceeds it."""
+    gateways = [warmup.Warmup() for _ in range(3)]
+    shares = [warmup.gateway_share(each) for each in (60_000, 900, None)]
+    for each, share in zip(gateways, shares, strict=True):
+        each.begin(RULES.gateway_bound(rate, share), 10_000)
+    sent = send_all(gateways, 5_000, seed)
+    assert sent
+    assert busiest_second(sent) <= rate * RULES.excess + RULES.slack
+
+
 def test_no_rate_is_no_limit():
     """Fails if targets are limited where nothing calls for it."""
     target = warmup.Warmup()
@@ -134,6 +147,33 @@
     test_evacuation.run_loaded(scenario, readers=READERS)
 
 
+def test_target_is_limited_while_its_gateway_moves_twice():
+    """Fails if three gateways together send a cold target too much."""
+
+    async def scenario(fleet, zones, callers):
+        await configure(fleet, 2, ColdRateS=COLD_RATE, WarmupS=30)
+        server = list(fleet.group.servers.values())[1]
+        server.warm_left_ms = 30_000
+        server.born = 2
+        server.register()
+        await fleet.until(
+            lambda: all(
+                each.targets._targets_by_id[server.server_id].started_ms == 2
+                for each in fleet.nodes
+            )
+        )
+        # The two hosts that had no gateway open one as well.
+        for node in fleet.nodes:
+            node.gateways.gateway_host_id = lambda service, own=node: (
+                own.members.local.host_id
+            )
+        sent = record(fleet)
+        await asyncio.sleep(2.5)
+        assert 1 < busiest_second(sent[server.server_id]) <= BOUND
+
+    test_evacuation.run_loaded(scenario, hosts=3, readers=READERS)
+
+
 def test_target_that_restarts_at_once_is_limited():
     """Fails if it gets all of its load until its row of the restart is read.
 
