evacuations: Tell hosts that start later which zones have returned

The store has no row of a zone that has returned, so a gateway on a host that started after the return took the zone's targets to be warm.

Pongs carry a checksum of the zones that returned in the last five minutes. Older releases ignore and omit the fields. Open gateways adopt the return.

--- a/samphirestand/fleet/catalog_exchange.py
+++ b/samphirestand/fleet/catalog_exchange.py
@@ -66,6 +66,8 @@
         self._evacuations = evacuations
         self._evacuations_task: asyncio.Task[None] | None = None
         self._evacuations_asked_ms = 0
+        self._returns_task: asyncio.Task[None] | None = None
+        self._returns_asked_ms = 0
         self._behind_since_ms: int | None = None
         self._fetch_task: asyncio.Task[None] | None = None
         self._reviewed_version = 0
@@ -127,6 +129,13 @@
             )
             # Assumed until the host's next pong.
             link.evacuation_digest = evacuations.digest
+        if evacuations.needs_returns(link.return_digest) and (
+            now - self._returns_asked_ms >= EVACUATIONS_RETRY_MS
+        ):
+            self._returns_asked_ms = now
+            self._returns_task = asyncio.create_task(
+                self._fetch_from(link, omits_catalog=True)
+            )
         if (
             not evacuations.needs(
                 link.evacuation_version, link.evacuation_digest
@@ -239,6 +248,7 @@
         b'' if omits_catalog else catalog.raw,
         0 if evacuations is None else evacuations.version,
         {} if evacuations is None else evacuations.ages_by_zone(),
+        {} if evacuations is None else evacuations.return_ages_by_zone(),
     )
 
 
@@ -258,6 +268,7 @@
             snapshot.evacuation_ages_by_zone,
             source,
         )
+        evacuations.adopt_returns(snapshot.return_ages_by_zone)
     # Many hosts may send the same version.
     if snapshot.catalog and snapshot.catalog_version > catalog.current.version:
         catalog.adopt_if_newer(snapshot.catalog, source)
--- a/samphirestand/fleet/evacuations.py
+++ b/samphirestand/fleet/evacuations.py
@@ -18,6 +18,10 @@
 # More rows than this can't name zones. Names of known zones are kept first.
 MAX_ZONES = 1_000
 
+# Zones that returned no longer ago are told to other hosts: for longer than
+# targets take to warm up.
+RETURN_KEPT_MS = 300_000
+
 # Irregular rows that are logged with a line each, in the life of a process.
 MAX_IRREGULAR_LINES = 20
 
@@ -90,6 +94,48 @@
             for zone, since_ms in self._since_ms_by_zone.items()
         }
 
+    def return_ages_by_zone(self) -> dict[str, int]:
+        """Return how long ago zones returned lately, for another host.
+
+        A host that started after a zone's return can't learn of it from the
+        store, where the row is gone.
+        """
+        now = self._clock.now()
+        return {
+            zone: now - revoked_ms
+            for zone, revoked_ms in self._revoked_ms_by_zone.items()
+            if now - revoked_ms < RETURN_KEPT_MS
+            and zone not in self._since_ms_by_zone
+        }
+
+    @property
+    def return_digest(self) -> int:
+        """Return a number for the zones that returned; 0 without any."""
+        return _digest(self.return_ages_by_zone())
+
+    def needs_returns(self, digest: int) -> bool:
+        """Tell whether a host with this digest may know other returns."""
+        return self._is_enabled and digest not in (0, self.return_digest)
+
+    def adopt_returns(
+        self, ages_by_zone: collections.abc.Mapping[str, int]
+    ) -> None:
+        """Adopt which zones returned, as another host knows."""
+        now = self._clock.now()
+        returned = {
+            zone: now - age_ms
+            for zone, age_ms in ages_by_zone.items()
+            if age_ms < RETURN_KEPT_MS
+            and zone not in self._since_ms_by_zone
+            and zone not in self.return_ages_by_zone()
+        }
+        if not self._is_enabled or not returned:
+            return
+        self._revoked_ms_by_zone = self._bounded(
+            {**self._revoked_ms_by_zone, **returned}
+        )
+        self._on_change()
+
     def adopt_feed(self, feed: store_module.TableRows, sent_ms: int) -> None:
         """Adopt the rows that have changed since the feed's last answer."""
         zones = dict(self._since_ms_by_zone)
--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -94,6 +94,7 @@
   evacuationDigest @9 :UInt32;  # of the evacuated zones; 0 without any
   readsDeflated @10 :Bool;  # the sender reads compressed snapshots
   answersDirectory @11 :Bool;  # the sender knows the frame directoryRequest
+  returnDigest @12 :UInt32;  # of the zones that returned lately; 0 without any
 }
 
 struct Observation {
@@ -137,11 +138,12 @@
   evacuationVersion @3 :UInt64;  # of the store; 0 if nothing is known
   evacuatedZones @4 :List(EvacuatedZone);
   isDeflated @5 :Bool;  # sent only to hosts that read it
+  returnedZones @6 :List(EvacuatedZone);  # of which an evacuation was revoked
 }
 
 struct EvacuatedZone {
   name @0 :Text;
-  ageMs @1 :UInt32;  # of the evacuation
+  ageMs @1 :UInt32;  # of the evacuation or of its revocation
 }
 
 struct Claim {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -167,6 +167,7 @@
     evacuation_digest: int = 0
     reads_deflated: bool = True  # hosts of earlier releases don't
     answers_directory: bool = True  # those of earlier releases don't
+    return_digest: int = 0  # of the zones that returned lately
 
 
 @dataclasses.dataclass(frozen=True)
@@ -218,6 +219,10 @@
     evacuation_ages_by_zone: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
+    # How long ago evacuations were revoked.
+    return_ages_by_zone: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -337,6 +342,7 @@
             builder.evacuationDigest = frame.evacuation_digest
             builder.readsDeflated = frame.reads_deflated
             builder.answersDirectory = frame.answers_directory
+            builder.returnDigest = frame.return_digest
         case TokenRequest():
             builder = message.init('tokenRequest')
             builder.call = frame.call_id
@@ -363,11 +369,16 @@
             )
             builder.isDeflated = reads_deflated
             builder.evacuationVersion = frame.evacuation_version
-            ages = frame.evacuation_ages_by_zone
-            zones = builder.init('evacuatedZones', len(ages))
-            for entry, (zone, age_ms) in zip(zones, ages.items(), strict=True):
-                entry.name = zone
-                entry.ageMs = min(age_ms, UINT32_MAX)
+            for name, ages in (
+                ('evacuatedZones', frame.evacuation_ages_by_zone),
+                ('returnedZones', frame.return_ages_by_zone),
+            ):
+                zones = builder.init(name, len(ages))
+                for entry, (zone, age_ms) in zip(
+                    zones, ages.items(), strict=True
+                ):
+                    entry.name = zone
+                    entry.ageMs = min(age_ms, UINT32_MAX)
         case DirectoryRequest():
             message.init('directoryRequest').call = frame.call_id
         case Directory():
@@ -490,6 +501,7 @@
                 reader.evacuationDigest,
                 reader.readsDeflated,
                 reader.answersDirectory,
+                reader.returnDigest,
             )
         case 'tokenRequest':
             reader = message.tokenRequest
@@ -507,7 +519,10 @@
             )
         case 'snapshot':
             reader = message.snapshot
-            if len(reader.evacuatedZones) > MAX_EVACUATED_ZONES:
+            if (
+                max(len(reader.evacuatedZones), len(reader.returnedZones))
+                > MAX_EVACUATED_ZONES
+            ):
                 raise ValueError('too many evacuated zones')
             raw = bytes(reader.catalog)
             return Snapshot(
@@ -516,6 +531,7 @@
                 deflation.inflate(raw) if reader.isDeflated else raw,
                 reader.evacuationVersion,
                 {each.name: each.ageMs for each in reader.evacuatedZones},
+                {each.name: each.ageMs for each in reader.returnedZones},
             )
         case 'directoryRequest':
             return DirectoryRequest(message.directoryRequest.call)
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -349,6 +349,7 @@
         # What the host knows of evacuated zones.
         self.evacuation_version = 0
         self.evacuation_digest = 0
+        self.return_digest = 0
         self.fleet_digest = 0
         self.answers_directory = False
         # For each service of which the host is the gateway, a log position
@@ -552,6 +553,7 @@
         self.fleet_digest = pong.fleet_digest
         self.evacuation_version = pong.evacuation_version
         self.evacuation_digest = pong.evacuation_digest
+        self.return_digest = pong.return_digest
         self.answers_directory = pong.answers_directory
         sent_ms = self._sent_ms_by_sequence.pop(pong.sequence, None)
         if sent_ms is not None:
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -213,6 +213,9 @@
             self._catalog.age_ms,
             0 if self._evacuations is None else self._evacuations.version,
             0 if self._evacuations is None else self._evacuations.digest,
+            return_digest=0
+            if self._evacuations is None
+            else self._evacuations.return_digest,
         )
 
     def _observations_for(
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -157,8 +157,13 @@
             pool.cold_bound = bound
             pool.zone_limit = self._zones.limit_of(target.zone)
             pool.drain_limit = self._find_drain_limit(pool)
+            returned_ms = self._zones.revoked_ms(target.zone)
             if pool.zone_limit is None and earlier_limit is not None:
                 self._begin_return(pool, earlier_limit, bound, warmup_ms)
+            elif returned_ms is not None and returned_ms != pool.returned_ms:
+                # Another host told of a return that was not seen here.
+                pool.warmup.begin(bound, returned_ms + warmup_ms)
+            pool.returned_ms = returned_ms
             if pool.limit is not None:
                 pool.limit.slots = target.slots
             pool.max_connections = max_connections
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -104,6 +104,8 @@
         # Set while the target drains.
         self.drain_limit: draining.DrainLimit | None = None
         self.warmup = warmup.Warmup()
+        # The return of its zone that the warm-up takes into account.
+        self.returned_ms: int | None = None
         self.cold_bound = 0  # requests a second while it is cold; 0: any
         self._clock = clock
         self.max_connections = max_connections
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -114,11 +114,17 @@
         self.known = known
         self.evacuation_version = known.version
         self.evacuation_digest = known.digest
+        self.return_digest = known.return_digest
 
     async def request(self, build_frame, timeout_ms):
         self.sent_frames.append(build_frame(1))
         return frames.Snapshot(
-            1, 0, b'', self.known.version, self.known.ages_by_zone()
+            1,
+            0,
+            b'',
+            self.known.version,
+            self.known.ages_by_zone(),
+            self.known.return_ages_by_zone(),
         )
 
 
@@ -157,6 +163,22 @@
     assert own.since_ms('a') == clock.now() - 700
 
 
+def test_return_of_a_zone_is_told_to_hosts_that_started_later():
+    """Fails if they take the targets of the zone to be warm."""
+    clock = clock_module.ManualClock()
+    own, other = create(clock), create(clock)
+    other.adopt_table(table(5, 'evacuate/a', 'evacuate/b'))
+    other.adopt_table(table(6, 'evacuate/b'))
+    own.adopt_table(table(6, 'evacuate/b'))
+    clock.set(clock.now() + 700)
+    assert exchange_once(own, other) != []
+    assert own.revoked_ms('a') == clock.now() - 700
+    assert exchange_once(own, other) == []
+    assert exchange_once(other, own) == []
+    clock.set(clock.now() + evacuations.RETURN_KEPT_MS)
+    assert other.return_digest == 0
+
+
 def test_same_zones_are_not_fetched():
     """Fails if each write to the store makes all hosts fetch."""
     own, other = create(), create()
@@ -191,7 +213,8 @@
         frames.Pong(
             1, False, 7, evacuation_version=2**40, evacuation_digest=9
         ),
-        frames.Snapshot(1, 7, b'raw', 9, {'a': 5, 'b': 0}),
+        frames.Snapshot(1, 7, b'raw', 9, {'a': 5, 'b': 0}, {'c': 3}),
+        frames.Pong(1, False, 7, return_digest=8),
         frames.SnapshotRequest(3, omits_catalog=True),
     ],
 )
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -251,6 +251,32 @@
     test_evacuation.run_loaded(scenario, readers=READERS)
 
 
+def test_limit_of_a_zone_that_has_returned_is_known_to_later_hosts():
+    """Fails if a host that starts after the return sends all of the load."""
+
+    async def scenario(fleet, zones, callers):
+        await configure(fleet, 2, ColdRateS=COLD_RATE, WarmupS=30)
+        zones.evacuate('south')
+        await zones.stay_unused('south', seconds=0)
+        zones.revoke('south')
+        await fleet.until(
+            lambda: not any(each.evacuations.zones for each in fleet.nodes)
+        )
+        later = await fleet.start_node('north')
+        await fleet.until(lambda: later.is_ready and later.targets.is_complete)
+        for node in fleet.nodes:
+            node.gateways.gateway_host_id = lambda service: (
+                later.members.local.host_id
+            )
+        # The earlier gateways have nothing left to do by then.
+        await asyncio.sleep(2)
+        sent = record(fleet)
+        await asyncio.sleep(3)
+        assert 1 < busiest_second(sent['i-2']) <= BOUND
+
+    test_evacuation.run_loaded(scenario, readers=READERS)
+
+
 def test_target_that_was_down_counts_as_cold():
     """Fails if a target that restarts gets load before its row is read."""
     pool = test_pool.create_pool(1)
