--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -51,6 +51,19 @@
     assert busiest_second(sent) <= rate * RULES.excess + RULES.slack
 
 
+@pytest.mark.parametrize('rate', [3, 20, 77.5])
+@pytest.mark.parametrize('seed', range(3))
+def test_three_gateways_stay_within_the_bound(rate, seed):
+    """Fails if a gateway that moves twice within a second exceeds it."""
+    gateways = [warmup.Warmup() for _ in range(3)]
+    shares = [warmup.gateway_share(each) for each in (60_000, 900, None)]
+    for each, share in zip(gateways, shares, strict=True):
+        each.begin(RULES.gateway_bound(rate, share), 10_000)
+    sent = send_all(gateways, 5_000, seed)
+    assert sent
+    assert busiest_second(sent) <= rate * RULES.excess + RULES.slack
+
+
 def test_no_rate_is_no_limit():
     """Fails if targets are limited where nothing calls for it."""
     target = warmup.Warmup()
@@ -134,6 +147,33 @@
     test_evacuation.run_loaded(scenario, readers=READERS)
 
 
+def test_target_is_limited_while_its_gateway_moves_twice():
+    """Fails if three gateways together send a cold target too much."""
+
+    async def scenario(fleet, zones, callers):
+        await configure(fleet, 2, ColdRateS=COLD_RATE, WarmupS=30)
+        server = list(fleet.group.servers.values())[1]
+        server.warm_left_ms = 30_000
+        server.born = 2
+        server.register()
+        await fleet.until(
+            lambda: all(
+                each.targets._targets_by_id[server.server_id].started_ms == 2
+                for each in fleet.nodes
+            )
+        )
+        # The two hosts that had no gateway open one as well.
+        for node in fleet.nodes:
+            node.gateways.gateway_host_id = lambda service, own=node: (
+                own.members.local.host_id
+            )
+        sent = record(fleet)
+        await asyncio.sleep(2.5)
+        assert 1 < busiest_second(sent[server.server_id]) <= BOUND
+
+    test_evacuation.run_loaded(scenario, hosts=3, readers=READERS)
+
+
 def test_target_that_restarts_at_once_is_limited():
     """Fails if it gets all of its load until its row of the restart is read.
 
@@ -211,6 +251,32 @@
     test_evacuation.run_loaded(scenario, readers=READERS)
 
 
+def test_limit_of_a_zone_that_has_returned_is_known_to_later_hosts():
+    """Fails if a host that starts after the return sends all of the load."""
+
+    async def scenario(fleet, zones, callers):
+        await configure(fleet, 2, ColdRateS=COLD_RATE, WarmupS=30)
+        zones.evacuate('south')
+        await zones.stay_unused('south', seconds=0)
+        zones.revoke('south')
+        await fleet.until(
+            lambda: not any(each.evacuations.zones for each in fleet.nodes)
+        )
+        later = await fleet.start_node('north')
+        await fleet.until(lambda: later.is_ready and later.targets.is_complete)
+        for node in fleet.nodes:
+            node.gateways.gateway_host_id = lambda service: (
+                later.members.local.host_id
+            )
+        # The earlier gateways have nothing left to do by then.
+        await asyncio.sleep(2)
+        sent = record(fleet)
+        await asyncio.sleep(3)
+        assert 1 < busiest_second(sent['i-2']) <= BOUND
+
+    test_evacuation.run_loaded(scenario, readers=READERS)
+
+
 def test_target_that_was_down_counts_as_cold():
     """Fails if a target that restarts gets load before its row is read."""
     pool = test_pool.create_pool(1)
