directory: Mark hosts that don't answer, so that none waits for them

The writer of the directory marks listed hosts that haven't answered for 8 s; a host that starts with most links up doesn't wait for marked ones. They are dialled all the same. Hosts of earlier releases ignore the field and omit it.

--- a/samphirestand/fleet/directory.py
+++ b/samphirestand/fleet/directory.py
@@ -38,6 +38,9 @@
 
     size: job_hosts.FleetSize
     hosts: tuple[frames.Hello, ...]
+    # The listed hosts that don't answer the writer. They are dialled, but a
+    # host that starts needn't wait for them.
+    silent_ids: frozenset[str] = frozenset()
 
 
 class _HostModel(pydantic.BaseModel):
@@ -65,15 +68,24 @@
     max_millicores: int = pydantic.Field(ge=0, le=records.MAX_COUNT)
     max_link_kbps: int = pydantic.Field(ge=0, le=records.MAX_COUNT)
     hosts: list[_HostModel] = pydantic.Field(max_length=MAX_HOSTS)
+    # Hosts of earlier releases ignore this field and omit it.
+    silent: list[str] = pydantic.Field(default=[], max_length=MAX_HOSTS)
 
 
-def build(hosts: collections.abc.Collection[frames.Hello]) -> Directory:
+def build(
+    hosts: collections.abc.Collection[frames.Hello],
+    silent_ids: collections.abc.Container[str] = frozenset(),
+) -> Directory:
     """Return the directory of a fleet, whatever the order of ``hosts``."""
+    listed = job_hosts.candidates(hosts)
     return Directory(
         job_hosts.measure(hosts),
         tuple(
             dataclasses.replace(each, incarnation=UNKNOWN_INCARNATION)
-            for each in job_hosts.candidates(hosts)
+            for each in listed
+        ),
+        frozenset(
+            each.host_id for each in listed if each.host_id in silent_ids
         ),
     )
 
@@ -92,6 +104,7 @@
             )
             for each in directory.hosts
         ],
+        silent=sorted(directory.silent_ids),
     )
     return model.model_dump_json().encode()
 
@@ -119,4 +132,5 @@
             )
             for each in model.hosts
         ),
+        frozenset(model.silent) & {each.id for each in model.hosts},
     )
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -104,6 +104,11 @@
 # for this long; a process that ended has restarted within about a second.
 DEAD_AFTER_MS = 2_000
 
+# A host of the directory is marked as silent when it hasn't answered for this
+# long: longer than a process that ended takes to start again, so that restarts
+# don't change the row.
+SILENT_MARK_AFTER_MS = 8_000
+
 # A starting host waits at most this long for its links. They come up within a
 # few round trips; hosts that start together are ready within half a second of
 # each other.
@@ -203,6 +208,10 @@
         self._job_host_ids: frozenset[str] = frozenset()
         self._token_source_ids: frozenset[str] = frozenset()
         self._last_dead_ids: frozenset[str] = frozenset()
+        # The hosts that this host would mark as silent in the directory, and
+        # those that were marked in the one that it read last.
+        self._silent_ids: frozenset[str] = frozenset()
+        self._marked_ids: frozenset[str] = frozenset()
         # The size of the fleet by the directory, if this host knows only the
         # hosts in it; None if it has read the rows of all hosts.
         self._size: job_hosts.FleetSize | None = None
@@ -325,11 +334,20 @@
         up_count = len(self.up_links())
         if up_count == link_count:
             return True
+        if 2 * up_count <= link_count:
+            return False
         # The row of a host that is gone for good stays for a while, so this
         # host has a link to it that never comes up.
         return (
-            2 * up_count > link_count
-            and now - self._last_link_up_ms > SETTLE_QUIET_MS
+            now - self._last_link_up_ms > SETTLE_QUIET_MS
+            or self._has_all_unmarked_links()
+        )
+
+    def _has_all_unmarked_links(self) -> bool:
+        """Tell whether only hosts that the directory marks don't answer."""
+        return all(
+            link.is_up or host_id in self._marked_ids
+            for host_id, link in self._links_by_id.items()
         )
 
     @property
@@ -637,6 +655,25 @@
             if not link.is_up and now - link.last_answer_ms > DEAD_AFTER_MS
         )
 
+    def _find_silent_ids(self) -> frozenset[str]:
+        """Return the hosts to mark as silent in the directory.
+
+        None if most hosts don't answer: this host may be cut off itself.
+        """
+        now = self._clock.now()
+        silent_ids = frozenset(
+            host_id
+            for host_id, link in self._links_by_id.items()
+            if not link.is_up
+            and now - link.last_answer_ms > SILENT_MARK_AFTER_MS
+        )
+        if 2 * len(silent_ids) >= len(self._links_by_id):
+            return frozenset()
+        return silent_ids
+
+    def _build_directory(self) -> directory.Directory:
+        return directory.build(self._hosts_by_id.values(), self._silent_ids)
+
     def _replace_dead_job_hosts(self, dead_ids: frozenset[str]) -> None:
         self._last_dead_ids = dead_ids
         hosts = self._hosts_by_id.values()
@@ -663,6 +700,11 @@
         dead_ids = self._dead_ids()
         if dead_ids != self._last_dead_ids:
             self._replace_dead_job_hosts(dead_ids)
+        silent_ids = self._find_silent_ids()
+        if silent_ids != self._silent_ids:
+            self._silent_ids = silent_ids
+            self._encoded_directory = None
+            self._is_directory_due = True
         cutoff_ms = self._clock.now() - UNUSED_LINK_KEPT_MS
         for host_id, link in list(self._links_by_id.items()):
             if (
@@ -998,9 +1040,7 @@
             return b''
         if self._encoded_directory is None:
             self._choose_if_due()
-            self._encoded_directory = directory.encode(
-                directory.build(self._hosts_by_id.values())
-            )
+            self._encoded_directory = directory.encode(self._build_directory())
         return self._encoded_directory
 
     async def _read_directory(self) -> bool:
@@ -1012,6 +1052,7 @@
         if found is None or found[0] == self._rejected_version:
             return False
         self._adopted_version = found[0]
+        self._marked_ids = found[1].silent_ids
         return self._adopt_directory(found[1])
 
     def _is_contradicted(self, token_source_ids: frozenset[str]) -> bool:
@@ -1085,15 +1126,13 @@
         await self._read_rows()
         if not self._maintains_directory:
             return
-        built = directory.build(self._hosts_by_id.values())
+        built = self._build_directory()
         version, found = await self._fetch_directory() or (0, None)
         if found == built or (
             found is None
             and built.size.host_count <= job_hosts.MAX_FULL_MESH_HOSTS
         ):
-            self._is_directory_due = built != directory.build(
-                self._hosts_by_id.values()
-            )
+            self._is_directory_due = built != self._build_directory()
             return
         result = await self._store.put(
             directory.TABLE, directory.KEY, directory.encode(built), version
@@ -1101,13 +1140,12 @@
         if isinstance(result, store_module.Conflict):
             # Another host wrote it meanwhile; compared again later.
             return
-        self._is_directory_due = built != directory.build(
-            self._hosts_by_id.values()
-        )
+        self._is_directory_due = built != self._build_directory()
         _log.info(
             'directory_written',
             hosts=len(built.hosts),
             known=built.size.host_count,
+            silent=sorted(built.silent_ids),
         )
 
     async def _read_rows(self) -> None:
--- a/tests/fleet/test_control_traffic.py
+++ b/tests/fleet/test_control_traffic.py
@@ -19,6 +19,11 @@
 # Nine job hosts read the rows of all hosts, and read them a second time if
 # they start together.
 MAX_WHOLE_READS = 2 * 9
+# Hosts that start together wait for all links but those to silent hosts, by at
+# most this much longer than if there were none: the steps of ``until``.
+SILENT_EXTRA_S = 0.05
+# How long a host is silent until the directory says so.
+MARKED_AFTER_S = 20
 # A fifth of the hosts stop and start at a time.
 ROLLING_BATCHES = 5
 # A configuration of about 6 kB, and a large one.
@@ -88,6 +93,47 @@
     assert fleet.store.whole_reads_by_table['hosts'] <= MAX_WHOLE_READS
 
 
+async def restart_all(fleet):
+    """Kill all hosts that run; return how long they take to serve again."""
+    host_ids = list(fleet.nodes_by_id)
+    for host_id in host_ids:
+        fleet.kill(host_id)
+    await asyncio.sleep(0.5)
+    await fleet.start(host_ids)
+    return await fleet.until(is_ready, 10)
+
+
+@pytest.mark.parametrize('host_count', SIZES[:2])
+@simulation.simulated
+async def test_starting_hosts_do_not_wait_for_one_that_is_gone(
+    loop, host_count
+):
+    """Fails if a job host that is gone delays all others after a power loss.
+
+    Its row stays for a minute, and each host that starts dials it.
+    """
+    fleet, _ = await started(loop, host_count)
+    await asyncio.sleep(5)
+    usual_s = await restart_all(fleet)
+    await asyncio.sleep(5)
+    members = next(iter(fleet.nodes_by_id.values())).members
+    gone_id = min(members._job_host_ids)
+    fleet.kill(gone_id)
+    await asyncio.sleep(MARKED_AFTER_S)
+    assert await restart_all(fleet) <= usual_s + SILENT_EXTRA_S
+    # It is dialled all the same, and used when it is back.
+    await fleet.start([gone_id])
+    await fleet.until(
+        lambda node: (
+            not node.members.is_job_host
+            or node.members.local.host_id == gone_id
+            or gone_id
+            in [each.peer.host_id for each in node.members.up_links()]
+        ),
+        5,
+    )
+
+
 @pytest.mark.parametrize('host_count', SIZES[:2])
 @simulation.simulated
 async def test_rolling_stop(loop, host_count):
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -110,6 +110,71 @@
     assert isinstance(directory.decode(value), exceptions.Sentinel)
 
 
+def test_marks_are_read_by_hosts_that_know_them_and_ignored_by_others():
+    """Fails if hosts of two releases can't read each other's directory."""
+    hosts, found = fleet_of(80)
+    silent_id = found.hosts[0].host_id
+    marked = directory.build(hosts, {silent_id, hosts[-1].host_id})
+    assert directory.decode(directory.encode(marked)) == marked
+    # Only hosts that are listed are marked, and their choice is the same.
+    assert marked == dataclasses.replace(
+        found, silent_ids=frozenset((silent_id,))
+    )
+    row = json.loads(directory.encode(marked))
+    # What the model of an earlier release requires, and no more than that.
+    assert row.keys() - {'silent'} == {
+        'host_count',
+        'max_millicores',
+        'max_link_kbps',
+        'hosts',
+    }
+    del row['silent']
+    assert directory.decode(json.dumps(row).encode()) == found
+
+
+@pytest.mark.parametrize(
+    ('up_count', 'is_settled'), [(9, True), (8, False), (5, False), (0, False)]
+)
+def test_marks_shorten_the_wait_for_most_links_only(up_count, is_settled):
+    """Fails if a wrong mark makes a host choose itself for every job."""
+    hosts, found = fleet_of(80)
+    clock = clock_module.ManualClock()
+    members = create_members(FakeStore(hosts, found), hosts[-1], clock)
+    asyncio.run(members._join_fleet())
+    members._last_link_up_ms = clock.now()
+    peer_ids = [each.host_id for each in found.hosts[:10]]
+    members._links_by_id = {
+        host_id: unittest.mock.Mock(is_up=number < up_count)
+        for number, host_id in enumerate(peer_ids)
+    }
+    members._marked_ids = frozenset(peer_ids[9:])
+    if up_count < 6:
+        members._marked_ids = frozenset(peer_ids)
+    assert members.is_settled == is_settled
+
+
+def test_host_that_most_hosts_do_not_answer_marks_none():
+    """Fails if a host that is cut off marks all others as silent."""
+    hosts, found = fleet_of(80)
+    clock = clock_module.ManualClock()
+    members = create_members(FakeStore(hosts, found), hosts[-1], clock)
+    answered_ms = clock.now()
+    clock.set(answered_ms + members_module.SILENT_MARK_AFTER_MS + 1)
+    links_by_id = {
+        each.host_id: unittest.mock.Mock(
+            is_up=False, last_answer_ms=answered_ms
+        )
+        for each in found.hosts[:10]
+    }
+    members._links_by_id = links_by_id
+    assert members._find_silent_ids() == frozenset()
+    for link in list(links_by_id.values())[:6]:
+        link.is_up = True
+    assert members._find_silent_ids() == {
+        each.host_id for each in found.hosts[6:10]
+    }
+
+
 def test_host_without_jobs_reads_the_directory_only():
     """Fails if each host of a large fleet reads the rows of all."""
     hosts, found = fleet_of(80)
