gateway, fleet, sessions: Split decisions from what they record

An explanation of a request must ask the code that decides about requests, and asking had effects: refusals on arrival were counted and logged, the urgency of a statement counted its arrival, a retry time was promised, tokens were refilled and taken, a claimed zone was noted, and windows dropped what had expired. Each of these is now a part that returns the result and a part that records it, and requests use both. Why a target can't run a request is named (Obstacle) instead of being a truth value only.

New state is written by commands to targets only and read by explanations: what a target last said of its log, and since when a primary is used.

--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import enum
 
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
@@ -17,7 +18,13 @@
 from samphirestand.fleet import frames
 from samphirestand.fleet import members as members_module
 
-__all__ = ['AccountRateLimiter', 'Bucket', 'TokenPool']
+__all__ = [
+    'AccountRateLimiter',
+    'Bucket',
+    'RateState',
+    'TokenPool',
+    'TokenSource',
+]
 
 # Millitokens per token, and milliseconds per second.
 MILLIS_PER_UNIT = 1_000
@@ -74,22 +81,27 @@
     rate: float | None = None  # tokens per second since the last refill
 
     def refill(self, now: int, rate: float, capacity: float) -> None:
-        """Add tokens for the time since the last call.
+        """Add tokens for the time since the last call."""
+        self.millitokens = self.millitokens_at(now, rate, capacity)
+        elapsed_ms = max(0, now - self.refilled_ms)
+        self.refilled_ms = now
+        self.rate = rate
+        # The demand decays with a time constant of two seconds.
+        self.demand_per_s *= max(0.0, 1 - elapsed_ms / 2_000)
+
+    def millitokens_at(self, now: int, rate: float, capacity: float) -> float:
+        """Return what the bucket holds with what accrued since the last call.
 
-        They accrue at ``rate`` tokens per second, or at the rate of the last
+        Tokens accrue at ``rate`` tokens per second, or at the rate of the last
         call if that was lower: a host that has just become a token source
         accrued none before.
         """
         elapsed_ms = max(0, now - self.refilled_ms)
         accrued_rate = rate if self.rate is None else min(rate, self.rate)
-        self.refilled_ms = now
-        self.rate = rate
-        self.millitokens = min(
+        return min(
             max(capacity, self.millitokens),
             self.millitokens + accrued_rate * elapsed_ms,
         )
-        # The demand decays with a time constant of two seconds.
-        self.demand_per_s *= max(0.0, 1 - elapsed_ms / 2_000)
 
     def surplus_millitokens(self, capacity: float) -> int:
         """Return the millitokens that this host doesn't need."""
@@ -107,19 +119,48 @@
         """Add tokens up to ``capacity``, in millitokens."""
         self.millitokens = min(capacity, self.millitokens + millitokens)
 
+    def can_grant(self, min_millitokens: int) -> bool:
+        return self.millitokens >= min_millitokens
+
     def grant(self, wanted_millitokens: int, min_millitokens: int) -> int:
         """Remove and return up to ``wanted_millitokens``.
 
         Grants nothing if the pool holds fewer than ``min_millitokens``: less
         would not admit an operation on the requesting host.
         """
-        if self.millitokens < min_millitokens:
+        if not self.can_grant(min_millitokens):
             return 0
         granted = int(min(wanted_millitokens, self.millitokens))
         self.millitokens -= granted
         return granted
 
 
+class TokenSource(enum.StrEnum):
+    """Where an operation gets its token."""
+
+    BUCKET = 'bucket'  # of this host
+    OWED = 'owed'  # the pool host grants it afterwards
+    POOL = 'pool'  # the pool host must grant it before
+
+
+@dataclasses.dataclass(frozen=True)
+class RateState:
+    """Whether an account may start an operation, and why.
+
+    ``is_admitted`` is None if that depends on the pool host, which is another
+    host. Tokens are in thousandths.
+    """
+
+    rate: int
+    burst: int
+    millitokens: int
+    demand_per_s: float
+    token_hosts: int
+    pool_host: str
+    source: TokenSource
+    is_admitted: bool | None
+
+
 class AccountRateLimiter:
     """Decides whether an account may start another operation at its rate."""
 
@@ -156,16 +197,11 @@
         bucket.demand_per_s += 0.5
         deadline_ms = self._clock.now() + MAX_TOKEN_WAIT_MS
         while True:
-            if bucket.millitokens >= MILLIS_PER_UNIT:
+            source = self._token_source(configured_account, bucket.millitokens)
+            if source is not TokenSource.POOL:
                 bucket.millitokens -= MILLIS_PER_UNIT
-                return True
-            if (
-                bucket.millitokens >= MILLIS_PER_UNIT - MAX_OWED_MILLITOKENS
-                and configured_account.rate > 0
-                and self._may_owe_tokens
-            ):
-                bucket.millitokens -= MILLIS_PER_UNIT
-                self._start_request(configured_account, bucket)
+                if source is TokenSource.OWED:
+                    self._start_request(configured_account, bucket)
                 return True
             await self._request_tokens(configured_account, bucket)
             if bucket.millitokens < MILLIS_PER_UNIT:
@@ -174,6 +210,59 @@
                 await self._clock.sleep(TOKEN_RETRY_MS)
             self._refilled_bucket(configured_account)
 
+    def _token_source(
+        self, account: catalog_module.Account, millitokens: float
+    ) -> TokenSource:
+        """Return where an operation gets its token."""
+        if millitokens >= MILLIS_PER_UNIT:
+            return TokenSource.BUCKET
+        if (
+            millitokens >= MILLIS_PER_UNIT - MAX_OWED_MILLITOKENS
+            and account.rate > 0
+            and self._may_owe_tokens
+        ):
+            return TokenSource.OWED
+        return TokenSource.POOL
+
+    def explain(self, name: str) -> RateState | None:
+        """Say whether an operation would get a token; takes none.
+
+        None if the account is unknown.
+        """
+        account = self._catalog().accounts_by_name.get(name)
+        if account is None:
+            return None
+        now = self._clock.now()
+        bucket = self._buckets_by_account.get(name) or self._new_bucket(now)
+        millitokens = self._millitokens_at(account, bucket, now)
+        source = self._token_source(account, millitokens)
+        pool_host = self._members.host_for(_pool_job(name))
+        is_admitted: bool | None = source is not TokenSource.POOL or (
+            # An operation waits a little for a token.
+            self._token_source(
+                account,
+                self._millitokens_at(account, bucket, now + MAX_TOKEN_WAIT_MS),
+            )
+            is not TokenSource.POOL
+        )
+        if not is_admitted and pool_host == self._members.local.host_id:
+            pool = self._pools_by_account.get(name)
+            is_admitted = pool is not None and pool.can_grant(
+                _min_millitokens(millitokens)
+            )
+        elif not is_admitted and self._members.link_to(pool_host) is not None:
+            is_admitted = None
+        return RateState(
+            account.rate,
+            account.burst,
+            int(millitokens),
+            round(bucket.demand_per_s, 1),
+            self._members.token_source_count,
+            pool_host,
+            source,
+            is_admitted,
+        )
+
     @property
     def _may_owe_tokens(self) -> bool:
         """Tell whether all hosts that need tokens may owe one at once.
@@ -223,25 +312,39 @@
         now = self._clock.now()
         bucket = self._buckets_by_account.get(account.name)
         if bucket is None:
-            # An earlier process of this host may have spent its tokens until
-            # it ended, so the bucket starts with those of the restart only.
-            is_starting = now - self._started_ms < MAX_START_MS
-            bucket = Bucket(
-                refilled_ms=now - RESTART_GAP_MS if is_starting else now
-            )
+            bucket = self._new_bucket(now)
             self._buckets_by_account[account.name] = bucket
+        if self._members.knows_fleet:
+            bucket.refill(now, *self._accrual(account))
+        return bucket
+
+    def _new_bucket(self, now: int) -> Bucket:
+        """Return the bucket of an account that has none on this host.
+
+        An earlier process of this host may have spent its tokens until it
+        ended, so it starts with those of the restart only.
+        """
+        is_starting = now - self._started_ms < MAX_START_MS
+        return Bucket(refilled_ms=now - RESTART_GAP_MS if is_starting else now)
+
+    def _millitokens_at(
+        self, account: catalog_module.Account, bucket: Bucket, now: int
+    ) -> float:
+        """Return what a bucket holds when it is refilled at a moment."""
         if not self._members.knows_fleet:
             # Until it knows other hosts, this host would count itself as the
             # only token source and accrue the whole rate.
-            return bucket
+            return bucket.millitokens
+        return bucket.millitokens_at(now, *self._accrual(account))
+
+    def _accrual(self, account: catalog_module.Account) -> tuple[float, float]:
+        """Return an account's rate on this host and a bucket's capacity."""
         rate = 0.0
         if self._members.is_token_source:
             rate = account.rate / self._members.token_source_count
-        capacity = max(
+        return rate, max(
             self._local_capacity(account), rate * RETAINED_ACCRUAL_MS
         )
-        bucket.refill(now, rate, capacity)
-        return bucket
 
     def _local_capacity(self, account: catalog_module.Account) -> float:
         """Return the millitokens of the burst that this host may hold."""
@@ -283,10 +386,7 @@
     async def _fetch_tokens(
         self, account: catalog_module.Account, bucket: Bucket
     ) -> None:
-        min_millitokens = max(0, int(MILLIS_PER_UNIT - bucket.millitokens) + 1)
-        if bucket.millitokens < 0:
-            # What this host owes is paid first, also if no more can be had.
-            min_millitokens = max(1, int(-bucket.millitokens))
+        min_millitokens = _min_millitokens(bucket.millitokens)
         prefetched = min(
             bucket.demand_per_s * PREFETCH_MS, self._local_capacity(account)
         )
@@ -383,6 +483,14 @@
         return {key: tuple(value) for key, value in deposits.items()}
 
 
+def _min_millitokens(millitokens: float) -> int:
+    """Return the least grant that is of use to a bucket."""
+    if millitokens < 0:
+        # What this host owes is paid first, also if no more can be had.
+        return max(1, int(-millitokens))
+    return max(0, int(MILLIS_PER_UNIT - millitokens) + 1)
+
+
 def _pool_job(account: str) -> str:
     """Return the name of the job of holding an account's token pool."""
     return f'rate/{account}'
--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -405,27 +405,47 @@
         by the same rule. So does it between the moment when a host gives the
         gateway up and the next claim.
         """
-        claiming_links = [
-            each
-            for each in self._links_by_id.values()
-            if service in each.claims.zones_by_service
-        ]
-        newest_link = max(
-            claiming_links,
+        newest_link = self._newest_claim(service)
+        if newest_link is not None:
+            self._claimed_zones_by_service[service] = (
+                newest_link.claims.zones_by_service[service]
+            )
+        return self._gateway_by_claim(service, newest_link)[0]
+
+    def claimed_gateway(self, service: str) -> tuple[str, str]:
+        """Return what ``gateway_for`` would return, and why it is that."""
+        return self._gateway_by_claim(service, self._newest_claim(service))
+
+    def _newest_claim(self, service: str) -> links.Link | None:
+        """Return the link to the host that last claimed a gateway."""
+        return max(
+            (
+                each
+                for each in self._links_by_id.values()
+                if service in each.claims.zones_by_service
+            ),
             key=lambda each: each.claims_received_ms,
             default=None,
         )
+
+    def _gateway_by_claim(
+        self, service: str, newest_link: links.Link | None
+    ) -> tuple[str, str]:
+        zone = self._claimed_zones_by_service.get(service)
+        reason = 'no host claims the gateway'
         if newest_link is not None:
-            zones_by_service = newest_link.claims.zones_by_service
-            self._claimed_zones_by_service[service] = zones_by_service[service]
-            if (
-                newest_link.is_up
-                and not newest_link.is_draining
-                and not self._is_in_cut_off_zone(newest_link)
-            ):
-                return newest_link.peer.host_id
-        return self.host_for(
-            gateway_job(service), self._claimed_zones_by_service.get(service)
+            zone = newest_link.claims.zones_by_service[service]
+            if not newest_link.is_up:
+                reason = 'the host that claims the gateway does not answer'
+            elif newest_link.is_draining:
+                reason = 'the host that claims the gateway is stopping'
+            elif self._is_in_cut_off_zone(newest_link):
+                reason = 'the zone of the claiming host is cut off'
+            else:
+                return newest_link.peer.host_id, 'it claims the gateway'
+        return (
+            self.host_for(gateway_job(service), zone),
+            f'{reason}; chosen among the job hosts',
         )
 
     def observed_positions(
--- a/samphirestand/gateway/fair_queue.py
+++ b/samphirestand/gateway/fair_queue.py
@@ -135,27 +135,46 @@
         self, account: str, urgency: int, needs_primary: bool
     ) -> int:
         """Record a statement; return the urgency with which it waits."""
-        if account not in self._counts:
-            if len(self._counts) >= MAX_IDLE_ACCOUNTS:
-                oldest = next(iter(self._counts))
-                del self._counts[oldest]
-                self._served_since_raised.pop(oldest, None)
-            self._counts[account] = ([0] * _KINDS, [0] * _KINDS)
-        arrived, served = self._counts[account]
-        kind = _kind(urgency, needs_primary)
+        raised = self.urgency_of_next(account, urgency, needs_primary)
+        if account not in self._counts and (
+            len(self._counts) >= MAX_IDLE_ACCOUNTS
+        ):
+            oldest = next(iter(self._counts))
+            del self._counts[oldest]
+            self._served_since_raised.pop(oldest, None)
+        self._counts[account] = self._counts_with_next(
+            account, _kind(urgency, needs_primary)
+        )
+        if raised < urgency:
+            self._served_since_raised[account] = 0
+        return raised
+
+    def _counts_with_next(
+        self, account: str, kind: int
+    ) -> tuple[list[int], list[int]]:
+        """Return the counts of an account with one more arrival of a kind."""
+        earlier = self._counts.get(account, ([0] * _KINDS, [0] * _KINDS))
+        arrived, served = map(list, earlier)
         arrived[kind] += 1
         if sum(arrived) > BALANCE_ARRIVALS:
-            arrived[:] = [each // 2 for each in arrived]
-            served[:] = [each // 2 for each in served]
+            arrived = [each // 2 for each in arrived]
+            served = [each // 2 for each in served]
+        return arrived, served
+
+    def urgency_of_next(
+        self, account: str, urgency: int, needs_primary: bool
+    ) -> int:
+        """Return the urgency with which a statement would wait."""
         if self._served_since_raised[account] < SERVED_FOR_RAISED:
             return urgency
+        kind = _kind(urgency, needs_primary)
+        arrived, served = self._counts_with_next(account, kind)
         for other in range(urgency):
             other_kinds = (_kind(other, False), _kind(other, True))
             divisor = STARVATION_DIVISOR * (urgency - other)
             if served[kind] * divisor * sum(
                 arrived[each] for each in other_kinds
             ) < arrived[kind] * sum(served[each] for each in other_kinds):
-                self._served_since_raised[account] = 0
                 return other
         return urgency
 
--- a/samphirestand/gateway/gateway.py
+++ b/samphirestand/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 
 from samphirestand import background
@@ -27,7 +28,7 @@
 from samphirestand.platform import wire
 from samphirestand import work as work_module
 
-__all__ = ['ServiceGateway']
+__all__ = ['NO_PRIMARY_RETRY_MS', 'Refusal', 'ServiceGateway']
 
 # The limit of attempts for a statement of which no target kept any effect.
 MAX_ATTEMPTS = 6
@@ -96,6 +97,18 @@
 Retry = exceptions.Sentinel
 
 
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """Why new work is refused.
+
+    ``wait_ms`` is what it would wait; None for what all waiting work takes.
+    """
+
+    reason: str
+    cause: slot_queue.Cause
+    wait_ms: float | None = None
+
+
 class ServiceGateway:
     """Runs the statements of one service on its targets."""
 
@@ -153,6 +166,10 @@
         self.last_bounded_read_ms = 0  # of a read that replicas may run
         self.refresh()
 
+    @property
+    def queue(self) -> slot_queue.SlotQueue:
+        return self._queue
+
     @property
     def is_idle(self) -> bool:
         """Tell whether no statement or transaction is running or waiting."""
@@ -536,24 +553,11 @@
         withdrawal: work_module.Withdrawal,
     ) -> work_module.Outcome:
         now = self._clock.now()
-        is_transaction = work.stage is work_module.Stage.OPEN
-        needs_primary = (
-            work.writes
-            or work.consistency is catalog_module.Consistency.PRIMARY
-            or (is_transaction and not work.read_only)
-        )
+        slot_request = self.build_request(work)
+        slot_request.withdrawal = withdrawal
+        needs_primary = slot_request.needs_primary
         if not needs_primary:
             self.last_bounded_read_ms = now
-        slot_request = slot_queue.SlotRequest(
-            work,
-            now,
-            needs_primary,
-            asyncio.get_running_loop().create_future(),
-            withdrawal=withdrawal,
-        )
-        account = self._catalog().accounts_by_name.get(work.account)
-        if account is not None:
-            slot_request.weight = account.weight
         self._retry_budget.record_statement(now)
         refusal = self._admission_refusal(slot_request)
         if refusal is not None:
@@ -589,9 +593,50 @@
         self._metrics.count('retry_budget_exhausted')
         return False
 
+    def build_request(self, work: work_module.Work) -> slot_queue.SlotRequest:
+        """Return the request with which work that arrives now would wait."""
+        needs_primary = (
+            work.writes
+            or work.consistency is catalog_module.Consistency.PRIMARY
+            or (work.stage is work_module.Stage.OPEN and not work.read_only)
+        )
+        slot_request = slot_queue.SlotRequest(
+            work,
+            self._clock.now(),
+            needs_primary,
+            asyncio.get_running_loop().create_future(),
+        )
+        account = self._catalog().accounts_by_name.get(work.account)
+        if account is not None:
+            slot_request.weight = account.weight
+        return slot_request
+
     def _admission_refusal(
         self, slot_request: slot_queue.SlotRequest
     ) -> work_module.Refused | None:
+        refusal = self._find_unavailable(slot_request)
+        if refusal is None:
+            self._queue.move_late()
+            self._queue.note_arrival(slot_request)
+            refusal = self._find_overload(slot_request)
+        if refusal is None:
+            return None
+        return self._refuse(
+            slot_request, refusal.reason, refusal.cause, refusal.wait_ms
+        )
+
+    def find_refusal(
+        self, slot_request: slot_queue.SlotRequest
+    ) -> Refusal | None:
+        """Return why a new request is refused at once; None if it isn't."""
+        return self._find_unavailable(slot_request) or self._find_overload(
+            slot_request
+        )
+
+    def _find_unavailable(
+        self, slot_request: slot_queue.SlotRequest
+    ) -> Refusal | None:
+        """Return the refusal of a request that no target can run."""
         reachable_pools = self.group.reachable_pools()
         zone_reason = self.group.zone_refusal(slot_request.needs_primary)
         if slot_request.needs_primary and self._queue.is_primary_expected(
@@ -599,35 +644,36 @@
         ):
             zone_reason = None
         if zone_reason is not None:
-            return self._refuse(
-                slot_request,
-                zone_reason,
-                slot_queue.Cause.EVACUATED,
-                NO_PRIMARY_RETRY_MS,
+            return Refusal(
+                zone_reason, slot_queue.Cause.EVACUATED, NO_PRIMARY_RETRY_MS
             )
         if all(each.is_down for each in self.group.pools_by_id.values()) or (
             not reachable_pools and not slot_request.needs_primary
         ):
-            return self._refuse(
-                slot_request,
-                'no target of the service is up',
-                slot_queue.Cause.NO_TARGET,
+            return Refusal(
+                'no target of the service is up', slot_queue.Cause.NO_TARGET
             )
         if slot_request.needs_primary and not self._queue.is_primary_expected(
             slot_request
         ):
-            return self._refuse(
-                slot_request,
+            return Refusal(
                 slot_queue.NO_PRIMARY,
                 slot_queue.Cause.NO_PRIMARY,
                 NO_PRIMARY_RETRY_MS,
             )
-        wait_ms = self._queue.expected_wait_ms(slot_request, reachable_pools)
+        return None
+
+    def _find_overload(
+        self, slot_request: slot_queue.SlotRequest
+    ) -> Refusal | None:
+        """Return the refusal of a request that would wait for too long."""
+        wait_ms = self._queue.expected_wait_ms(
+            slot_request, self.group.reachable_pools()
+        )
         if wait_ms > self._queue.max_wait_ms(slot_request) and not (
             self._queue.fair_shares and self._queue.can_start(slot_request)
         ):
-            return self._refuse(
-                slot_request,
+            return Refusal(
                 f'a wait of {wait_ms:.0f} ms',
                 slot_queue.Cause.EXPECTED_WAIT,
                 wait_ms,
@@ -642,11 +688,7 @@
         wait_ms: float | None = None,
     ) -> work_module.Refused:
         if wait_ms is None:
-            wait_ms = policy.expected_wait_ms(
-                len(self._queue),
-                sum(each.slots for each in self.group.pools_by_id.values()),
-                self._queue.statement_ms,
-            )
+            wait_ms = self._typical_wait_ms()
         self._metrics.count('gateway_refused')
         self._metrics.count(f'gateway_refused_{cause}')
         _log.warning(
@@ -671,6 +713,14 @@
         retry_ms = self._retry_after_ms(slot_request, cause, wait_ms)
         return work_module.Refused('BUSY', reason, retry_ms)
 
+    def _typical_wait_ms(self) -> float:
+        """Return how long all work that waits takes."""
+        return policy.expected_wait_ms(
+            len(self._queue),
+            sum(each.slots for each in self.group.pools_by_id.values()),
+            self._queue.statement_ms,
+        )
+
     def _retry_after_ms(
         self,
         slot_request: slot_queue.SlotRequest,
@@ -683,28 +733,61 @@
         route's time limit stands for it, since that isn't longer.
         """
         fraction = self._random.random()
-        if not self._queue.fair_shares or cause in (
+        if not self._has_schedule(cause):
+            return policy.retry_after_ms(wait_ms, fraction)
+        self._queue.note_arrival(slot_request)
+        retry_ms = self._retry_schedule.plan(
+            *self._schedule_inputs(slot_request, wait_ms), fraction
+        )
+        self._metrics.count(
+            'gateway_refused_with_time'
+            if retry_ms
+            else 'gateway_refused_finally'
+        )
+        return retry_ms
+
+    def preview_retry_ms(
+        self,
+        slot_request: slot_queue.SlotRequest,
+        refusal: Refusal,
+        fraction: float,
+    ) -> int:
+        """Return when a refused caller would be told to retry; 0 if never.
+
+        ``fraction`` from 0 to 1 stands for the random part.
+        """
+        wait_ms = refusal.wait_ms
+        if wait_ms is None:
+            wait_ms = self._typical_wait_ms()
+        if not self._has_schedule(refusal.cause):
+            return policy.retry_after_ms(wait_ms, fraction)
+        return self._retry_schedule.preview(
+            *self._schedule_inputs(slot_request, wait_ms), fraction
+        )
+
+    def _has_schedule(self, cause: slot_queue.Cause) -> bool:
+        """Tell whether retries are scheduled by what drains.
+
+        Without a primary or target everything waits for the same moment,
+        which isn't overload.
+        """
+        return self._queue.fair_shares and cause not in (
             slot_queue.Cause.NO_PRIMARY,
             slot_queue.Cause.NO_TARGET,
-        ):
-            # Not overload: everything waits for the same moment.
-            return policy.retry_after_ms(wait_ms, fraction)
+        )
+
+    def _schedule_inputs(
+        self, slot_request: slot_queue.SlotRequest, wait_ms: float
+    ) -> tuple[int, int, float, float]:
         now = self._clock.now()
-        retry_ms = self._retry_schedule.plan(
+        return (
             now,
             fair_queue.clamp_urgency(slot_request.work.priority),
             self._retry_schedule.drain_ms(
                 now, self._queue.count_ahead(slot_request), wait_ms
             ),
             slot_request.remaining_ms(now) - self._queue.statement_ms,
-            fraction,
         )
-        self._metrics.count(
-            'gateway_refused_with_time'
-            if retry_ms
-            else 'gateway_refused_finally'
-        )
-        return retry_ms
 
     async def _attempt_on_target(
         self, entry_host: str, slot_request: slot_queue.SlotRequest
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -54,6 +54,8 @@
         # Whether an absent target answered when it was asked last.
         self._is_answering_by_id: dict[str, bool] = {}
         self.leadership = leadership_module.Leadership()
+        # Since when this gateway uses the primary, for explanations.
+        self.primary_since_ms = clock.now()
         self.is_synchronous = True
         # Targets that are registered as primary but have answered that they
         # are not.
@@ -278,6 +280,8 @@
             source=source,
             term=term,
         )
+        if target_id != self.primary_id:
+            self.primary_since_ms = self._clock.now()
         self.leadership = leadership_module.Leadership(target_id, term)
 
     def mark_not_primary(self, pool: pool_module.TargetPool) -> None:
--- a/samphirestand/gateway/pool.py
+++ b/samphirestand/gateway/pool.py
@@ -125,6 +125,8 @@
         self.lagging_count = 0  # reads refused since the last check
         self.is_paused = False  # by its last status
         self._newest_term = 0  # of its statuses
+        # What its last status said of its log and when it was asked for.
+        self.reported_position: tuple[int, types.Position] | None = None
         self._failing_since_ms: int | None = None
         self._sent_ms_by_run: dict[object, int] = {}
         self._last_reply_ms = clock.now()
@@ -572,6 +574,7 @@
         if status.term < self._newest_term:
             return self._reject_status('the term went back', reply.rows)
         self._newest_term = status.term
+        self.reported_position = sent_ms, status.received
         self.is_paused = not status.is_primary and status.held > status.term
         return status
 
--- a/samphirestand/gateway/retries.py
+++ b/samphirestand/gateway/retries.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import itertools
 
 from samphirestand.gateway import fair_queue
 
@@ -50,12 +51,16 @@
             self._buckets[-1] = (number, self._buckets[-1][1] + 1)
         else:
             self._buckets.append((number, 1))
+        oldest = number - WINDOW_BUCKETS
+        while self._buckets[0][0] <= oldest:
+            self._total -= self._buckets.popleft()[1]
 
     def count(self, now: int) -> int:
         oldest = now // self._bucket_ms - WINDOW_BUCKETS
-        while self._buckets and self._buckets[0][0] <= oldest:
-            self._total -= self._buckets.popleft()[1]
-        return self._total
+        expired = itertools.takewhile(
+            lambda each: each[0] <= oldest, self._buckets
+        )
+        return self._total - sum(count for _, count in expired)
 
     def rate_per_ms(self, now: int) -> float:
         """Return how many events a millisecond had on average."""
@@ -138,19 +143,10 @@
         from 0 to 1 spreads the callers of a period.
         """
         self._forget_before(now // PERIOD_MS)
-        capacity = max(
-            1.0, self._served.rate_per_ms(now) * PERIOD_MS * RETRY_SHARE
-        )
-        earliest = int((now + max(wait_ms, MIN_RETRY_MS)) // PERIOD_MS) + 1
-        # The last period must end before the deadline.
+        earliest = self._earliest_period(now, wait_ms)
         end = int((now + latest_ms) // PERIOD_MS)
+        found = self._find_period(now, urgency, earliest, end)
         full_until = self._full_until[urgency]
-        found = end
-        for period in range(max(earliest, full_until), end):
-            promised = self._promised.get(period, [])
-            if sum(promised[: urgency + 1]) < capacity:
-                found = period
-                break
         if earliest <= full_until < found:
             self._full_until[urgency] = found
         if found >= end:
@@ -160,6 +156,40 @@
         ] += 1
         return int((found + fraction) * PERIOD_MS) - now
 
+    def preview(
+        self,
+        now: int,
+        urgency: int,
+        wait_ms: float,
+        latest_ms: float,
+        fraction: float,
+    ) -> int:
+        """Return what ``plan`` would return, without promising it."""
+        end = int((now + latest_ms) // PERIOD_MS)
+        found = self._find_period(
+            now, urgency, self._earliest_period(now, wait_ms), end
+        )
+        return int((found + fraction) * PERIOD_MS) - now if found < end else 0
+
+    def _earliest_period(self, now: int, wait_ms: float) -> int:
+        return int((now + max(wait_ms, MIN_RETRY_MS)) // PERIOD_MS) + 1
+
+    def _find_period(
+        self, now: int, urgency: int, earliest: int, end: int
+    ) -> int:
+        """Return the first period with room; ``end`` if none has.
+
+        The last period must end before the deadline.
+        """
+        capacity = max(
+            1.0, self._served.rate_per_ms(now) * PERIOD_MS * RETRY_SHARE
+        )
+        for period in range(max(earliest, self._full_until[urgency]), end):
+            promised = self._promised.get(period, [])
+            if sum(promised[: urgency + 1]) < capacity:
+                return period
+        return end
+
     def _forget_before(self, period: int) -> None:
         if period == self._oldest:
             return
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -18,9 +18,17 @@
 from samphirestand import types
 from samphirestand import work as work_module
 
-__all__ = ['NO_PRIMARY', 'Cause', 'SlotQueue', 'SlotRequest', 'work_bytes']
+__all__ = [
+    'NO_PRIMARY',
+    'Cause',
+    'Obstacle',
+    'SlotQueue',
+    'SlotRequest',
+    'work_bytes',
+]
 
 NO_PRIMARY = 'the primary is being replaced'
+QUEUE_FULL = 'too much work is waiting'
 
 # An observed position of the primary must be newer by this much than the
 # oldest state that a read accepts, since timers may fire late.
@@ -58,6 +66,24 @@
     UNSENT = 'unsent'
 
 
+class Obstacle(enum.StrEnum):
+    """Why a target can't run a request now, in words for operators."""
+
+    AVOIDED = 'it refused work a moment ago'
+    COLD = 'it is cold and has got its requests'
+    DOWN = 'it does not answer'
+    DRAINING = 'it is draining'
+    EVACUATED = 'its zone is evacuated'
+    LAGGING = 'its log lacks the position that is needed'
+    NO_CONNECTION = 'all connections are in use'
+    NO_EVIDENCE = 'no recent evidence that it is the primary'
+    NO_POSITION = 'no recent log position of the primary is known'
+    NO_SLOT = 'all slots are in use'
+    NOT_PRIMARY = 'only the primary may run it'
+    TRANSACTIONS = 'transactions use its connections'
+    TRIED = 'it was tried before'
+
+
 @dataclasses.dataclass(eq=False)
 class SlotRequest:
     """A statement that waits for a slot, and the state of its attempts."""
@@ -215,6 +241,21 @@
         share = PRIMARY_KEY_SHARE if slot_request.needs_primary else 1
         return slot_request.received_ms + int(share * work.objective_ms)
 
+    def urgency_of_next(self, slot_request: SlotRequest) -> int:
+        """Return the class with which a request waits or would wait."""
+        if slot_request.urgency is not None:
+            return slot_request.urgency
+        return self._balance.urgency_of_next(
+            slot_request.work.account,
+            fair_queue.clamp_urgency(slot_request.work.priority),
+            slot_request.needs_primary,
+        )
+
+    def note_arrival(self, slot_request: SlotRequest) -> None:
+        """Count a new request; with fair shares that decides its urgency."""
+        if self.fair_shares:
+            self._urgency(slot_request)
+
     def _urgency(self, slot_request: SlotRequest) -> int:
         """Return the class with which a request waits, 0 the most urgent."""
         if slot_request.urgency is None:
@@ -294,10 +335,7 @@
                     break
                 slot_request.refusal_reason = f'a wait of {wait_ms:.0f} ms'
                 self._displace(slot_request, newcomer, Cause.DISPLACED)
-        while (
-            len(self) > self._options.max_waiting
-            or self.waiting_bytes > self._options.max_waiting_bytes
-        ):
+        while self._is_over_limits(len(self), self.waiting_bytes):
             lasts = [
                 each
                 for each in (
@@ -313,9 +351,21 @@
             else:
                 # Transactions are bounded by their connections.
                 return
-            slot_request.refusal_reason = 'too much work is waiting'
+            slot_request.refusal_reason = QUEUE_FULL
             self._displace(slot_request, newcomer, Cause.QUEUE_FULL)
 
+    def _is_over_limits(self, count: int, size: int) -> bool:
+        return (
+            count > self._options.max_waiting
+            or size > self._options.max_waiting_bytes
+        )
+
+    def has_room_for(self, work: work_module.Work) -> bool:
+        """Tell whether one more statement may wait without displacing any."""
+        return not self._is_over_limits(
+            len(self) + 1, self.waiting_bytes + work_bytes(work)
+        )
+
     def _displace(
         self, slot_request: SlotRequest, newcomer: SlotRequest, cause: Cause
     ) -> None:
@@ -409,8 +459,11 @@
             entry.resources = self._resources(slot_request)
             queue.push(entry)
 
-    def _move_late(self, now: int) -> None:
+    def move_late(self) -> None:
         """Put requests whose objective has passed behind the others."""
+        self._move_late(self._clock.now())
+
+    def _move_late(self, now: int) -> None:
         while self._objective_ends and self._objective_ends[0][0] < now:
             _, _, entry = heapq.heappop(self._objective_ends)
             if entry.queue is None:
@@ -527,13 +580,14 @@
                 if self._is_eligible(slot_request, each)
                 and each.can_provide_connection(account)
             ),
-            key=lambda each: self._placement_cost(each, account),
+            key=lambda each: self.placement_cost(each, account),
             default=None,
         )
 
-    def _placement_cost(
+    def placement_cost(
         self, pool: pool_module.TargetPool, account: str
     ) -> float:
+        """Return the expected time in ms of a statement on a target."""
         is_primary = self._group.is_primary(pool)
         # The primary always costs an opening, so that an idle connection there
         # doesn't attract reads that replicas can serve.
@@ -549,52 +603,85 @@
         )
 
     def _has_slot(self, pool: pool_module.TargetPool) -> bool:
-        if not pool.may_continue or not pool.warmup.may_start(
-            self._clock.now(), pool.running_count
-        ):
-            return False
-        return pool.running_count < policy.max_running(
+        return self._full_reason(pool) is None
+
+    def _full_reason(self, pool: pool_module.TargetPool) -> Obstacle | None:
+        """Return why a target has no slot; None if it has one."""
+        if not pool.may_continue:
+            return Obstacle.EVACUATED
+        if not pool.warmup.may_start(self._clock.now(), pool.running_count):
+            return Obstacle.COLD
+        has_slot = pool.running_count < policy.max_running(
             pool.slots, pool.round_trip_ms, self.statement_ms
         )
+        return None if has_slot else Obstacle.NO_SLOT
 
     def _is_eligible(
         self, slot_request: SlotRequest, pool: pool_module.TargetPool
     ) -> bool:
-        return (
-            not pool.is_down
-            and self._clock.now() >= pool.avoid_until_ms
-            and self._can_run(slot_request, pool)
+        return self._pause_reason(pool) is None and self._can_run(
+            slot_request, pool
+        )
+
+    def _pause_reason(self, pool: pool_module.TargetPool) -> Obstacle | None:
+        """Return why nothing is sent to a target for now, or None."""
+        if pool.is_down:
+            return Obstacle.DOWN
+        if self._clock.now() < pool.avoid_until_ms:
+            return Obstacle.AVOIDED
+        return None
+
+    def obstacle(
+        self, slot_request: SlotRequest, pool: pool_module.TargetPool
+    ) -> Obstacle | None:
+        """Return why a target can't run a request now; None if it can."""
+        found = (
+            self._pause_reason(pool)
+            or self._unsuitable_reason(slot_request, pool)
+            or self._full_reason(pool)
         )
+        if found is None and not pool.can_provide_connection(
+            slot_request.work.account
+        ):
+            return Obstacle.NO_CONNECTION
+        return found
 
     def _can_run(
         self, slot_request: SlotRequest, pool: pool_module.TargetPool
     ) -> bool:
         """Tell whether a target may run the statement once it has a slot."""
+        return self._unsuitable_reason(slot_request, pool) is None
+
+    def _unsuitable_reason(
+        self, slot_request: SlotRequest, pool: pool_module.TargetPool
+    ) -> Obstacle | None:
+        """Return why a target may not run the statement; None if it may."""
         target_id = pool.target.target_id
         is_primary = self._group.is_primary(pool)
         if not pool.may_start(is_primary):
-            return False
+            return Obstacle.EVACUATED
         # A draining primary is used until a replica is promoted: no other
         # target accepts writes.
         if pool.target.is_draining and not is_primary:
-            return False
+            return Obstacle.DRAINING
         is_transaction = slot_request.work.stage is work_module.Stage.OPEN
         if is_transaction and (
             pool.pinned_count
             >= max(1, pool.connection_limit - SINGLE_STATEMENT_CONNECTIONS)
         ):
-            return False
+            return Obstacle.TRANSACTIONS
         if is_primary:
-            return self.may_use_primary(slot_request)
-        if (
-            slot_request.needs_primary
-            or target_id in slot_request.avoided_target_ids
-        ):
-            return False
+            may_use = self.may_use_primary(slot_request)
+            return None if may_use else Obstacle.NO_EVIDENCE
+        if slot_request.needs_primary:
+            return Obstacle.NOT_PRIMARY
+        if target_id in slot_request.avoided_target_ids:
+            return Obstacle.TRIED
         minimum_position = self.minimum_position(slot_request)
-        return minimum_position is not None and not pool.lacks_position(
-            minimum_position
-        )
+        if minimum_position is None:
+            return Obstacle.NO_POSITION
+        is_lagging = pool.lacks_position(minimum_position)
+        return Obstacle.LAGGING if is_lagging else None
 
     def may_use_primary(self, slot_request: SlotRequest) -> bool:
         """Tell whether enough evidence supports the primary for a request.
@@ -658,8 +745,10 @@
         slot_request: SlotRequest,
         reachable_pools: list[pool_module.TargetPool],
     ) -> float:
-        """Return the expected wait in ms behind more urgent requests."""
-        self._move_late(self._clock.now())
+        """Return the expected wait in ms behind more urgent requests.
+
+        Work whose objective has passed counts until ``move_late``.
+        """
         suitable_pools = [
             each
             for each in reachable_pools
@@ -705,7 +794,7 @@
         key = self._key(slot_request)
         if not self.fair_shares:
             return sum(each.ahead(0, key) for each in backlogs)
-        urgency = self._urgency(slot_request)
+        urgency = self.urgency_of_next(slot_request)
         ahead = own_ahead = 0
         for each in backlogs:
             ahead += each.ahead(urgency, key)
@@ -736,7 +825,19 @@
 
     def can_start(self, slot_request: SlotRequest) -> bool:
         """Tell whether a target has a slot for a request now."""
-        return bool(self._choose_target(slot_request, self._free_pools()))
+        return bool(self.preferred_target(slot_request))
+
+    def preferred_target(
+        self, slot_request: SlotRequest
+    ) -> pool_module.TargetPool | None:
+        """Return the target that would get a request now, or None."""
+        return self._choose_target(slot_request, self._free_pools())
+
+    def waiting_for(self, target_id: str) -> int:
+        """Return how many waiting requests a target may run, by their kind."""
+        return sum(
+            target_id in entry.resources for entry in self._entries.values()
+        )
 
     def max_wait_ms(self, slot_request: SlotRequest) -> float:
         """Return the longest total wait in ms of a request."""
--- a/samphirestand/gateway/warmup.py
+++ b/samphirestand/gateway/warmup.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 __all__ = ['ColdRules', 'Warmup']
 
@@ -81,12 +82,7 @@
             return None
         warm_for_ms = max(0, now_ms - self._warm_ms)
         growth = 2.0 ** min(warm_for_ms / DOUBLING_MS, MAX_GROWTH)
-        if growth >= MAX_GROWTH:
-            self._bound = 0
-            self._sent.clear()
-            self._sent_count = 0
-            return None
-        return int(self._bound * growth)
+        return int(self._bound * growth) if growth < MAX_GROWTH else None
 
     def may_start(self, now_ms: int, running_count: int) -> bool:
         """Tell whether one more statement may start beside the running ones.
@@ -108,11 +104,22 @@
 
     def record(self, now_ms: int, count: int) -> None:
         """Record requests that are sent now."""
-        if self._bound > 0:
-            self._sent.append((now_ms, count))
-            self._sent_count += count
+        if self.limit(now_ms) is None:
+            self._bound = 0
+            self._sent.clear()
+            self._sent_count = 0
+            return
+        self._sent.append((now_ms, count))
+        self._sent_count += count
+        while self._sent[0][0] <= now_ms - WINDOW_MS:
+            self._sent_count -= self._sent.popleft()[1]
 
     def _recent_count(self, now_ms: int) -> int:
-        while self._sent and self._sent[0][0] <= now_ms - WINDOW_MS:
-            self._sent_count -= self._sent.popleft()[1]
-        return self._sent_count
+        """Return how many requests count now.
+
+        The older ones are removed when the next request is recorded.
+        """
+        expired = itertools.takewhile(
+            lambda each: each[0] <= now_ms - WINDOW_MS, self._sent
+        )
+        return self._sent_count - sum(count for _, count in expired)
--- a/samphirestand/sessions/session.py
+++ b/samphirestand/sessions/session.py
@@ -16,7 +16,16 @@
 from samphirestand import types
 from samphirestand import work as work_module
 
-__all__ = ['Context', 'Dispatcher', 'Session', 'Stopping']
+__all__ = [
+    'Admission',
+    'Context',
+    'Dispatcher',
+    'STOPPING_REASON',
+    'Session',
+    'Stopping',
+    'admit',
+    'build_work',
+]
 
 # Limits of one session. Its values and prepared statements are held in the
 # memory of this host.
@@ -105,7 +114,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Admission:
+class Admission:
     """The route and the account under which an operation runs."""
 
     route: catalog_module.Route
@@ -116,7 +125,7 @@
 class _Pending:
     """A statement whose outcome is waited for."""
 
-    admission: _Admission
+    admission: Admission
     withdrawal: work_module.Withdrawal = dataclasses.field(
         default_factory=work_module.Withdrawal
     )
@@ -392,16 +401,11 @@
             + wire.encode_ready(self._session_state(), self._position)
         )
 
-    def _check_access(self) -> _Admission | work_module.Refused:
+    def _check_access(self) -> Admission | work_module.Refused:
         """Check database and key against the current configuration."""
         catalog = self._context.catalog()
-        route = catalog.routes_by_database.get(self._database)
-        if route is None:
-            return work_module.Refused('NODB', 'no such database')
         account = catalog.account_names_by_key.get(self._key)
-        if account is None and route.needs_key:
-            return work_module.Refused('DENIED', 'unknown key')
-        return _Admission(route, account or '')
+        return admit(catalog, self._database, account)
 
     async def _handle_query(self, query: wire.Query) -> bool:
         """Handle a statement; returns whether the session is over."""
@@ -542,7 +546,7 @@
         )
         self._send_complete()
 
-    def _admit_operation(self, query: wire.Query) -> _Admission | None:
+    def _admit_operation(self, query: wire.Query) -> Admission | None:
         """Admit a new operation; None if refused, and the error is sent."""
         admission = self._check_access()
         if self._context.stopping.refuses_work:
@@ -592,7 +596,7 @@
                 if transaction.is_open
                 else work_module.Stage.OPEN
             )
-            admission = _Admission(transaction.route, transaction.account)
+            admission = Admission(transaction.route, transaction.account)
             work = self._build_work(query, admission, stage, transaction)
             transaction.has_written |= writes
         work = dataclasses.replace(work, writes=writes)
@@ -624,7 +628,7 @@
             if transaction.is_open
             else work_module.Stage.OPEN
         )
-        admission = _Admission(transaction.route, transaction.account)
+        admission = Admission(transaction.route, transaction.account)
         work = self._build_work(query, admission, stage, transaction)
         work = dataclasses.replace(
             work, commits=commits, wrote_before=transaction.has_written
@@ -634,23 +638,12 @@
     def _build_work(
         self,
         query: wire.Query,
-        admission: _Admission,
+        admission: Admission,
         stage: work_module.Stage,
         transaction: _Transaction | None = None,
     ) -> work_module.Work:
-        route = admission.route
-        return work_module.Work(
-            request_id=query.request_id,
-            text=query.text,
-            stage=stage,
-            service=route.service,
-            account=admission.account,
-            consistency=route.consistency,
-            max_age_ms=route.max_age_ms,
-            writes=False,
-            budget_ms=route.timeout_ms,
-            objective_ms=route.objective_ms,
-            priority=route.priority,
+        return dataclasses.replace(
+            build_work(admission, query.request_id, query.text, stage),
             transaction=transaction.number if transaction else 0,
             begin_id=transaction.begin_query.request_id if transaction else '',
             begin_text=transaction.begin_query.text if transaction else '',
@@ -663,7 +656,7 @@
         self,
         query: wire.Query,
         work: work_module.Work,
-        admission: _Admission,
+        admission: Admission,
     ) -> None:
         """Run a statement on its gateway and answer the caller."""
         transaction = self._transaction
@@ -714,7 +707,7 @@
         )
 
     async def _wait_for_outcome(
-        self, host_id: str, work: work_module.Work, admission: _Admission
+        self, host_id: str, work: work_module.Work, admission: Admission
     ) -> work_module.Outcome:
         """Run a statement; its answer is lost if the session ends before."""
         task = asyncio.current_task()
@@ -831,6 +824,41 @@
         self._send_error('TIMEOUT', outcome.reason)
 
 
+def admit(
+    catalog: catalog_module.Catalog, database: str, account: str | None
+) -> Admission | work_module.Refused:
+    """Return under which route and account an operation runs.
+
+    ``account`` is the one of the caller's key; None if the key is unknown.
+    """
+    route = catalog.routes_by_database.get(database)
+    if route is None:
+        return work_module.Refused('NODB', 'no such database')
+    if account is None and route.needs_key:
+        return work_module.Refused('DENIED', 'unknown key')
+    return Admission(route, account or '')
+
+
+def build_work(
+    admission: Admission, request_id: str, text: str, stage: work_module.Stage
+) -> work_module.Work:
+    """Return a read of one statement as its route asks for it."""
+    route = admission.route
+    return work_module.Work(
+        request_id=request_id,
+        text=text,
+        stage=stage,
+        service=route.service,
+        account=admission.account,
+        consistency=route.consistency,
+        max_age_ms=route.max_age_ms,
+        writes=False,
+        budget_ms=route.timeout_ms,
+        objective_ms=route.objective_ms,
+        priority=route.priority,
+    )
+
+
 def _text_bytes(name: str, text: str | None) -> int:
     """Return the bytes of a value with its name; 0 if there is none."""
     return 0 if text is None else len(name.encode()) + len(text.encode())
