explanation: Say where a request would go, and why

GET /explain on the metrics address of a host answers with the configuration, the account, the route, the gateway's host, the primary with its evidence, each target with the reason why it can't be used, and the decision. The host of the gateway computes its part in one step; another entry host asks it with the new frame ExplainRequest, unless its pongs say that it doesn't know the frame.

--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -94,6 +94,7 @@
   evacuationDigest @9 :UInt32;  # of the evacuated zones; 0 without any
   readsDeflated @10 :Bool;  # the sender reads compressed snapshots
   answersDirectory @11 :Bool;  # the sender knows the frame directoryRequest
+  answersExplain @12 :Bool;  # the sender knows the frame explainRequest
 }
 
 struct Observation {
@@ -165,6 +166,11 @@
   value @1 :Data;  # as in the store; empty if the sender knows too little
 }
 
+struct Explanation {
+  call @0 :UInt64;
+  document @1 :Data;  # JSON, since it is only shown to operators
+}
+
 struct Call {
   call @0 :UInt64;
   omitsCatalog @1 :Bool;  # of a snapshotRequest
@@ -187,5 +193,7 @@
     directoryRequest @11 :Call;
     directory @12 :Directory;
     withdraw @13 :Call;  # the caller of the work of this call has left
+    explainRequest @14 :Work;  # asks what would happen to such work
+    explanation @15 :Explanation;
   }
 }
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -20,6 +20,8 @@
     'Deposit',
     'Directory',
     'DirectoryRequest',
+    'ExplainRequest',
+    'Explanation',
     'Frame',
     'Hello',
     'Observation',
@@ -61,6 +63,8 @@
 
 # More evacuated zones than that aren't decoded.
 MAX_EVACUATED_ZONES = 1_000
+# An explanation has some hundred bytes for each of at most 64 targets.
+MAX_EXPLANATION_BYTES = 262_144
 # Limits of targets that are read from one observation; a service has three
 # targets.
 MAX_LIMITS = 64
@@ -167,6 +171,7 @@
     evacuation_digest: int = 0
     reads_deflated: bool = True  # hosts of earlier releases don't
     answers_directory: bool = True  # those of earlier releases don't
+    answers_explain: bool = True  # those of earlier releases don't
 
 
 @dataclasses.dataclass(frozen=True)
@@ -238,6 +243,25 @@
     value: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class ExplainRequest:
+    """Asks the host of a gateway what it would do with new work.
+
+    Nothing changes there by the question.
+    """
+
+    call_id: int
+    work: work_module.Work
+
+
+@dataclasses.dataclass(frozen=True)
+class Explanation:
+    """The answer to an ``ExplainRequest``; see ``gateway.explanation``."""
+
+    call_id: int
+    document: bytes
+
+
 @dataclasses.dataclass(frozen=True)
 class Abandon:
     """Asks a gateway to roll back a transaction that the sender opened."""
@@ -285,6 +309,8 @@
     | Claims
     | DirectoryRequest
     | Directory
+    | ExplainRequest
+    | Explanation
 )
 
 
@@ -297,6 +323,12 @@
     match frame:
         case WorkFrame():
             _fill_work(message.init('work'), frame)
+        case ExplainRequest():
+            _fill_work(message.init('explainRequest'), frame)
+        case Explanation():
+            builder = message.init('explanation')
+            builder.call = frame.call_id
+            builder.document = frame.document
         case OutcomeFrame():
             _fill_outcome(message.init('outcome'), frame)
         case Ping():
@@ -337,6 +369,7 @@
             builder.evacuationDigest = frame.evacuation_digest
             builder.readsDeflated = frame.reads_deflated
             builder.answersDirectory = frame.answers_directory
+            builder.answersExplain = frame.answers_explain
         case TokenRequest():
             builder = message.init('tokenRequest')
             builder.call = frame.call_id
@@ -459,6 +492,15 @@
     match str(message.which()):
         case 'work':
             return _decode_work(message.work)
+        case 'explainRequest':
+            frame = _decode_work(message.explainRequest)
+            return ExplainRequest(frame.call_id, frame.work)
+        case 'explanation':
+            if len(message.explanation.document) > MAX_EXPLANATION_BYTES:
+                raise ValueError('the explanation is too long')
+            return Explanation(
+                message.explanation.call, bytes(message.explanation.document)
+            )
         case 'outcome':
             return _decode_outcome(message.outcome)
         case 'ping':
@@ -490,6 +532,7 @@
                 reader.evacuationDigest,
                 reader.readsDeflated,
                 reader.answersDirectory,
+                reader.answersExplain,
             )
         case 'tokenRequest':
             reader = message.tokenRequest
@@ -550,7 +593,7 @@
             raise ValueError(f'unknown frame type {other}')
 
 
-def _fill_work(builder: Any, frame: WorkFrame) -> None:
+def _fill_work(builder: Any, frame: WorkFrame | ExplainRequest) -> None:
     work = frame.work
     builder.call = frame.call_id
     builder.requestId = work.request_id
--- a/samphirestand/fleet/links.py
+++ b/samphirestand/fleet/links.py
@@ -351,6 +351,7 @@
         self.evacuation_digest = 0
         self.fleet_digest = 0
         self.answers_directory = False
+        self.answers_explain = False
         # For each service of which the host is the gateway, a log position
         # and until when it covers all commits.
         self.observed_by_service: dict[str, tuple[int, types.Position]] = {}
@@ -363,6 +364,11 @@
         ] = {}
         self._is_stopped = False
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether a request would leave this host."""
+        return self._connection is not None and not self._connection.is_closed
+
     @property
     def is_up(self) -> bool:
         """Tell whether the connection is open and its pings are answered."""
@@ -467,14 +473,17 @@
         build_frame: collections.abc.Callable[[int], frames.Frame],
         timeout_ms: int,
         withdrawal: work_module.Withdrawal | None = None,
+        *,
+        is_use: bool = True,
     ) -> frames.Frame | exceptions.Sentinel:
         """Send a frame and return its answer.
 
         ``build_frame`` gets the number of the call. With ``withdrawal`` the
         host is told when nobody waits any more; its answer is still waited
-        for. Returns a sentinel if
-        no answer comes: ``NOT_SENT`` if the frame did not leave this host,
-        otherwise ``DISCONNECTED`` or ``TIMED_OUT``.
+        for. Without ``is_use``, neither pings nor the closing of unused links
+        depend on the request. Returns a sentinel if no answer comes:
+        ``NOT_SENT`` if the frame did not leave this host, otherwise
+        ``DISCONNECTED`` or ``TIMED_OUT``.
         """
         connection = self._connection
         if connection is None or connection.is_closed:
@@ -482,8 +491,9 @@
         call_id = next(self._call_ids)
         future = asyncio.get_running_loop().create_future()
         self._futures_by_call_id[call_id] = future
-        self.last_used_ms = self._clock.now()
-        self._sent_ms_by_call_id[call_id] = self.last_used_ms
+        if is_use:
+            self.last_used_ms = self._clock.now()
+            self._sent_ms_by_call_id[call_id] = self.last_used_ms
         connection.send(build_frame(call_id))
         timer = asyncio.get_running_loop().call_later(
             timeout_ms / 1000, _set_timed_out, future
@@ -522,7 +532,7 @@
         match frame:
             case frames.OutcomeFrame() | frames.TokenAnswer():
                 self._complete_call(frame.call_id, frame)
-            case frames.Snapshot() | frames.Directory():
+            case frames.Snapshot() | frames.Directory() | frames.Explanation():
                 self._complete_call(frame.call_id, frame)
             case frames.Pong():
                 self._record_pong(frame)
@@ -553,6 +563,7 @@
         self.evacuation_version = pong.evacuation_version
         self.evacuation_digest = pong.evacuation_digest
         self.answers_directory = pong.answers_directory
+        self.answers_explain = pong.answers_explain
         sent_ms = self._sent_ms_by_sequence.pop(pong.sequence, None)
         if sent_ms is not None:
             self.answered_ping_ms = sent_ms
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -13,6 +13,7 @@
 from samphirestand.fleet import links
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import watch
+from samphirestand.gateway import explanation
 from samphirestand.gateway import gateways as gateways_module
 from samphirestand import log
 from samphirestand import metrics as metrics_module
@@ -24,6 +25,9 @@
 # that the gateway's own time-out answer arrives before the link's time-out.
 ANSWER_MARGIN_MS = 250
 
+# How long another host may take to explain; it answers without waiting.
+EXPLAIN_TIMEOUT_MS = 1_000
+
 # The sequence number of a pong that answers no ping; pings count from one.
 UNSOLICITED = 0
 
@@ -83,6 +87,11 @@
         match frame:
             case frames.WorkFrame():
                 self._start_work(connection, frame)
+            case frames.ExplainRequest():
+                part = self._gateways.explain(frame.work)
+                connection.send(
+                    frames.Explanation(frame.call_id, explanation.encode(part))
+                )
             case frames.Withdraw():
                 self._withdraw(connection, frame.call_id)
             case frames.Ping():
@@ -282,8 +291,8 @@
     ) -> work_module.Outcome:
         if host_id == self._members.local.host_id:
             return await self._gateways.run(LOCAL_OWNER, work, withdrawal)
-        link = self._members.link_to(host_id)
-        if link is None or self._members.is_cut_off_from(link):
+        link = self._usable_link(host_id)
+        if link is None:
             return links.outcome_without_answer(links.NOT_SENT)
         answer = await link.request(
             lambda call_id: frames.WorkFrame(call_id, work),
@@ -298,6 +307,51 @@
             case _:
                 return work_module.Lost('an answer of another kind')
 
+    def _usable_link(self, host_id: str) -> links.Link | None:
+        """Return the link for work to a host; None if nothing gets there."""
+        link = self._members.link_to(host_id)
+        if link is None or self._members.is_cut_off_from(link):
+            return None
+        return link
+
+    async def explain(
+        self, work: work_module.Work
+    ) -> tuple[str, str, explanation.GatewayPart | exceptions.Sentinel]:
+        """Return the gateway host, why it is that one, and what it would do.
+
+        A sentinel says why that isn't known.
+        """
+        host_id, reason = self._gateways.gateway_host_and_reason(work.service)
+        return host_id, reason, await self._ask_gateway(host_id, work)
+
+    async def _ask_gateway(
+        self, host_id: str, work: work_module.Work
+    ) -> explanation.GatewayPart | exceptions.Sentinel:
+        if host_id == self._members.local.host_id:
+            return self._gateways.explain(work)
+        link = self._usable_link(host_id)
+        if link is None or not link.is_open:
+            return _unsent_part()
+        if not link.is_up:
+            return exceptions.Sentinel('it does not answer')
+        if not link.answers_explain:
+            # It would close the connection on a frame that it doesn't know.
+            return exceptions.Sentinel('it is of an older release')
+        answer = await link.request(
+            lambda call_id: frames.ExplainRequest(call_id, work),
+            EXPLAIN_TIMEOUT_MS,
+            is_use=False,
+        )
+        match answer:
+            case frames.Explanation():
+                return explanation.decode(answer.document)
+            case exceptions.Sentinel() if answer is links.NOT_SENT:
+                return _unsent_part()
+            case exceptions.Sentinel():
+                return answer
+            case _:
+                return exceptions.Sentinel('an answer of another kind')
+
     def abandon(self, host_id: str, transaction: int) -> None:
         if host_id == self._members.local.host_id:
             rollback = self._gateways.abandon(LOCAL_OWNER, transaction)
@@ -308,6 +362,13 @@
             link.send(frames.Abandon(transaction))
 
 
+def _unsent_part() -> explanation.GatewayPart:
+    """Return the part for work that can't leave this host."""
+    outcome = links.outcome_without_answer(links.NOT_SENT)
+    assert isinstance(outcome, work_module.Refused)
+    return explanation.GatewayPart(explanation.refused(outcome))
+
+
 def _is_retryable(
     outcome: work_module.Outcome, work: work_module.Work
 ) -> TypeGuard[work_module.Refused | work_module.Lost]:
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -12,6 +12,7 @@
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import watch
 from samphirestand.gateway import evacuation
+from samphirestand.gateway import explanation
 from samphirestand.gateway import gateway as gateway_module
 from samphirestand.gateway import pool as pool_module
 from samphirestand.gateway import succession as succession_module
@@ -22,7 +23,7 @@
 from samphirestand.platform import wire
 from samphirestand import work as work_module
 
-__all__ = ['ServiceGateways', 'gateway_host']
+__all__ = ['ServiceGateways', 'gateway_host', 'gateway_host_and_reason']
 
 # How often a gateway host checks its gateways and their targets.
 MAINTENANCE_INTERVAL_MS = 100
@@ -83,9 +84,35 @@
     """
     if not members.is_job_host:
         return members.gateway_for(service)
+    return _chosen_host(members, targets, service)[0]
+
+
+def _chosen_host(
+    members: members_module.Members,
+    targets: watch.TargetWatch,
+    service: str,
+) -> tuple[str, str]:
+    """Return the gateway host by the choice of job hosts, and its reason."""
     primary = targets.claimed_primary(service)
-    zone = primary.zone if primary is not None else None
-    return members.host_for(members_module.gateway_job(service), zone)
+    if primary is None:
+        reason = 'chosen among the job hosts; no primary is registered'
+        return members.host_for(members_module.gateway_job(service)), reason
+    return (
+        members.host_for(members_module.gateway_job(service), primary.zone),
+        f'chosen among the job hosts, first those of the zone {primary.zone} '
+        'of the primary',
+    )
+
+
+def gateway_host_and_reason(
+    members: members_module.Members,
+    targets: watch.TargetWatch,
+    service: str,
+) -> tuple[str, str]:
+    """Return what ``gateway_host`` would return, and why it is that."""
+    if not members.is_job_host:
+        return members.claimed_gateway(service)
+    return _chosen_host(members, targets, service)
 
 
 class ServiceGateways:
@@ -136,6 +163,10 @@
         """Return the id of the gateway host of a service."""
         return gateway_host(self._members, self._targets, service)
 
+    def gateway_host_and_reason(self, service: str) -> tuple[str, str]:
+        """Return the id of the gateway host of a service, and why."""
+        return gateway_host_and_reason(self._members, self._targets, service)
+
     @property
     def has_gateways(self) -> bool:
         """Tell whether a gateway is open on this host."""
@@ -222,15 +253,9 @@
         withdrawal: work_module.Withdrawal | None = None,
     ) -> work_module.Outcome:
         """Run a statement that the entry host ``owner`` received."""
-        if work.service not in self._catalog().services_by_name:
-            return work_module.Refused('BUSY', 'unknown service')
-        if not self._zones.is_known():
-            return work_module.Refused(
-                'BUSY',
-                'evacuated zones are not known yet',
-                gateway_module.NO_PRIMARY_RETRY_MS,
-            )
-        refusal = await self._take_rate_token(work)
+        refusal = self._unserved_refusal(work)
+        if refusal is None:
+            refusal = await self._take_rate_token(work)
         if refusal is not None:
             return refusal
         outcome = await self._get_or_open_gateway(work.service).run(
@@ -248,6 +273,49 @@
             self._rate_limiter.return_token(work.account)
         return outcome
 
+    def _unserved_refusal(
+        self, work: work_module.Work
+    ) -> work_module.Refused | None:
+        """Return why work is refused whatever its account and targets are."""
+        if work.service not in self._catalog().services_by_name:
+            return work_module.Refused('BUSY', 'unknown service')
+        if not self._zones.is_known():
+            return work_module.Refused(
+                'BUSY',
+                'evacuated zones are not known yet',
+                gateway_module.NO_PRIMARY_RETRY_MS,
+            )
+        return None
+
+    def explain(self, work: work_module.Work) -> explanation.GatewayPart:
+        """Say what would happen to new work on this host; changes nothing."""
+        refusal = self._unserved_refusal(work)
+        if refusal is not None:
+            return explanation.GatewayPart(explanation.refused(refusal))
+        rate = None
+        rate_refusal = None
+        if _needs_rate_token(work):
+            rate = self._rate_limiter.explain(work.account)
+            if rate is None or rate.is_admitted is False:
+                rate_refusal = self._rate_refusal(work)
+        return explanation.explain_work(
+            work,
+            rate,
+            rate_refusal,
+            self._gateways_by_service.get(work.service),
+            self._clock.now(),
+        )
+
+    def _rate_refusal(self, work: work_module.Work) -> work_module.Refused:
+        """Return the refusal of work whose account is above its rate."""
+        reason = (
+            f'account {work.account} is above its rate: '
+            f'{self._rate_limiter.describe_rate(work.account)}'
+        )
+        return work_module.Refused(
+            'BUSY', reason, self._rate_limiter.retry_after_ms(work.account)
+        )
+
     async def _take_rate_token(
         self, work: work_module.Work
     ) -> work_module.Refused | None:
@@ -261,22 +329,17 @@
             return None
         if await self._rate_limiter.take_token(work.account):
             return None
-        reason = (
-            f'account {work.account} is above its rate: '
-            f'{self._rate_limiter.describe_rate(work.account)}'
-        )
+        refusal = self._rate_refusal(work)
         self._metrics.count('refused_rate')
         _log.info(
             'work_refused_rate',
             request=work.request_id,
             service=work.service,
             account=work.account,
-            reason=reason,
+            reason=refusal.reason,
             version=self._catalog().version,
         )
-        return work_module.Refused(
-            'BUSY', reason, self._rate_limiter.retry_after_ms(work.account)
-        )
+        return refusal
 
     async def abandon(self, owner: str, number: int) -> None:
         """Roll back a transaction whose caller has disconnected."""
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -10,6 +10,7 @@
 import resource
 import signal
 import sys
+from typing import Any
 
 from tornado import web
 
@@ -39,6 +40,7 @@
 from samphirestand.platform import promotion
 from samphirestand.platform import store as store_module
 from samphirestand import probe_server
+from samphirestand.sessions import entry_explanation
 from samphirestand.sessions import listener as listener_module
 from samphirestand.sessions import session as session_module
 
@@ -163,12 +165,20 @@
         max_descriptors = _descriptor_limit(settings.capacity.descriptors)
         self._max_descriptors = max_descriptors
         self._descriptors = descriptor_budget.DescriptorBudget(max_descriptors)
+        dispatcher = service_module.PeerDispatcher(self.members, self.gateways)
         context = session_module.Context(
             self._clock,
             lambda: self.catalog.current,
-            service_module.PeerDispatcher(self.members, self.gateways),
+            dispatcher,
             self.metrics,
         )
+        self.explainer = entry_explanation.EntryExplainer(
+            settings.host_id,
+            context,
+            dispatcher,
+            self.catalog,
+            self.evacuations,
+        )
         options = settings.options.callers
         limits = dataclasses.replace(
             callers_budget.derive_limits(
@@ -251,7 +261,10 @@
             'ready', readiness_application, settings.readiness
         )
         metrics = web.Application(
-            [('/metrics', _MetricsHandler, {'node': self})],
+            [
+                ('/metrics', _MetricsHandler, {'node': self}),
+                ('/explain', _ExplainHandler, {'node': self}),
+            ],
             log_function=_skip_access_log,
         )
         self._start_probe_server('metrics', metrics, settings.metrics)
@@ -453,6 +466,29 @@
         self.write(metrics.snapshot())
 
 
+class _ExplainHandler(web.RequestHandler):
+    """Says where a request would go, as JSON."""
+
+    def initialize(self, node: Node) -> None:
+        self._node = node
+
+    async def get(self) -> None:
+        explainer = self._node.explainer
+        inquiry = entry_explanation.parse_inquiry(self.request.query_arguments)
+        if isinstance(inquiry, exceptions.Sentinel):
+            self.set_status(400)
+            self.write({'error': inquiry.reason})
+        elif explainer.is_busy:
+            self.set_status(429)
+            self.write({'error': 'the host explains another request'})
+        else:
+            self.write(await explainer.explain(inquiry))
+
+    def log_exception(self, *error: Any) -> None:
+        """Log a fault without the request, in which a key may stand."""
+        _log.error('explanation_failed', reason=repr(error[0]))
+
+
 def _descriptor_limit(configured: int) -> int:
     """Return how many descriptors the process may open."""
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
