cmdline: Add the command explain

`samphirestand explain` with an option next asks one host on the platform with GET /explain and returns 0 if the request would be sent to a target, 1 if it would be refused now, 2 for wrong usage, 3 if that is partly unknown, and 4 without an explanation. EXPLAIN of the operators' language is as before, also in lower case: a test guards it.

--- a/samphirestand/cmdline.py
+++ b/samphirestand/cmdline.py
@@ -12,6 +12,7 @@
 from samphirestand.control import changes
 from samphirestand import exceptions
 from samphirestand.operators import display
+from samphirestand.operators import host_explain
 from samphirestand.operators import language
 from samphirestand.operators import remote
 from samphirestand import types
@@ -39,6 +40,9 @@
 exit codes: 0 done, 1 refused, 2 wrong usage or settings, 3 unknown outcome
 of a change, 4 no host reached. Without a command or a script, commands are
 read from a prompt. HELP lists the commands.
+
+samphirestand explain --help: asks a host on the platform where a request
+would go.
 """
 
 
@@ -153,8 +157,14 @@
 
 def main(arguments: collections.abc.Sequence[str] | None = None) -> int:
     """Run the command-line tool and return its exit code."""
+    words = sys.argv[1:] if arguments is None else list(arguments)
+    if words[:1] == ['explain'] and all(
+        each.startswith('-') for each in words[1:2]
+    ):
+        # Without an option next it is EXPLAIN of the language.
+        return host_explain.main(words[1:])
     parser = _build_parser()
-    options = parser.parse_args(arguments)
+    options = parser.parse_args(words)
     command_words = options.command
     if command_words[:1] == ['check']:
         if len(command_words) != 2:
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -306,3 +306,94 @@
     assert cmdline.main(['check', str(path)]) == code
     captured = capsys.readouterr()
     assert message in captured.out + captured.err
+
+
+def explained(outcome, target=''):
+    return {
+        'host': 'h',
+        'decision': {
+            'outcome': outcome,
+            'target': target,
+            'reason': '\x1b[2J',
+        },
+        'targets': [{'target': 'i-1', 'usable': True}],
+        'account': {'known': True},
+    }
+
+
+EXPLANATIONS = [
+    (200, explained('sent', 'i-1'), 0),
+    (200, explained('waits', 'i-1'), 0),
+    (200, explained('refused'), 1),
+    (400, {'error': 'kind: one of read'}, 2),
+    (200, explained('waits'), 3),
+    (200, explained('unknown', 'i-1'), 3),
+    (404, {}, 4),  # an older host
+    (429, {'error': 'the host explains another request'}, 4),
+    (200, {'outcome': 'done'}, 4),
+    (200, [], 4),
+]
+ASKED = ['--account', 'a', '--database', 'd', '--kind', 'read']
+
+
+class ExplainHandler(http.server.BaseHTTPRequestHandler):
+    def do_GET(self):
+        self.server.commands.append(self.path)
+        status, document = self.server.answers.pop(0)
+        self.send_response(status)
+        self.end_headers()
+        self.wfile.write(json.dumps(document).encode())
+
+    def log_message(self, *arguments):
+        pass
+
+
+@pytest.mark.parametrize('output', ['table', 'json'])
+@pytest.mark.parametrize('status, document, code', EXPLANATIONS)
+def test_explanation_and_its_exit_code(
+    start_host, status, document, code, output, capsys
+):
+    """Guards against an exit code that scripts would misunderstand."""
+    host = start_host((status, document))
+    host.RequestHandlerClass = ExplainHandler
+    arguments = ['explain', '--host', host.url, *ASKED, '--format', output]
+    assert cmdline.main(arguments) == code
+    captured = capsys.readouterr()
+    assert '\x1b' not in captured.out + captured.err
+    assert bool(captured.out) == (code in (0, 1, 3))
+    assert host.commands == ['/explain?account=a&database=d&kind=read']
+
+
+EXPLAIN_USAGE = [
+    ['explain'],
+    ['explain', '--host', 'http://h:1'],
+    ['explain', '--host', 'http://h:1', *ASKED[:-1], 'delete'],
+    ['explain', '--host', 'https://h:1', *ASKED],
+    ['explain', '--host', 'h:1', *ASKED],
+]
+
+
+@pytest.mark.parametrize('arguments', EXPLAIN_USAGE)
+def test_usage_of_explain(arguments, capsys):
+    """Guards against wrong usage without its exit code."""
+    try:
+        code = cmdline.main(arguments)
+    except SystemExit as error:
+        code = error.code
+    assert code == 2
+    assert capsys.readouterr().err
+
+
+def test_host_that_explains_nothing_is_not_reached(capsys):
+    """Guards against a host that is down and looks like a refusal."""
+    [port] = processes.free_ports(1)
+    url = f'http://127.0.0.1:{port}'
+    assert cmdline.main(['explain', '--host', url, *ASKED]) == 4
+
+
+def test_explain_of_the_language_stays(start_host, key_file, capsys):
+    """Guards against a command of operators of daemons that has changed."""
+    host = start_host(DONE)
+    arguments = ['--host', host.url, '--key-file', key_file]
+    assert cmdline.main(['explain', 'host', 'h-1', *arguments]) == 0
+    assert host.commands == ['explain host h-1']
