explanation: Ask the pool host of an account whether it has a token

Where the gateway's host had no token for an account and its pool was on another host, the decision was "unknown": that is every account whose burst is too small to be split among hosts, unless its operations may owe a token. The entry host now asks the pool host, too, with the same frame, and what the pool holds decides.

--- a/samphirestand/fleet/allowance.py
+++ b/samphirestand/fleet/allowance.py
@@ -148,7 +148,8 @@
     """Whether an account may start an operation, and why.
 
     ``is_admitted`` is None if that depends on the pool host, which is another
-    host. Tokens are in thousandths.
+    host and must hold ``min_grant``. ``pool_millitokens`` are what this host
+    holds for all. Tokens are in thousandths.
     """
 
     rate: int
@@ -159,6 +160,8 @@
     pool_host: str
     source: TokenSource
     is_admitted: bool | None
+    min_grant: int
+    pool_millitokens: int
 
 
 class AccountRateLimiter:
@@ -245,11 +248,10 @@
             )
             is not TokenSource.POOL
         )
+        pool = self._pools_by_account.get(name) or TokenPool()
+        min_grant = _min_millitokens(millitokens)
         if not is_admitted and pool_host == self._members.local.host_id:
-            pool = self._pools_by_account.get(name)
-            is_admitted = pool is not None and pool.can_grant(
-                _min_millitokens(millitokens)
-            )
+            is_admitted = pool.can_grant(min_grant)
         elif not is_admitted and self._members.link_to(pool_host) is not None:
             is_admitted = None
         return RateState(
@@ -261,6 +263,8 @@
             pool_host,
             source,
             is_admitted,
+            min_grant,
+            int(pool.millitokens),
         )
 
     @property
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -322,9 +322,18 @@
         A sentinel says why that isn't known.
         """
         host_id, reason = self._gateways.gateway_host_and_reason(work.service)
-        return host_id, reason, await self._ask_gateway(host_id, work)
+        part = await self._ask_host(host_id, work)
+        if (
+            isinstance(part, explanation.GatewayPart)
+            and part.rate is not None
+            and part.rate_refusal is not None
+        ):
+            part = explanation.settle_rate(
+                part, await self._ask_host(part.rate.pool_host, work)
+            )
+        return host_id, reason, part
 
-    async def _ask_gateway(
+    async def _ask_host(
         self, host_id: str, work: work_module.Work
     ) -> explanation.GatewayPart | exceptions.Sentinel:
         if host_id == self._members.local.host_id:
--- a/samphirestand/gateway/explanation.py
+++ b/samphirestand/gateway/explanation.py
@@ -31,6 +31,7 @@
     'encode',
     'explain_work',
     'refused',
+    'settle_rate',
 ]
 
 # A service has three targets; odd registrations may name more.
@@ -120,9 +121,12 @@
     """The part of an explanation that the gateway's host knows.
 
     Without an open gateway on that host there are no primary and no targets.
+    ``rate_refusal`` is the decision if the pool host of the account, which
+    wasn't asked, has no token.
     """
 
     decision: Decision
+    rate_refusal: Decision | None = None
     rate: allowance.RateState | None = None
     primary: PrimaryPart | None = None
     targets: tuple[TargetPart, ...] = ()
@@ -169,8 +173,8 @@
 ) -> GatewayPart:
     """Return what the host of a service's gateway would do with new work.
 
-    ``rate_refusal`` is the refusal of an account above its rate, ``gateway``
-    is None if none is open on the host.
+    ``rate_refusal`` is the refusal of an account that is or may be above its
+    rate, ``gateway`` is None if none is open on the host.
     """
     if gateway is None:
         decision = Decision(
@@ -194,21 +198,45 @@
             statement_ms=round(gateway.queue.statement_ms, 1),
             fair_shares=gateway.queue.fair_shares,
         )
-    decision = part.decision
-    if rate_refusal is not None:
-        decision = refused(rate_refusal)
-    elif (
-        rate is not None
-        and rate.is_admitted is None
-        and decision.outcome is not Outcome.REFUSED
-    ):
+    part = dataclasses.replace(part, rate=rate)
+    if rate_refusal is None:
+        return part
+    decision = refused(rate_refusal)
+    if rate is not None and rate.is_admitted is None:
+        return dataclasses.replace(part, rate_refusal=decision)
+    return dataclasses.replace(part, decision=decision)
+
+
+def settle_rate(
+    part: GatewayPart, pool_part: GatewayPart | exceptions.Sentinel
+) -> GatewayPart:
+    """Decide on the rate by what the account's pool host says.
+
+    For parts with a ``rate_refusal``.
+    """
+    rate = part.rate
+    if rate is None or part.rate_refusal is None:
+        return part
+    if isinstance(pool_part, exceptions.Sentinel) or pool_part.rate is None:
         decision = dataclasses.replace(
-            decision,
+            part.decision,
             outcome=Outcome.UNKNOWN,
-            reason='the pool host of the account decides on its rate: '
+            reason=f'no answer of the pool host of the account, '
             f'{rate.pool_host}',
         )
-    return dataclasses.replace(part, decision=decision, rate=rate)
+        return dataclasses.replace(part, decision=decision, rate_refusal=None)
+    pool_millitokens = pool_part.rate.pool_millitokens
+    is_admitted = allowance.TokenPool(pool_millitokens).can_grant(
+        rate.min_grant
+    )
+    return dataclasses.replace(
+        part,
+        decision=part.decision if is_admitted else part.rate_refusal,
+        rate_refusal=None,
+        rate=dataclasses.replace(
+            rate, is_admitted=is_admitted, pool_millitokens=pool_millitokens
+        ),
+    )
 
 
 def _decide(
@@ -365,5 +393,7 @@
 
 
 def as_document(part: GatewayPart) -> dict[str, Any]:
-    """Return a part as JSON objects."""
-    return dataclasses.asdict(part)
+    """Return a part whose rate is settled as JSON objects."""
+    document = dataclasses.asdict(part)
+    del document['rate_refusal']
+    return document
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -296,7 +296,7 @@
         rate_refusal = None
         if _needs_rate_token(work):
             rate = self._rate_limiter.explain(work.account)
-            if rate is None or rate.is_admitted is False:
+            if rate is None or not rate.is_admitted:
                 rate_refusal = self._rate_refusal(work)
         return explanation.explain_work(
             work,
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -11,6 +11,7 @@
 import pytest
 
 from samphirestand import exceptions
+from samphirestand.fleet import allowance
 from samphirestand.fleet import frames
 from samphirestand.fleet import members
 from samphirestand.gateway import explanation
@@ -354,6 +355,48 @@
     run_fleet(scenario)
 
 
+def test_account_whose_tokens_are_on_another_host():
+    """Fails if its pool host isn't asked, or loses tokens by the question."""
+
+    async def scenario(fleet):
+        node, pool_node = fleet.nodes
+        [first, second] = nodes.configuration()['Tenants']
+        slow = [
+            {**second, 'Name': f's-{number}', 'ApiKeys': [f'key-s-{number}']}
+            | {'RatePerS': 1, 'Burst': 1}
+            for number in range(9)
+        ]
+        fleet.store.put(
+            'op', 'config', nodes.configuration(2, Tenants=[first, *slow])
+        )
+        await fleet.until(
+            lambda: all(e.catalog.current.version == 2 for e in fleet.nodes)
+        )
+        name = next(
+            each['Name']
+            for each in slow
+            if node.members.host_for(f'rate/{each["Name"]}') == 'host-1'
+        )
+        asked = {'key': f'key-{name}', 'account': name}
+        refusal = ''
+        while not refusal:
+            _, refusal = await request(
+                fleet, node, 'main', 'read', asked['key']
+            )
+        answer = await compare(fleet, node, 'main', 'read', **asked)
+        assert 'above its rate' in answer['decision']['reason']
+        pool = allowance.TokenPool(3_000)
+        pool_node.rate_limiter._pools_by_account[name] = pool
+        for each in fleet.nodes:
+            answer = await explain(each, account=name)
+            assert answer['rate']['is_admitted']
+            assert answer['rate']['pool_host'] == 'host-1'
+        assert pool.millitokens >= 3_000
+        await compare(fleet, node, 'main', 'read', **asked)
+
+    run_fleet(scenario, hosts=2)
+
+
 def test_unknown_names():
     """Fails if the entry host's own refusals differ, or a key is shown."""
 
