--- a/samphirestand/gateway/warmup.py
+++ b/samphirestand/gateway/warmup.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 __all__ = ['NEW_SHARE', 'ColdRules', 'Warmup', 'gateway_share']
 
@@ -84,7 +85,7 @@
     """
 
     def __init__(self) -> None:
-        self._bound = 0  # 0 while there is none
+        self.bound = 0  # 0 while there is none
         self._warm_ms = 0  # the target is cold until then
         # Whether only the end of a connection tells that it may be cold.
         self._is_suspected = False
@@ -97,14 +98,14 @@
         Nothing changes with a bound or a time of 0, or if it is cold longer.
         """
         if bound > 0 and warm_ms > 0 and warm_ms >= self._warm_ms:
-            self._bound, self._warm_ms = bound, warm_ms
+            self.bound, self._warm_ms = bound, warm_ms
             self._is_suspected = False
 
     def suspect(self, bound: int, warm_ms: int, now_ms: int) -> None:
         """Limit a target until ``warm_ms`` because it may have restarted."""
         was_limited = self.limit(now_ms) is not None and not self._is_suspected
         self.begin(bound, warm_ms)
-        self._is_suspected = self._bound > 0 and not was_limited
+        self._is_suspected = self.bound > 0 and not was_limited
 
     def clear_suspicion(self) -> None:
         """End the limit of a target that has not restarted after all."""
@@ -114,24 +115,16 @@
 
     def set_bound(self, bound: int) -> None:
         """Adopt a bound that operators have changed while a target is cold."""
-        if self._bound > 0:
-            self._bound = bound
-
-    @property
-    def is_bounded(self) -> bool:
-        """Tell whether the target may have a bound now."""
-        return self._bound > 0
+        if self.bound > 0:
+            self.bound = bound
 
     def limit(self, now_ms: int) -> int | None:
         """Return the bound for a second; None if there is none."""
-        if self._bound <= 0:
+        if self.bound <= 0:
             return None
         warm_for_ms = max(0, now_ms - self._warm_ms)
         growth = 2.0 ** min(warm_for_ms / DOUBLING_MS, MAX_GROWTH)
-        if growth >= MAX_GROWTH:
-            self._end()
-            return None
-        return int(self._bound * growth)
+        return int(self.bound * growth) if growth < MAX_GROWTH else None
 
     def may_start(self, now_ms: int, running_count: int) -> bool:
         """Tell whether one more statement may start beside the running ones.
@@ -153,16 +146,27 @@
 
     def record(self, now_ms: int, count: int) -> None:
         """Record requests that are sent now."""
-        if self._bound > 0:
-            self._sent.append((now_ms, count))
-            self._sent_count += count
+        if self.bound <= 0:
+            return
+        if self.limit(now_ms) is None:
+            self._end()
+            return
+        self._sent.append((now_ms, count))
+        self._sent_count += count
+        while self._sent[0][0] <= now_ms - WINDOW_MS:
+            self._sent_count -= self._sent.popleft()[1]
 
     def _end(self) -> None:
-        self._bound = 0
+        self.bound = 0
         self._sent.clear()
         self._sent_count = 0
 
     def _recent_count(self, now_ms: int) -> int:
-        while self._sent and self._sent[0][0] <= now_ms - WINDOW_MS:
-            self._sent_count -= self._sent.popleft()[1]
-        return self._sent_count
+        """Return how many requests count now.
+
+        The older ones are removed when the next request is recorded.
+        """
+        expired = itertools.takewhile(
+            lambda each: each[0] <= now_ms - WINDOW_MS, self._sent
+        )
+        return self._sent_count - sum(count for _, count in expired)
