frames: Let claims tell demand and successors

Gateways are to be placed by the demand of services, which only their gateways know, and a gateway is to name the host that it moves to.

Claims have three new fields, which older hosts ignore and leave out.

--- a/samphirestand/fleet/frames.capnp
+++ b/samphirestand/fleet/frames.capnp
@@ -154,10 +154,20 @@
   startedMs @1 :UInt64;
 }
 
+struct Successor {
+  service @0 :Text;
+  hostId @1 :Text;
+}
+
 struct Claims {
   claims @0 :List(Claim);
   settledDepartures @1 :List(Departure);
   takesWithdrawals @2 :Bool;  # releases that don't would reject the frame
+  placesByDemand @3 :Bool;
+  # Statements per second of each claim, in their order; 0 if unknown. Without
+  # any the list is empty.
+  demands @4 :List(UInt32);
+  successors @5 :List(Successor);  # of gateways that the sender hands over
 }
 
 struct Directory {
--- a/samphirestand/fleet/frames.py
+++ b/samphirestand/fleet/frames.py
@@ -263,11 +263,22 @@
     The value is the zone of the service's primary. The departures are those
     of targets of these services that promotions need not wait for.
     ``takes_withdrawals`` tells whether the sender knows ``Withdraw``.
+
+    ``places_by_demand`` tells whether it places gateways by demand. If so, it
+    tells the demand of its services, in statements per second, as far as it
+    is known, and to which hosts it hands gateways over.
     """
 
     zones_by_service: dict[str, str]
     settled_departures: frozenset[catalog.TargetStart] = frozenset()
     takes_withdrawals: bool = False
+    places_by_demand: bool = False
+    demands_by_service: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    successors_by_service: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 Frame = (
@@ -388,6 +399,7 @@
                 claim.service = service
                 claim.zone = zone
             builder.takesWithdrawals = frame.takes_withdrawals
+            _fill_placement(builder, frame)
             starts = sorted(frame.settled_departures)
             departures = builder.init('settledDepartures', len(starts))
             for departure, start in zip(departures, starts, strict=True):
@@ -527,15 +539,7 @@
         case 'withdraw':
             return Withdraw(message.withdraw.call)
         case 'claims':
-            reader = message.claims
-            return Claims(
-                {each.service: each.zone for each in _bounded(reader.claims)},
-                frozenset(
-                    catalog.TargetStart(each.targetId, each.startedMs)
-                    for each in _bounded(reader.settledDepartures)
-                ),
-                reader.takesWithdrawals,
-            )
+            return _decode_claims(message.claims)
         case 'hello':
             reader = message.hello
             return Hello(
@@ -682,6 +686,52 @@
         item.limit = limit
 
 
+def _fill_placement(builder: Any, frame: Claims) -> None:
+    builder.placesByDemand = frame.places_by_demand
+    demands = frame.demands_by_service
+    if demands:
+        builder.demands = [
+            min(max(demands.get(service, 0), 0), UINT32_MAX)
+            for service in frame.zones_by_service
+        ]
+    successors = frame.successors_by_service
+    if successors:
+        items = builder.init('successors', len(successors))
+        for item, (service, host_id) in zip(
+            items, successors.items(), strict=True
+        ):
+            item.service = service
+            item.hostId = host_id
+
+
+def _decode_claims(reader: Any) -> Claims:
+    zones_by_service = {
+        each.service: each.zone for each in _bounded(reader.claims)
+    }
+    # A list of another length is that of no host of this release; what is
+    # missing counts as unknown.
+    demands = zip(
+        (each.service for each in reader.claims),
+        _bounded(reader.demands),
+        strict=False,
+    )
+    return Claims(
+        zones_by_service,
+        frozenset(
+            catalog.TargetStart(each.targetId, each.startedMs)
+            for each in _bounded(reader.settledDepartures)
+        ),
+        reader.takesWithdrawals,
+        reader.placesByDemand,
+        {service: per_s for service, per_s in demands if per_s},
+        {
+            each.service: each.hostId
+            for each in _bounded(reader.successors)
+            if each.service in zones_by_service
+        },
+    )
+
+
 def _decode_observation(reader: Any) -> Observation:
     return Observation(
         reader.service,
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -83,6 +83,12 @@
         frames.Abandon(8),
         frames.Withdraw(9),
         frames.Claims({}, takes_withdrawals=True),
+        frames.Claims(
+            {'svc': 'north', 'other': ''},
+            places_by_demand=True,
+            demands_by_service={'other': 250},
+            successors_by_service={'svc': 'host-2'},
+        ),
     ],
 )
 def test_decoded_frame_equals_the_encoded_one(frame):
