--- a/samphirestand/host_options.py
+++ b/samphirestand/host_options.py
@@ -16,6 +16,7 @@
     'DEFAULTS',
     'CallerOptions',
     'HostOptions',
+    'PlacementOptions',
     'QueueOptions',
     'TargetOptions',
     'load',
@@ -65,12 +66,24 @@
     adaptive_limits: bool | None = None
 
 
+class PlacementOptions(_Group):
+    """Which hosts run the gateways of services.
+
+    ``by_demand`` says whether that follows the capacity of hosts and the
+    demand of services; None means where the platform's settings say that
+    accounts compete.
+    """
+
+    by_demand: bool | None = None
+
+
 class HostOptions(_Group):
     """All options of a host, by group."""
 
     callers: CallerOptions = CallerOptions()
     queue: QueueOptions = QueueOptions()
     targets: TargetOptions = TargetOptions()
+    placement: PlacementOptions = PlacementOptions()
 
 
 DEFAULTS = HostOptions()
--- a/samphirestand/node_settings.py
+++ b/samphirestand/node_settings.py
@@ -88,3 +88,11 @@
         if configured is None:
             return self.bounds.targets_degrade or self.bounds.accounts_compete
         return configured
+
+    @property
+    def places_by_demand(self) -> bool:
+        """Tell whether gateways are placed by capacity and demand."""
+        configured = self.options.placement.by_demand
+        if configured is None:
+            return self.bounds.accounts_compete
+        return configured
--- a/tests/test_host_options.py
+++ b/tests/test_host_options.py
@@ -90,3 +90,25 @@
         host_options.load(path), node_settings.Bounds(**bounds)
     )
     assert settings.adaptive_limits is expected
+
+
+@pytest.mark.parametrize(
+    ('option', 'competes', 'expected'),
+    [
+        ('null', False, False),
+        ('null', True, True),
+        ('true', False, True),
+        ('false', True, False),
+    ],
+)
+def test_placement_follows_the_option_then_the_settings(
+    tmp_path, option, competes, expected
+):
+    """Fails if gateways are placed otherwise where nobody asked for it."""
+    path = tmp_path / 'host.yaml'
+    path.write_text(f'placement: {{by_demand: {option}}}')
+    settings = create_settings(
+        host_options.load(path),
+        node_settings.Bounds(accounts_compete=competes),
+    )
+    assert settings.places_by_demand is expected
