fleet: Place gateways by capacity and demand

The hash puts busy services on one host while another host of the zone is idle, and gives hosts with less than half of the largest processor nothing.

Where placement.by_demand is in force, a gateway stays on its host while that can run it; services without such a host are distributed in one step, in proportion to capacity. Only the gateway's host moves it for the sake of load: it names its successor and keeps the gateway until that claims it. While a job host answers that places by the hash, all do.

--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -372,6 +372,16 @@
 
     def _candidate_ids(self, zone: str | None) -> list[str]:
         """Return the ids of the hosts among which a hash chooses."""
+        candidate_ids = self.candidate_ids(zone)
+        return [
+            each for each in candidate_ids if each in self._large_ids
+        ] or candidate_ids
+
+    def candidate_ids(self, zone: str | None) -> list[str]:
+        """Return the hosts that can run a job, whatever their size.
+
+        Those of ``zone`` if there are any; see ``host_for``.
+        """
         cut_off_zones = self._cut_off_zones()
         usable_links = [
             each
@@ -392,10 +402,15 @@
         preferred_zone = [
             each for each in reaching_store if each[1] == zone
         ] or reaching_store
-        preferred_size = [
-            each for each in preferred_zone if each[0] in self._large_ids
-        ] or preferred_zone
-        return [host_id for host_id, _, _ in preferred_size]
+        return [host_id for host_id, _, _ in preferred_zone]
+
+    def job_links(self) -> list[links.Link]:
+        """Return the links to job hosts, whether they answer or not."""
+        return [
+            each
+            for host_id, each in self._links_by_id.items()
+            if host_id in self._job_host_ids
+        ]
 
     def gateway_for(self, service: str) -> str:
         """Return the id of the host that last claimed a service's gateway.
@@ -405,6 +420,20 @@
         by the same rule. So does it between the moment when a host gives the
         gateway up and the next claim.
         """
+        return self.claimed_gateway_for(service) or self.host_for(
+            gateway_job(service), self.claimed_zone(service)
+        )
+
+    def claimed_zone(self, service: str) -> str | None:
+        """Return the zone of the primary by the claim seen last."""
+        return self._claimed_zones_by_service.get(service)
+
+    def claimed_gateway_for(self, service: str) -> str:
+        """Return the host that last claimed a gateway, if it can run it.
+
+        Otherwise returns ''. A host that hands the gateway over keeps it only
+        until its successor claims it.
+        """
         claiming_links = [
             each
             for each in self._links_by_id.values()
@@ -412,7 +441,10 @@
         ]
         newest_link = max(
             claiming_links,
-            key=lambda each: each.claims_received_ms,
+            key=lambda each: (
+                service not in each.claims.successors_by_service,
+                each.claims_received_ms,
+            ),
             default=None,
         )
         if newest_link is not None:
@@ -424,9 +456,7 @@
                 and not self._is_in_cut_off_zone(newest_link)
             ):
                 return newest_link.peer.host_id
-        return self.host_for(
-            gateway_job(service), self._claimed_zones_by_service.get(service)
-        )
+        return ''
 
     def observed_positions(
         self, service: str
--- a/samphirestand/fleet/service.py
+++ b/samphirestand/fleet/service.py
@@ -69,6 +69,21 @@
         for connection in self._owners_by_connection:
             connection.send(claims, data)
 
+    def announce_demands(self, claims: frames.Claims) -> None:
+        """Send this host's gateways to the hosts that may succeed it.
+
+        For changes of demand, which decide nothing on other hosts while this
+        one answers.
+        """
+        claims = _with_withdrawals(claims)
+        data = frames.encode(claims)
+        for connection in self._owners_by_connection:
+            hello = connection.hello
+            if hello is not None and self._members.may_become_gateway_host(
+                hello.host_id
+            ):
+                connection.send(claims, data)
+
     def announce_state(self) -> None:
         """Tell this host's state to all hosts that connected to it.
 
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand.fleet import allowance as allowance_module
+from samphirestand.fleet import demand_placement
 from samphirestand.fleet import frames
 from samphirestand.fleet import members as members_module
 from samphirestand.fleet import watch
@@ -75,16 +77,24 @@
     members: members_module.Members,
     targets: watch.TargetWatch,
     service: str,
+    placement: demand_placement.DemandPlacement | None = None,
 ) -> str:
     """Return the id of the gateway host of a service.
 
     It is in the availability zone of the primary, so that writes and
-    transactions cross zones only once.
+    transactions cross zones only once. Without ``placement`` a hash decides
+    between the hosts there.
     """
     if not members.is_job_host:
-        return members.gateway_for(service)
+        if placement is None:
+            return members.gateway_for(service)
+        return members.claimed_gateway_for(service) or placement.host_for(
+            service, members.claimed_zone(service)
+        )
     primary = targets.claimed_primary(service)
     zone = primary.zone if primary is not None else None
+    if placement is not None:
+        return placement.host_for(service, zone)
     return members.host_for(members_module.gateway_job(service), zone)
 
 
@@ -107,6 +117,7 @@
         *,
         fair_shares: bool = False,
         adaptive_limits: bool = True,
+        places_by_demand: bool = False,
     ) -> None:
         self._clock = clock
         self._random = generator
@@ -130,11 +141,37 @@
         self.on_claims: collections.abc.Callable[[frames.Claims], None] = (
             _ignore_claims
         )
-        self.claims = frames.Claims({})
+        # Called when only the demand of these services has changed.
+        self.on_demands: collections.abc.Callable[[frames.Claims], None] = (
+            _ignore_claims
+        )
+        self.claims = frames.Claims({}, places_by_demand=places_by_demand)
+        self._placement = (
+            demand_placement.DemandPlacement(
+                members, clock, metrics, self._zones_of_services
+            )
+            if places_by_demand
+            else None
+        )
 
     def gateway_host_id(self, service: str) -> str:
         """Return the id of the gateway host of a service."""
-        return gateway_host(self._members, self._targets, service)
+        return gateway_host(
+            self._members, self._targets, service, self._placement
+        )
+
+    def _zones_of_services(
+        self,
+    ) -> collections.abc.Iterator[tuple[str, str | None]]:
+        """Yield each service and the zone of its primary, if known."""
+        for service in self._catalog().services_by_name:
+            if not self._members.is_job_host:
+                # Hosts without jobs read no registry.
+                self._members.claimed_gateway_for(service)
+                yield service, self._members.claimed_zone(service)
+                continue
+            primary = self._targets.claimed_primary(service)
+            yield service, primary.zone if primary is not None else None
 
     @property
     def has_gateways(self) -> bool:
@@ -233,6 +270,8 @@
         refusal = await self._take_rate_token(work)
         if refusal is not None:
             return refusal
+        if self._placement is not None:
+            self._placement.record_statement(work.service)
         outcome = await self._get_or_open_gateway(work.service).run(
             owner, work, withdrawal
         )
@@ -314,6 +353,9 @@
                 is_owner = (
                     self.gateway_host_id(service.name)
                     == self._members.local.host_id
+                ) or (
+                    self._placement is not None
+                    and self._placement.hands_over(service.name)
                 )
                 if is_owner:
                     primary = self._targets.claimed_primary(service.name)
@@ -332,9 +374,12 @@
                     )
                 if not is_owner and self._is_unused(gateway):
                     self._close_gateway(gateway)
-            self._announce_claims(
-                frames.Claims(zones_by_service, frozenset(settled_departures))
+            claims = frames.Claims(
+                zones_by_service, frozenset(settled_departures)
             )
+            if self._placement is not None:
+                claims = self._placement.review(claims)
+            self._announce_claims(claims)
             self._targets.set_interval(self._registry_interval_ms())
             await self._clock.sleep(
                 MAINTENANCE_INTERVAL_MS
@@ -366,12 +411,18 @@
     def _announce_claims(self, claims: frames.Claims) -> None:
         if claims == self.claims:
             return
+        earlier = self.claims
+        self.claims = claims
+        if claims == dataclasses.replace(
+            earlier, demands_by_service=claims.demands_by_service
+        ):
+            self.on_demands(claims)
+            return
         _log.info(
             'gateways_claimed',
             services=claims.zones_by_service,
             settled=len(claims.settled_departures),
         )
-        self.claims = claims
         self.on_claims(claims)
 
     def _maintain_gateway(
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -150,6 +150,7 @@
             settings.options.queue,
             fair_shares=settings.fair_shares,
             adaptive_limits=settings.adaptive_limits,
+            places_by_demand=settings.places_by_demand,
         )
         self.peer_service = service_module.PeerService(
             self.members,
@@ -160,6 +161,7 @@
             self.evacuations,
         )
         self.gateways.on_claims = self.peer_service.announce
+        self.gateways.on_demands = self.peer_service.announce_demands
         max_descriptors = _descriptor_limit(settings.capacity.descriptors)
         self._max_descriptors = max_descriptors
         self._descriptors = descriptor_budget.DescriptorBudget(max_descriptors)
