tests: Check the placement by demand with whole hosts

The replay models links; this test has the program exchange its claims on the simulated network, and guards against two gateways of a service that stay after a loss of three gateway hosts and of all hosts.

--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -13,6 +13,7 @@
 
 from bench import virtual_time
 from samphirestand import acceptor as acceptor_module
+from samphirestand import host_options
 from samphirestand import log
 from samphirestand import node as node_module
 from samphirestand import node_settings
@@ -282,8 +283,11 @@
 class Fleet:
     """Hosts whose clock, network and store are simulated."""
 
-    def __init__(self, loop, host_count, routes=350):
+    def __init__(
+        self, loop, host_count, routes=350, options=host_options.DEFAULTS
+    ):
         self.loop = loop
+        self.options = options
         self.store = SimulatedStore(loop)
         self.routes = routes
         self.store.write('op', 'config', configuration(1, routes))
@@ -310,6 +314,7 @@
             grace_ms=GRACE_MS,
             rate_slack=20,
             capacity=node_settings.Capacity(500 + 165 * (number % 11), 5_000),
+            options=self.options,
         )
         node = node_module.Node(settings, pathlib.Path('unused'))
         node._start_probe_server = lambda name, application, endpoint: None
--- a/tests/fleet/test_gateway_placement.py
+++ b/tests/fleet/test_gateway_placement.py
@@ -12,8 +12,10 @@
 from samphirestand.fleet import demand_placement
 from samphirestand.fleet import frames
 from samphirestand.fleet import gateway_placement
+from samphirestand import host_options
 from samphirestand import metrics as metrics_module
 from samphirestand import node_settings
+from tests.fleet import simulation
 from tests import nodes
 
 PATTERNS = {each.name: each for each in placement_replay.PATTERNS}
@@ -391,3 +393,44 @@
             assert all(each.startswith('COMPLETE') for each in results)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('host_count', [30])
+@simulation.simulated
+async def test_each_service_has_one_gateway_after_a_loss(loop, host_count):
+    """Fails if hosts that really exchange claims don't agree.
+
+    Some are lost after a calm time, and then all at once.
+    """
+    options = host_options.HostOptions.model_validate(
+        {'placement': {'by_demand': True}}
+    )
+    fleet = loop.fleet = simulation.Fleet(loop, host_count, 4, options)
+
+    def claiming_ids():
+        return [
+            host_id
+            for host_id, node in fleet.nodes_by_id.items()
+            for _ in node.gateways.claims.zones_by_service
+        ]
+
+    async def check():
+        await asyncio.sleep(5)
+        services = [
+            service
+            for node in fleet.nodes_by_id.values()
+            for service in node.gateways.claims.zones_by_service
+        ]
+        assert len(services) == len(set(services)) == simulation.SERVICES
+
+    await fleet.start()
+    await check()
+    for host_id in sorted(set(claiming_ids()))[:3]:
+        fleet.kill(host_id)
+    await check()
+    for host_id in list(fleet.nodes_by_id):
+        fleet.kill(host_id)
+    await fleet.start()
+    await check()
+    for host_id in list(fleet.nodes_by_id):
+        fleet.kill(host_id)
