--- a/samphirestand/fleet/members.py
+++ b/samphirestand/fleet/members.py
@@ -391,6 +391,16 @@
 
     def _candidate_ids(self, zone: str | None) -> list[str]:
         """Return the ids of the hosts among which a hash chooses."""
+        candidate_ids = self.candidate_ids(zone)
+        return [
+            each for each in candidate_ids if each in self._large_ids
+        ] or candidate_ids
+
+    def candidate_ids(self, zone: str | None) -> list[str]:
+        """Return the hosts that can run a job, whatever their size.
+
+        Those of ``zone`` if there are any; see ``host_for``.
+        """
         cut_off_zones = self._cut_off_zones()
         usable_links = [
             each
@@ -411,10 +421,15 @@
         preferred_zone = [
             each for each in reaching_store if each[1] == zone
         ] or reaching_store
-        preferred_size = [
-            each for each in preferred_zone if each[0] in self._large_ids
-        ] or preferred_zone
-        return [host_id for host_id, _, _ in preferred_size]
+        return [host_id for host_id, _, _ in preferred_zone]
+
+    def job_links(self) -> list[links.Link]:
+        """Return the links to job hosts, whether they answer or not."""
+        return [
+            each
+            for host_id, each in self._links_by_id.items()
+            if host_id in self._job_host_ids
+        ]
 
     def gateway_for(self, service: str) -> str:
         """Return the id of the host that last claimed a service's gateway.
@@ -424,16 +439,52 @@
         by the same rule. So does it between the moment when a host gives the
         gateway up and the next claim.
         """
+        return self.claimed_gateway_for(service) or self.host_for(
+            gateway_job(service), self.claimed_zone(service)
+        )
+
+    def claimed_zone(self, service: str) -> str | None:
+        """Return the zone of the primary by the claim seen last."""
+        return self._claimed_zones_by_service.get(service)
+
+    def claimed_gateway_for(self, service: str) -> str:
+        """Return the host that last claimed a gateway, if it can run it.
+
+        Otherwise returns ''. A host that hands the gateway over keeps it only
+        until its successor claims it.
+        """
         newest_link = self._newest_claim(service)
-        if newest_link is not None:
-            self._claimed_zones_by_service[service] = (
-                newest_link.claims.zones_by_service[service]
-            )
-        return self._gateway_by_claim(service, newest_link)[0]
+        if newest_link is None:
+            return ''
+        self._claimed_zones_by_service[service] = (
+            newest_link.claims.zones_by_service[service]
+        )
+        if self._claim_obstacle(newest_link):
+            return ''
+        return newest_link.peer.host_id
 
     def claimed_gateway(self, service: str) -> tuple[str, str]:
         """Return what ``gateway_for`` would return, and why it is that."""
-        return self._gateway_by_claim(service, self._newest_claim(service))
+        newest_link = self._newest_claim(service)
+        if newest_link is None:
+            zone = self.claimed_zone(service)
+            obstacle = 'no host claims the gateway'
+        else:
+            zone = newest_link.claims.zones_by_service[service]
+            obstacle = self._claim_obstacle(newest_link)
+            if not obstacle:
+                return newest_link.peer.host_id, 'it claims the gateway'
+        return (
+            self.host_for(gateway_job(service), zone),
+            f'{obstacle}; chosen among the job hosts',
+        )
+
+    def is_claimed(self, service: str) -> bool:
+        """Tell whether a host that can run a gateway claims it."""
+        newest_link = self._newest_claim(service)
+        return newest_link is not None and not self._claim_obstacle(
+            newest_link
+        )
 
     def _newest_claim(self, service: str) -> links.Link | None:
         """Return the link to the host that last claimed a gateway."""
@@ -443,29 +494,22 @@
                 for each in self._links_by_id.values()
                 if service in each.claims.zones_by_service
             ),
-            key=lambda each: each.claims_received_ms,
+            key=lambda each: (
+                service not in each.claims.successors_by_service,
+                each.claims_received_ms,
+            ),
             default=None,
         )
 
-    def _gateway_by_claim(
-        self, service: str, newest_link: links.Link | None
-    ) -> tuple[str, str]:
-        zone = self._claimed_zones_by_service.get(service)
-        reason = 'no host claims the gateway'
-        if newest_link is not None:
-            zone = newest_link.claims.zones_by_service[service]
-            if not newest_link.is_up:
-                reason = 'the host that claims the gateway does not answer'
-            elif newest_link.is_draining:
-                reason = 'the host that claims the gateway is stopping'
-            elif self._is_in_cut_off_zone(newest_link):
-                reason = 'the zone of the claiming host is cut off'
-            else:
-                return newest_link.peer.host_id, 'it claims the gateway'
-        return (
-            self.host_for(gateway_job(service), zone),
-            f'{reason}; chosen among the job hosts',
-        )
+    def _claim_obstacle(self, link: links.Link) -> str:
+        """Return why the host that claims a gateway can't run it, or ''."""
+        if not link.is_up:
+            return 'the host that claims the gateway does not answer'
+        if link.is_draining:
+            return 'the host that claims the gateway is stopping'
+        if self._is_in_cut_off_zone(link):
+            return 'the zone of the claiming host is cut off'
+        return ''
 
     def observed_positions(
         self, service: str
--- a/samphirestand/node.py
+++ b/samphirestand/node.py
@@ -156,6 +156,7 @@
             fair_shares=settings.fair_shares,
             adaptive_limits=settings.adaptive_limits,
             drain_ms=settings.bounds.drain_ms,
+            places_by_demand=settings.places_by_demand,
         )
         self.peer_service = service_module.PeerService(
             self.members,
@@ -166,6 +167,7 @@
             self.evacuations,
         )
         self.gateways.on_claims = self.peer_service.announce
+        self.gateways.on_demands = self.peer_service.announce_demands
         max_descriptors = _descriptor_limit(settings.capacity.descriptors)
         self._max_descriptors = max_descriptors
         self._descriptors = descriptor_budget.DescriptorBudget(max_descriptors)
