--- a/samphirestand/host_options.py
+++ b/samphirestand/host_options.py
@@ -4,11 +4,11 @@
 treats callers, queues and targets. Without a file, all defaults hold.
 """
 
+import importlib
 import pathlib
 from typing import Any
 
 import pydantic
-import yaml
 
 from samphirestand import exceptions
 
@@ -23,7 +23,11 @@
 
 
 class _Group(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+    # Validators are built when a file is read: that takes processor time,
+    # which all hosts need at once after a loss of power.
+    model_config = pydantic.ConfigDict(
+        extra='forbid', frozen=True, defer_build=True
+    )
 
 
 class CallerOptions(_Group):
@@ -68,16 +72,18 @@
 class HostOptions(_Group):
     """All options of a host, by group."""
 
-    callers: CallerOptions = CallerOptions()
-    queue: QueueOptions = QueueOptions()
-    targets: TargetOptions = TargetOptions()
+    callers: CallerOptions = CallerOptions.model_construct()
+    queue: QueueOptions = QueueOptions.model_construct()
+    targets: TargetOptions = TargetOptions.model_construct()
 
 
-DEFAULTS = HostOptions()
+DEFAULTS = HostOptions.model_construct()
 
 
 def load(path: pathlib.Path) -> HostOptions:
     """Read and validate an options file; raises ``SettingsError``."""
+    # Most hosts have no such file and start sooner without the parser.
+    yaml = importlib.import_module('yaml')
     try:
         document: Any = yaml.safe_load(path.read_text()) or {}
         return HostOptions.model_validate(document)
--- a/tests/test_host_options.py
+++ b/tests/test_host_options.py
@@ -1,6 +1,8 @@
 """Tests of the options file of a host."""
 
 import pathlib
+import subprocess
+import sys
 
 import pytest
 
@@ -90,3 +92,19 @@
         host_options.load(path), node_settings.Bounds(**bounds)
     )
     assert settings.adaptive_limits is expected
+
+
+def test_host_without_options_imports_no_parser_for_them():
+    """Fails if all hosts of a fleet that starts load a parser they don't use.
+
+    After a loss of power all hosts need their processors for imports.
+    """
+    output = subprocess.check_output(
+        [
+            sys.executable,
+            '-c',
+            "import sys, samphirestand.node; print('yaml' in sys.modules)",
+        ],
+        text=True,
+    )
+    assert output.strip() == 'False'
