gateway: Ask less often what can't change while slots are assigned

Whether a target can run anything of a queue is asked once for each assignment instead of for each request, a request whose primary lacks evidence isn't placed before it waits, and a caller's bytes are recorded without a list of waiting connections.

--- a/samphirestand/callers_budget.py
+++ b/samphirestand/callers_budget.py
@@ -243,6 +243,14 @@
     def _is_first(self, usage: Usage) -> bool:
         return next(iter(self._waiting)) is usage
 
+    @property
+    def has_waiting(self) -> bool:
+        """Tell whether a connection waits for its turn to be read.
+
+        The first of them may always be read.
+        """
+        return bool(self._waiting)
+
     def readable(self) -> list[Usage]:
         """Return the waiting connections that may be read now."""
         room = self.reading_limit - self.total
--- a/samphirestand/gateway/slot_queue.py
+++ b/samphirestand/gateway/slot_queue.py
@@ -197,6 +197,10 @@
         if self.fair_shares or self._entries:
             return False
         self._rechecked_ms = self._clock.now()
+        if slot_request.needs_primary and not self.may_use_primary(
+            slot_request
+        ):
+            return False
         pool = self._choose_target(slot_request, self._free_pools())
         if pool is None:
             return False
@@ -477,11 +481,16 @@
         A request that no free target can run now is set aside for these
         targets, so that it delays none of those behind it.
         """
+        unusable_ids = {
+            each.target.target_id
+            for each in free_pools
+            if not self._is_usable(each, queue)
+        }
         while free_pools:
             entries = [
                 entry
                 for pool in free_pools
-                if self._is_usable(pool, queue)
+                if pool.target.target_id not in unusable_ids
                 and (entry := queue.best(pool.target.target_id)) is not None
             ]
             if not entries:
--- a/samphirestand/sessions/listener.py
+++ b/samphirestand/sessions/listener.py
@@ -150,7 +150,7 @@
             self._futile_total = 0 if closing else budget.total
         elif budget.total <= budget.limits.max_bytes:
             self._futile_total = 0
-        if budget.readable() and not self._is_wake_scheduled:
+        if budget.has_waiting and not self._is_wake_scheduled:
             self._is_wake_scheduled = True
             asyncio.get_running_loop().call_soon(self._wake_waiting)
 
