--- a/samphirestand/fleet/demand_placement.py
+++ b/samphirestand/fleet/demand_placement.py
@@ -133,14 +133,42 @@
             # One of them may have the gateway.
             self._metrics.count('gateways_placed_without_claims')
             return self._members.host_for(job, zone)
-        return self._distributed_host(
-            service, candidate_ids, now
-        ) or self._members.host_for(job, zone)
+        found = self._kept_host(service, candidate_ids, now)
+        if not found:
+            self._hosts_by_unplaced_service = self._distribute(
+                candidate_ids, now
+            )
+            self._distributed_ms = now
+            found = self._hosts_by_unplaced_service.get(service, '')
+        return found or self._members.host_for(job, zone)
+
+    def preview_host(self, service: str, zone: str | None) -> str:
+        """Return what ``host_for`` would return, without any effect."""
+        host_by_hash = self._members.host_for(
+            members_module.gateway_job(service), zone
+        )
+        if self._is_hash_in_use():
+            return host_by_hash
+        candidate_ids = self._members.candidate_ids(zone)
+        claims_by_host = self._claims_by_host()
+        holder_id = gateway_placement.choose_holder(
+            service, candidate_ids, claims_by_host
+        )
+        if holder_id:
+            return holder_id
+        if any(each not in claims_by_host for each in candidate_ids):
+            return host_by_hash
+        now = self._clock.now()
+        return (
+            self._kept_host(service, candidate_ids, now)
+            or self._distribute(candidate_ids, now).get(service)
+            or host_by_hash
+        )
 
-    def _distributed_host(
+    def _kept_host(
         self, service: str, candidate_ids: list[str], now: int
     ) -> str:
-        """Return the host of a service that no usable host claims."""
+        """Return the host by the last distribution; '' if it is too old."""
         found = self._hosts_by_unplaced_service.get(service, '')
         if (
             found in candidate_ids
@@ -148,25 +176,33 @@
             and now - self._distributed_ms < DISTRIBUTION_KEPT_MS
         ):
             return found
+        return ''
+
+    def _distribute(
+        self, candidate_ids: list[str], now: int
+    ) -> dict[str, str]:
+        """Choose hosts for the services that no usable host claims."""
         survey = self._survey(candidate_ids, now)
         demands_by_service = gateway_placement.complete_demands(
             {each.service: each.per_s for each in survey.gateways}
         )
-        self._hosts_by_unplaced_service = gateway_placement.distribute(
+        return gateway_placement.distribute(
             survey.unplaced,
             gateway_placement.loads(survey.gateways, demands_by_service),
             survey.rates_by_host,
         )
-        self._distributed_ms = now
-        return self._hosts_by_unplaced_service.get(service, '')
 
-    def _uses_hash(self) -> bool:
-        uses_hash = any(
+    def _is_hash_in_use(self) -> bool:
+        """Tell whether a job host that answers places by the hash."""
+        return any(
             each.is_up
             and each.claims_received_ms
             and not each.claims.places_by_demand
             for each in self._members.job_links()
         )
+
+    def _uses_hash(self) -> bool:
+        uses_hash = self._is_hash_in_use()
         if uses_hash != self._used_hash:
             if uses_hash or self._used_hash is not None:
                 _log.info('gateway_placement_changed', by_hash=uses_hash)
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -93,18 +93,31 @@
         return members.claimed_gateway_for(service) or placement.host_for(
             service, members.claimed_zone(service)
         )
-    return _chosen_host(members, targets, service, placement)[0]
+    zone = _zone_of_primary(targets, service)
+    if placement is not None:
+        return placement.host_for(service, zone)
+    return members.host_for(members_module.gateway_job(service), zone)
+
 
+def _zone_of_primary(targets: watch.TargetWatch, service: str) -> str | None:
+    primary = targets.claimed_primary(service)
+    return primary.zone if primary is not None else None
 
-def _chosen_host(
+
+def gateway_host_and_reason(
     members: members_module.Members,
     targets: watch.TargetWatch,
     service: str,
-    placement: demand_placement.DemandPlacement | None,
+    placement: demand_placement.DemandPlacement | None = None,
 ) -> tuple[str, str]:
-    """Return the gateway host by the choice of job hosts, and its reason."""
-    primary = targets.claimed_primary(service)
-    zone = primary.zone if primary is not None else None
+    """Return what ``gateway_host`` would return, and why it is that."""
+    if not members.is_job_host:
+        host_id, reason = members.claimed_gateway(service)
+        if placement is None or members.is_claimed(service):
+            return host_id, reason
+        zone = members.claimed_zone(service)
+        return placement.preview_host(service, zone), reason
+    zone = _zone_of_primary(targets, service)
     where = (
         'no primary is registered'
         if zone is None
@@ -112,7 +125,7 @@
     )
     if placement is not None:
         return (
-            placement.host_for(service, zone),
+            placement.preview_host(service, zone),
             f'by claims, capacity and demand of the job hosts, {where}',
         )
     return (
@@ -121,23 +134,6 @@
     )
 
 
-def gateway_host_and_reason(
-    members: members_module.Members,
-    targets: watch.TargetWatch,
-    service: str,
-    placement: demand_placement.DemandPlacement | None = None,
-) -> tuple[str, str]:
-    """Return what ``gateway_host`` would return, and why it is that."""
-    if members.is_job_host:
-        return _chosen_host(members, targets, service, placement)
-    if placement is None:
-        return members.claimed_gateway(service)
-    host_id, reason = members.claimed_gateway(service)
-    if not members.is_claimed(service):
-        host_id = placement.host_for(service, members.claimed_zone(service))
-    return host_id, reason
-
-
 class ServiceGateways:
     """The gateways on this host, by service."""
 
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -15,7 +15,6 @@
 from samphirestand.fleet import frames
 from samphirestand.fleet import members
 from samphirestand.gateway import explanation
-from samphirestand.gateway import gateways
 from samphirestand.gateway import retries
 from samphirestand import node_settings
 from samphirestand.operators import host_explain
@@ -436,8 +435,15 @@
         elif fault == 'silent':
             monkeypatch.setattr(service, 'handle_frame', ignore_questions)
         else:
+            host_for = node.members.host_for
             monkeypatch.setattr(
-                gateways, '_chosen_host', lambda *arguments: ('host-9', '')
+                node.members,
+                'host_for',
+                lambda job, zone=None: (
+                    'host-9'
+                    if job.startswith('gateway/')
+                    else host_for(job, zone)
+                ),
             )
             answer = await compare(fleet, node, 'main', 'read')
             assert host_explain.exit_code(answer) == 1
