tests: Wait for a commit that only the evacuated replica has

The log of such a run shows both replicas at the same position (offset 69) when they were paused: the callers had been served reads only since south received nothing, so there was no commit that only east had, and south was right.

--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -223,11 +223,12 @@
     """Fails if they are lost, or the service stays without a primary."""
 
     async def scenario(fleet, zones, callers):
-        north, south, _ = fleet.group.servers.values()
+        north, south, east = fleet.group.servers.values()
         zones.evacuate('east')
         await zones.stay_unused('east', seconds=0)
         south.is_deaf = True
         await callers.until_served()
+        await fleet.until(lambda: len(east.log) > len(south.log))
         north.crash()
         fleet.store.delete('servers', north.server_id)
         count = len(zones.received('east'))
