--- a/review/common-2/servers.py
+++ b/review/common-2/servers.py
@@ -42,13 +42,12 @@
         return True
 
     async def come_back(self):
-        """Start again with the log, as primary if none was promoted."""
-        primary = self.group.primary
+        """Start again with the log, as a replica if another was promoted."""
         self.paused_term = 0
-        if primary is None or primary is self:
-            self.is_primary = True
+        self.is_primary = self.group.leader is self
         await self.start()
-        if not self.is_primary:
+        primary = self.group.primary
+        if primary is not None and primary is not self:
             self.copy_log(primary)
             self.register()
 
@@ -62,15 +61,17 @@
         self.lost = []
         self.note = print
         self.was_promoted = asyncio.Event()
+        self.leader = None  # the primary of the newest term, up or down
 
     async def add(self, zone, port, is_primary):
         number = next(self._server_numbers)
         server = Server(self, f'i-{number}', zone, port, is_primary)
         self.servers[server.server_id] = server
         await server.start()
-        primary = self.primary
-        if primary is not None and primary is not server:
-            server.copy_log(primary)
+        if is_primary:
+            self.leader = server
+        elif self.primary is not None:
+            server.copy_log(self.primary)
         return server
 
     def promote_server(self, server_id):
@@ -86,6 +87,7 @@
         )
         self.lost.extend(missing)
         self.term += 1
+        self.leader = new_primary
         new_primary.paused_term = 0
         new_primary.is_primary = True
         new_primary.term = self.term
