--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,9 +14,9 @@
 
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
-# Doses of the site file: replica_lag 'deaf crash' for 6.5 s, srv_crash
+# Doses of the site file: replica_lag 'deaf crash' for 6 s, srv_crash
 # 'primary' for 7 s.
-DEAF_S = 6.5
+DEAF_S = 6.0
 CRASH_S = 7.0
 WRITES = 20
 # Time from the first promotion to the second crash.
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,9 +17,9 @@
 HAS_SERVER_TROUBLE = TROUBLE != '0'
 HAS_KILL = TROUBLE not in ('0', 'servers')
 
-# Doses of the pages: replica_lag 'deaf' for 6.5 s, srv_crash 'gone' without a
+# Doses of the pages: replica_lag 'deaf' for 6 s, srv_crash 'gone' without a
 # length, srv_crash 'primary' for 7 s, node_kill of one machine.
-DEAF_S = 6.5
+DEAF_S = 6.0
 CRASH_S = 7.0
 RESTART_DELAY_S = 0.5
 LAPSE_S = 3 * fleet_module.HEARTBEAT_S
