failover: Require of a new primary what the last one had when promoted

What callers saw: a replica receives nothing, the primary crashes, the other replica is promoted and crashes before the first one has caught up.

Cause: that all replicas answer shows what was acknowledged in the primary's own term. Earlier commits may be on no replica but the one that was promoted. What it had received was in a log line of one process only.

Change: the position that a promoted target had received is recorded in the row of the fencing token, by the write that records the order. A target that lacks it isn't promoted, and the token isn't taken in vain.

--- a/samphirestand/gateway/fencing.py
+++ b/samphirestand/gateway/fencing.py
@@ -1,23 +1,33 @@
 """Fencing tokens for promotions, and the orders that may still take effect.
 
 One row of the store for each service holds its newest token, who holds it,
-and the targets that orders without a known outcome name. An order is recorded
-before it is sent, so that any host knows of it, whatever becomes of the one
-that sent it.
+the targets that orders without a known outcome name, and the position that
+each later primary must have. An order is recorded before it is sent, so that
+any host knows of it, whatever becomes of the one that sent it.
 """
 
 import asyncio
 import collections.abc
 import dataclasses
+from typing import Annotated
 
 import pydantic
 
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
 from samphirestand import log
+from samphirestand.platform import records
 from samphirestand.platform import store as store_module
+from samphirestand import types
 
-__all__ = ['DUTIES_TABLE', 'TOKEN_HOLD_MS', 'FencingTokens', 'Token']
+__all__ = [
+    'DUTIES_TABLE',
+    'TOKEN_HOLD_MS',
+    'Duty',
+    'FencingTokens',
+    'Token',
+    'max_position',
+]
 
 # The table of the store that holds the fencing token of each service.
 DUTIES_TABLE = 'duties'
@@ -42,6 +52,15 @@
 
 _log = log.get_logger(__name__)
 
+_Long = Annotated[int, pydantic.Field(ge=0, le=records.MAX_LONG)]
+
+
+class _PositionModel(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+
+    term: _Long
+    offset: _Long
+
 
 class _DutyModel(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(strict=True)
@@ -50,17 +69,22 @@
     holder: str
     until_ms: int = pydantic.Field(default=0, ge=0)  # by the store's clock
     ordered: list[str] = pydantic.Field(default_factory=list)
+    required: _PositionModel | None = None
 
 
 @dataclasses.dataclass(frozen=True)
-class _Duty:
-    """The row of a service; ``version`` is 0 if there is none yet."""
+class Duty:
+    """The row of a service; ``version`` is 0 if there is none yet.
+
+    A target that lacks ``required_position`` may not be promoted.
+    """
 
     token: int
     holder: str
     held_ms: int  # how much longer the token is held
     ordered_ids: frozenset[str]
     version: int
+    required_position: types.Position | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,6 +100,11 @@
     taken_ms: int
     until_ms: int  # by the store's clock
     ordered_ids: frozenset[str]
+    required_position: types.Position | None = None
+
+
+def _find_no_obstacle(duty: Duty) -> str | None:
+    """Return None: nothing that is recorded forbids a promotion."""
 
 
 class FencingTokens:
@@ -92,13 +121,20 @@
         self._store = store
         self._versions_by_service: dict[str, int] = {}
 
-    async def acquire(self, service: str) -> Token | None:
+    async def acquire(
+        self,
+        service: str,
+        find_obstacle: collections.abc.Callable[
+            [Duty], str | None
+        ] = _find_no_obstacle,
+    ) -> Token | None:
         """Take a service's fencing token; None if another host holds it.
 
         Raises the token in the store. Another host's token is not taken
         before it expires by the store's clock: two holders at once would
-        choose different replicas. Raises ``PlatformError`` while the store
-        can't be reached.
+        choose different replicas. Nor is it taken if ``find_obstacle`` returns
+        a reason why it would be of no use. Raises ``PlatformError`` while the
+        store can't be reached.
         """
         taken_ms = self._clock.now()
         duty, now_ms = await self._read(service)
@@ -111,12 +147,17 @@
                 remaining_ms=duty.held_ms,
             )
             return None
+        obstacle = find_obstacle(duty)
+        if obstacle is not None:
+            _log.warning('succession_waits', service=service, reason=obstacle)
+            return None
         token = Token(
             service,
             duty.token + 1,
             taken_ms,
             now_ms + TOKEN_HOLD_MS,
             duty.ordered_ids,
+            duty.required_position,
         )
         result = await self._write(token, duty.version)
         if isinstance(result, store_module.Conflict):
@@ -131,14 +172,23 @@
         )
         return token
 
-    async def record_order(self, token: Token, target_id: str) -> bool:
+    async def record_order(
+        self,
+        token: Token,
+        target_id: str,
+        position: types.Position | None = None,
+    ) -> Token | None:
         """Record that an order for ``target_id`` is about to be sent.
 
-        Returns whether it may be sent: False if another host has taken a
-        higher token or the store didn't answer.
+        ``position`` is what it has received, if all later primaries must have
+        that, too. Returns the token with what was recorded; None if the order
+        may not be sent, because another host has taken a higher token or the
+        store didn't answer.
         """
         recorded = dataclasses.replace(
-            token, ordered_ids=token.ordered_ids | {target_id}
+            token,
+            ordered_ids=token.ordered_ids | {target_id},
+            required_position=max_position(token.required_position, position),
         )
         for _ in range(MAX_WRITE_ATTEMPTS):
             try:
@@ -147,7 +197,7 @@
                 )
                 if not isinstance(result, store_module.Conflict):
                     self._versions_by_service[token.service] = result
-                    return True
+                    return recorded
                 duty, _ = await self._read(token.service)
             except exceptions.PlatformError as error:
                 _log.warning(
@@ -161,7 +211,7 @@
                 break
             # An earlier write of this host took effect without an answer.
             self._versions_by_service[token.service] = duty.version
-        return False
+        return None
 
     async def release(
         self, token: Token, ordered_ids: collections.abc.Set[str] = frozenset()
@@ -189,13 +239,13 @@
         duty, _ = await self._read(service)
         return duty.ordered_ids
 
-    async def _read(self, service: str) -> tuple[_Duty, int]:
+    async def _read(self, service: str) -> tuple[Duty, int]:
         """Return a service's duty and the store's time in milliseconds."""
         key = _duty_key(service)
         feed = await self._read_repeatedly(key)
         row = next((each for each in feed.rows if each.key == key), None)
         if row is None:
-            return _Duty(0, '', 0, frozenset(), 0), feed.now_ms
+            return Duty(0, '', 0, frozenset(), 0), feed.now_ms
         return _decode_duty(row, feed), feed.now_ms
 
     async def _read_repeatedly(self, key: str) -> store_module.TableRows:
@@ -229,6 +279,7 @@
             holder=self._host_id,
             until_ms=token.until_ms,
             ordered=sorted(token.ordered_ids),
+            required=_encode_position(token.required_position),
         )
         return await self._store.put(
             DUTIES_TABLE,
@@ -238,11 +289,28 @@
         )
 
 
+def max_position(
+    *positions: types.Position | None,
+) -> types.Position | None:
+    """Return the newest of the positions that are known."""
+    return max((each for each in positions if each is not None), default=None)
+
+
+def _encode_position(position: types.Position | None) -> _PositionModel | None:
+    if position is None:
+        return None
+    return _PositionModel(term=position.term, offset=position.offset)
+
+
+def _decode_position(model: _PositionModel | None) -> types.Position | None:
+    return None if model is None else types.Position(model.term, model.offset)
+
+
 def _duty_key(service: str) -> str:
     return f'promotion/{service}'
 
 
-def _decode_duty(row: store_module.Row, feed: store_module.TableRows) -> _Duty:
+def _decode_duty(row: store_module.Row, feed: store_module.TableRows) -> Duty:
     """Decode a row; one that no host can have written is replaced.
 
     Each token took a write, and each write raises the store's version, so no
@@ -256,13 +324,14 @@
     else:
         held_ms = max(0, model.until_ms - feed.now_ms)
         if model.token <= row.version and held_ms <= TOKEN_HOLD_MS:
-            return _Duty(
+            return Duty(
                 model.token,
                 model.holder,
                 held_ms,
                 frozenset(model.ordered),
                 row.version,
+                _decode_position(model.required),
             )
         reason = f'token {model.token}, held for {held_ms} ms'
     _log.error('duty_unreadable', key=row.key, reason=reason)
-    return _Duty(row.version, '', 0, frozenset({UNKNOWN_TARGET}), row.version)
+    return Duty(row.version, '', 0, frozenset({UNKNOWN_TARGET}), row.version)
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -120,11 +120,13 @@
     """The replica to promote, and what the replicas answered to a pause.
 
     ``is_stepped_down`` tells that the old primary has become a replica.
+    ``token`` has what was recorded for the order.
     """
 
     target_id: str
     answers: _Answers
     is_stepped_down: bool
+    token: fencing.Token
 
 
 class PrimaryFailover:
@@ -240,7 +242,10 @@
                 'succession_waits', service=service.name, reason=needed.reason
             )
             return False
-        token = await self._tokens.acquire(service.name)
+        token = await self._tokens.acquire(
+            service.name,
+            lambda duty: _lost_commit_reason(service, duty, answers),
+        )
         if token is None:
             return False
 
@@ -293,7 +298,7 @@
         await self._resume_followers(
             pools, promoted_term, self._may_resume(token)
         )
-        await self._tokens.release(token)
+        await self._tokens.release(plan.token)
         gateway.note_orders_settled()
         return True
 
@@ -338,14 +343,26 @@
         if isinstance(candidate, exceptions.Sentinel):
             return candidate
         wait_reason = _missing_commit_reason(
-            candidate, answers, service, group.acknowledged_position
+            candidate,
+            answers,
+            service,
+            fencing.max_position(
+                group.acknowledged_position, token.required_position
+            ),
         )
         if needed is not None and wait_reason is None:
             wait_reason = _behind_reason(candidate, answers, needed)
         if wait_reason is not None:
             return exceptions.Sentinel(wait_reason)
+        # Until another replica has received it, the next primary is the only
+        # one that has all of it.
+        received = answers.states[candidate.target_id].received
         recording = self._spawn(
-            self._tokens.record_order(token, candidate.target_id)
+            self._tokens.record_order(
+                token,
+                candidate.target_id,
+                received if service.is_synchronous else None,
+            )
         )
         is_stepped_down = (
             old_primary is not None
@@ -392,7 +409,7 @@
                 wire.pause_text(term),
             )
             answers = answers.updated(again)
-        is_recorded = await recording
+        recorded_token = await recording
         if candidate != _choose_candidate(
             gateway,
             service,
@@ -409,9 +426,11 @@
         )
         if stale_reason is not None:
             return exceptions.Sentinel(stale_reason)
-        if not is_recorded:
+        if recorded_token is None:
             return exceptions.Sentinel('the order could not be recorded')
-        return _Plan(candidate.target_id, answers, is_stepped_down)
+        return _Plan(
+            candidate.target_id, answers, is_stepped_down, recorded_token
+        )
 
     async def _pause(
         self,
@@ -618,8 +637,8 @@
         """
         primary_id = gateway.group.primary_id
         term = await self._ask_for_common_term(gateway)
-        if term is None or not await self._tokens.record_order(
-            token, primary_id
+        if term is None or (
+            await self._tokens.record_order(token, primary_id) is None
         ):
             return False
         answer, text = await self._promotions.order(
@@ -997,16 +1016,28 @@
     candidate: policy.Candidate | exceptions.Sentinel,
     answers: _Answers,
     service: catalog_module.Service,
-    acknowledged_position: types.Position | None,
+    required_position: types.Position | None,
 ) -> str | None:
     """Return why the candidate may lack an acknowledged commit, or None."""
     if isinstance(candidate, exceptions.Sentinel):
         return candidate.reason
     if (
         service.is_synchronous
-        and acknowledged_position is not None
-        and answers.states[candidate.target_id].received
-        < acknowledged_position
+        and required_position is not None
+        and answers.states[candidate.target_id].received < required_position
     ):
-        return f'{candidate.target_id} lacks commit {acknowledged_position}'
+        return f'{candidate.target_id} lacks commit {required_position}'
     return None
+
+
+def _lost_commit_reason(
+    service: catalog_module.Service, duty: fencing.Duty, answers: _Answers
+) -> str | None:
+    """Return why a promotion would lose an acknowledged commit, or None."""
+    required_position = duty.required_position
+    if not service.is_synchronous or required_position is None:
+        return None
+    received = [each.received for each in answers.states.values()]
+    if any(each >= required_position for each in received):
+        return None
+    return f'no replica that answers has received {required_position}'
--- a/standins/database_group.py
+++ b/standins/database_group.py
@@ -51,7 +51,9 @@
     """The servers of one service: a primary and replicas, each with a log.
 
     With ``primaries_go_on``, a primary that is replaced doesn't notice it: it
-    acts as the primary of its term until it is told to step down.
+    acts as the primary of its term until it is told to step down. With
+    ``keeps_logs``, a server that crashes or receives nothing keeps its log over
+    a promotion, and positions have the term of the last entry.
     """
 
     def __init__(self, service: str, store: store_module.StoreStandin) -> None:
@@ -64,12 +66,16 @@
         self._server_numbers = itertools.count(1)
         self.promotion_ms = 50
         self.primaries_go_on = False
+        self.keeps_logs = False
+        self.leader: Server | None = None  # of the newest term, up or down
         store.on_promotion = self.order_promotion
 
     async def add(self, zone: str, port: int, is_primary: bool) -> 'Server':
         number = next(self._server_numbers)
         server = Server(self, f'i-{number}', zone, port, is_primary)
         self.servers[server.server_id] = server
+        if is_primary:
+            self.leader = server
         await server.start()
         return server
 
@@ -105,6 +111,8 @@
                 continue
             server.follow(new_primary, self.term)
         new_primary.is_primary = True
+        new_primary.term = self.term
+        self.leader = new_primary
         for server in self.servers.values():
             server.register()
 
@@ -112,15 +120,14 @@
         self, primary: 'Server', writes: list[tuple[str, str]]
     ) -> bool:
         """Append a transaction to the logs; False if no replica has it."""
-        primary.log.append(writes)
+        primary.append(writes)
         is_confirmed = False
         for server in self.servers.values():
             if server is primary or not server.receives_log:
                 continue
             if server.is_primary or server.term > primary.term:
                 continue
-            server.log = list(primary.log)
-            server.term = primary.term
+            server.copy_log(primary)
             is_confirmed = True
         return is_confirmed
 
@@ -155,6 +162,7 @@
         self.term = 1
         self.paused_term = 0
         self.log: list[list[tuple[str, str]]] = []
+        self.entry_terms: list[int] = []  # of the entries of the log
         self.connections = 0
         self.peak_connections = 0
         self._server: asyncio.Server | None = None
@@ -208,12 +216,39 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def come_back(self) -> None:
+        """Start again after a crash, with the log.
+
+        As a replica if another server was promoted meanwhile.
+        """
+        self.paused_term = 0
+        self.is_primary = self.group.leader is self
+        await self.start()
+        primary = self.group.primary
+        if primary is not None and self.receives_log:
+            self.copy_log(primary)
+
     def follow(self, primary: 'Server', term: int) -> None:
         """Become a replica of the primary of ``term``."""
         self.is_primary = False
         self.paused_term = 0
-        self.term = term
-        del self.log[len(primary.log) :]
+        if not self.group.keeps_logs:
+            self.term = term
+            del self.log[len(primary.log) :]
+        elif self.receives_log:
+            self.copy_log(primary)
+            self.term = term
+
+    def append(self, writes: list[tuple[str, str]]) -> None:
+        """Append a transaction to the log."""
+        self.log.append(writes)
+        self.entry_terms.append(self.term)
+
+    def copy_log(self, primary: 'Server') -> None:
+        """Take over the log and the term of the primary."""
+        self.log = list(primary.log)
+        self.entry_terms = list(primary.entry_terms)
+        self.term = primary.term
 
     @property
     def receives_log(self) -> bool:
@@ -221,7 +256,10 @@
 
     @property
     def position(self) -> str:
-        return f'{self.term}.{len(self.log)}'
+        term = self.term
+        if self.group.keeps_logs:
+            term = self.entry_terms[-1] if self.entry_terms else 1
+        return f'{term}.{len(self.log)}'
 
     @property
     def data_by_key(self) -> dict[str, str]:
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -394,8 +394,8 @@
     await happen()
     acquire = node.gateways._succession._tokens.acquire
 
-    async def acquire_and_read(service):
-        token = await acquire(service)
+    async def acquire_and_read(*arguments):
+        token = await acquire(*arguments)
         may_read.set()
         return token
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -155,6 +155,10 @@
             await self.group.add(zone, 0, is_primary=number == 0)
         for number in range(hosts):
             await self.start_node(ZONES[number % len(ZONES)])
+        await self.until_ready()
+
+    async def until_ready(self):
+        """Wait until all hosts serve, as if they had run for a while."""
         await self.until(
             lambda: all(
                 len(node.members.up_links()) == len(self.nodes) - 1
