failover: Keep in the store which servers may hold the only copy

What callers saw: one replica receives nothing, the other one confirms commits and is lost for good, the gateway's host restarts, and the primary crashes.

Cause: which replicas have left was in the memory of each host, for 20 s. Ruled out: that the registry wasn't read (the host had followed it for 2.5 s; the registration had lapsed before it started).

Change: the row of the fencing token records the holders of copies. The gateway's host adds servers that register or answer, and removes one that has gone when another replica has all that the primary had after that.

--- a/samphirestand/gateway/fencing.py
+++ b/samphirestand/gateway/fencing.py
@@ -1,9 +1,10 @@
 """Fencing tokens for promotions, and the orders that may still take effect.
 
 One row of the store for each service holds its newest token, who holds it,
-the targets that orders without a known outcome name, and the position that
-each later primary must have. An order is recorded before it is sent, so that
-any host knows of it, whatever becomes of the one that sent it.
+the targets that orders without a known outcome name, the position that each
+later primary must have, and the holders of copies (see ``copies``). An order
+is recorded before it is sent, so that any host knows of it, whatever becomes
+of the one that sent it.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
+from samphirestand.gateway import copies
 from samphirestand import log
 from samphirestand.platform import records
 from samphirestand.platform import store as store_module
@@ -46,6 +48,10 @@
 # whether it took effect, the third one follows it.
 MAX_WRITE_ATTEMPTS = 3
 
+# A token is read again if its row has changed meanwhile: another host may only
+# have recorded holders of copies.
+MAX_TAKE_ATTEMPTS = 2
+
 # Stands for the targets of orders that nothing is known of. No target has
 # this id.
 UNKNOWN_TARGET = '?'
@@ -62,6 +68,14 @@
     offset: _Long
 
 
+class _HolderModel(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+
+    address: str = pydantic.Field(max_length=records.MAX_NAME_LENGTH)
+    port: int = pydantic.Field(ge=1, le=65_535)
+    started_ms: _Long
+
+
 class _DutyModel(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(strict=True)
 
@@ -70,13 +84,15 @@
     until_ms: int = pydantic.Field(default=0, ge=0)  # by the store's clock
     ordered: list[str] = pydantic.Field(default_factory=list)
     required: _PositionModel | None = None
+    holders: dict[str, _HolderModel] | None = None
 
 
 @dataclasses.dataclass(frozen=True)
 class Duty:
     """The row of a service; ``version`` is 0 if there is none yet.
 
-    A target that lacks ``required_position`` may not be promoted.
+    A target that lacks ``required_position`` may not be promoted. The holders
+    of copies are None if they haven't been recorded yet.
     """
 
     token: int
@@ -85,6 +101,12 @@
     ordered_ids: frozenset[str]
     version: int
     required_position: types.Position | None = None
+    holders_by_id: copies.HoldersById | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no promotion is under way or may still take effect."""
+        return not self.held_ms and not self.ordered_ids
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,6 +123,7 @@
     until_ms: int  # by the store's clock
     ordered_ids: frozenset[str]
     required_position: types.Position | None = None
+    holders_by_id: copies.HoldersById | None = None
 
 
 def _find_no_obstacle(duty: Duty) -> str | None:
@@ -120,6 +143,8 @@
         self._clock = clock
         self._store = store
         self._versions_by_service: dict[str, int] = {}
+        # What was read or written last, where nothing is under way since.
+        self._duties_by_service: dict[str, Duty] = {}
 
     async def acquire(
         self,
@@ -136,41 +161,46 @@
         a reason why it would be of no use. Raises ``PlatformError`` while the
         store can't be reached.
         """
-        taken_ms = self._clock.now()
-        duty, now_ms = await self._read(service)
-        if duty.holder != self._host_id and duty.held_ms > 0:
+        for _ in range(MAX_TAKE_ATTEMPTS):
+            taken_ms = self._clock.now()
+            duty, now_ms = await self._read(service)
+            if duty.holder != self._host_id and duty.held_ms > 0:
+                _log.info(
+                    'succession_token_held',
+                    service=service,
+                    peer=duty.holder,
+                    token=duty.token,
+                    remaining_ms=duty.held_ms,
+                )
+                return None
+            obstacle = find_obstacle(duty)
+            if obstacle is not None:
+                _log.warning(
+                    'succession_waits', service=service, reason=obstacle
+                )
+                return None
+            token = Token(
+                service,
+                duty.token + 1,
+                taken_ms,
+                now_ms + TOKEN_HOLD_MS,
+                duty.ordered_ids,
+                duty.required_position,
+                duty.holders_by_id,
+            )
+            result = await self._write(token, duty.version)
+            if isinstance(result, store_module.Conflict):
+                continue
+            self._versions_by_service[service] = result
             _log.info(
-                'succession_token_held',
+                'fencing_token_taken',
                 service=service,
-                peer=duty.holder,
-                token=duty.token,
-                remaining_ms=duty.held_ms,
+                token=token.number,
+                ordered=sorted(token.ordered_ids),
             )
-            return None
-        obstacle = find_obstacle(duty)
-        if obstacle is not None:
-            _log.warning('succession_waits', service=service, reason=obstacle)
-            return None
-        token = Token(
-            service,
-            duty.token + 1,
-            taken_ms,
-            now_ms + TOKEN_HOLD_MS,
-            duty.ordered_ids,
-            duty.required_position,
-        )
-        result = await self._write(token, duty.version)
-        if isinstance(result, store_module.Conflict):
-            _log.info('succession_taken_by_other', service=service)
-            return None
-        self._versions_by_service[service] = result
-        _log.info(
-            'fencing_token_taken',
-            service=service,
-            token=token.number,
-            ordered=sorted(token.ordered_ids),
-        )
-        return token
+            return token
+        _log.info('succession_taken_by_other', service=service)
+        return None
 
     async def record_order(
         self,
@@ -228,8 +258,62 @@
         result = await self._write(
             released, self._versions_by_service[token.service]
         )
-        if not isinstance(result, store_module.Conflict):
-            self._versions_by_service[token.service] = result
+        if isinstance(result, store_module.Conflict):
+            return
+        self._versions_by_service[token.service] = result
+        self._duties_by_service[token.service] = Duty(
+            released.number,
+            self._host_id,
+            0,
+            released.ordered_ids,
+            result,
+            released.required_position,
+            released.holders_by_id,
+        )
+
+    def known_duty(self, service: str) -> Duty | None:
+        """Return a service's row as this host knows it; None if it doesn't."""
+        return self._duties_by_service.get(service)
+
+    async def read(self, service: str) -> Duty:
+        """Return a service's row.
+
+        Raises ``PlatformError`` while the store can't be reached.
+        """
+        duty, _ = await self._read(service)
+        return duty
+
+    async def record_holders(
+        self,
+        service: str,
+        duty: Duty,
+        holders_by_id: copies.HoldersById,
+        required_position: types.Position | None,
+    ) -> bool:
+        """Replace the holders of copies in an idle row.
+
+        Returns whether the row was still as in ``duty``. Raises
+        ``PlatformError`` while the store can't be reached.
+        """
+        recorded = dataclasses.replace(
+            duty,
+            holders_by_id=holders_by_id,
+            required_position=required_position,
+        )
+        model = _DutyModel(
+            token=recorded.token,
+            holder=recorded.holder,
+            required=_encode_position(required_position),
+            holders=_encode_holders(holders_by_id),
+        )
+        self._duties_by_service.pop(service, None)
+        result = await self._put(service, model, duty.version)
+        if isinstance(result, store_module.Conflict):
+            return False
+        self._duties_by_service[service] = dataclasses.replace(
+            recorded, version=result
+        )
+        return True
 
     async def read_ordered_ids(self, service: str) -> frozenset[str]:
         """Return the targets for which an order may still be carried out.
@@ -244,9 +328,13 @@
         key = _duty_key(service)
         feed = await self._read_repeatedly(key)
         row = next((each for each in feed.rows if each.key == key), None)
-        if row is None:
-            return Duty(0, '', 0, frozenset(), 0), feed.now_ms
-        return _decode_duty(row, feed), feed.now_ms
+        duty = (
+            Duty(0, '', 0, frozenset(), 0)
+            if row is None
+            else _decode_duty(row, feed)
+        )
+        self._duties_by_service[service] = duty
+        return duty, feed.now_ms
 
     async def _read_repeatedly(self, key: str) -> store_module.TableRows:
         """Return the first answer to a read that is repeated meanwhile."""
@@ -280,10 +368,16 @@
             until_ms=token.until_ms,
             ordered=sorted(token.ordered_ids),
             required=_encode_position(token.required_position),
+            holders=_encode_holders(token.holders_by_id),
         )
+        return await self._put(token.service, model, version)
+
+    async def _put(
+        self, service: str, model: _DutyModel, version: int
+    ) -> int | store_module.Conflict:
         return await self._store.put(
             DUTIES_TABLE,
-            _duty_key(token.service),
+            _duty_key(service),
             model.model_dump_json().encode(),
             version,
         )
@@ -306,6 +400,30 @@
     return None if model is None else types.Position(model.term, model.offset)
 
 
+def _encode_holders(
+    holders_by_id: copies.HoldersById | None,
+) -> dict[str, _HolderModel] | None:
+    if holders_by_id is None:
+        return None
+    return {
+        target_id: _HolderModel(
+            address=each.address, port=each.port, started_ms=each.started_ms
+        )
+        for target_id, each in sorted(holders_by_id.items())
+    }
+
+
+def _decode_holders(
+    models: dict[str, _HolderModel] | None,
+) -> copies.HoldersById | None:
+    if models is None:
+        return None
+    return {
+        target_id: copies.Holder(each.address, each.port, each.started_ms)
+        for target_id, each in models.items()
+    }
+
+
 def _duty_key(service: str) -> str:
     return f'promotion/{service}'
 
@@ -331,6 +449,7 @@
                 frozenset(model.ordered),
                 row.version,
                 _decode_position(model.required),
+                _decode_holders(model.holders),
             )
         reason = f'token {model.token}, held for {held_ms} ms'
     _log.error('duty_unreadable', key=row.key, reason=reason)
--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -68,6 +68,9 @@
 # How often a target that has left the registry is asked whether it runs.
 ABSENT_TARGET_INTERVAL_MS = 1_000
 
+# How often the holders of copies are reviewed while they have changed.
+COPY_REVIEW_INTERVAL_MS = 1_000
+
 # How often a former primary is told that there is a later one, until it
 # registers as a replica.
 STEP_DOWN_INTERVAL_MS = 1_000
@@ -483,6 +486,7 @@
     def _close_gateway(self, gateway: gateway_module.ServiceGateway) -> None:
         _log.info('gateway_closed', service=gateway.service)
         gateway.close()
+        self._metrics.remove_gauge(_absent_holders_gauge(gateway.service))
         del self._gateways_by_service[gateway.service]
 
     def _announce_claims(self, claims: frames.Claims) -> None:
@@ -532,7 +536,16 @@
         if not is_owner:
             return
         self._adopt_observations(gateway)
-        gateway.group.refresh_absent()
+        holders_by_id = (
+            None
+            if self._succession is None
+            else self._succession.known_holders(service.name)
+        )
+        gateway.group.refresh_absent(holders_by_id)
+        self._metrics.set_gauge(
+            _absent_holders_gauge(service.name),
+            len((holders_by_id or {}).keys() - gateway.group.pools_by_id),
+        )
         for target_id, pool in gateway.group.absent_pools_by_id.items():
             self._start_unless_running(
                 f'absent/{target_id}', self._ask_absent_target(gateway, pool)
@@ -552,6 +565,13 @@
                 self._replace_primary(gateway, service, reason),
             )
             return
+        if self._succession is not None and (
+            self._succession.is_copy_review_due(gateway.group)
+        ):
+            self._start_unless_running(
+                f'copies/{service.name}',
+                self._review_copies(gateway, self._succession),
+            )
         if self._succession is not None and gateway.awaits_orders:
             self._start_unless_running(
                 f'settle/{service.name}', self._settle_orders(gateway)
@@ -691,6 +711,22 @@
         )
         await self._clock.sleep(ABSENT_TARGET_INTERVAL_MS)
 
+    async def _review_copies(
+        self,
+        gateway: gateway_module.ServiceGateway,
+        succession: succession_module.PrimaryFailover,
+    ) -> None:
+        """Record which targets may hold copies of commits."""
+        try:
+            await succession.review_copies(gateway)
+        except exceptions.PlatformError as error:
+            _log.warning(
+                'copy_holders_not_recorded',
+                service=gateway.service,
+                reason=str(error),
+            )
+        await self._clock.sleep(COPY_REVIEW_INTERVAL_MS)
+
     async def _settle_orders(
         self, gateway: gateway_module.ServiceGateway
     ) -> None:
@@ -755,6 +791,11 @@
     """Ignore the claims: the default until ``on_claims`` is set."""
 
 
+def _absent_holders_gauge(service: str) -> str:
+    """Name the gauge of the holders of copies that aren't registered."""
+    return f'copy_holders_absent_{service}'
+
+
 def _sole_primary(
     gateway: gateway_module.ServiceGateway, now: int
 ) -> frames.SolePrimary | None:
--- a/samphirestand/gateway/group.py
+++ b/samphirestand/gateway/group.py
@@ -7,6 +7,7 @@
 from samphirestand import clock as clock_module
 from samphirestand.fleet import watch
 from samphirestand.gateway import concurrency
+from samphirestand.gateway import copies
 from samphirestand.gateway import draining
 from samphirestand.gateway import evacuation
 from samphirestand.gateway import freshness as freshness_module
@@ -396,12 +397,31 @@
             self.acknowledged_position = position
             self.acknowledged_sent_ms = sent_ms
 
-    def refresh_absent(self) -> None:
-        """Adopt which targets have left the registry."""
+    def refresh_absent(
+        self, holders_by_id: copies.HoldersById | None = None
+    ) -> None:
+        """Adopt which targets have left the registry.
+
+        They include the recorded holders of copies that this host has never
+        seen there.
+        """
         absent_by_id = {
             each.target_id: each
             for each in self._targets.absent_targets(self.service)
         }
+        endpoints_in_use = {
+            (each.target.address, each.target.port)
+            for each in self.pools_by_id.values()
+        }
+        for target_id, holder in (holders_by_id or {}).items():
+            if (
+                target_id not in self.pools_by_id
+                and holder.endpoint not in endpoints_in_use
+            ):
+                absent_by_id.setdefault(
+                    target_id,
+                    copies.to_target(target_id, self.service, holder),
+                )
         for target_id in self.absent_pools_by_id.keys() - absent_by_id.keys():
             self.absent_pools_by_id.pop(target_id).close()
             self._is_answering_by_id.pop(target_id, None)
@@ -435,6 +455,14 @@
             if self._is_answering_by_id.get(target_id)
         }
 
+    def silent_absent_ids(self) -> set[str]:
+        """Return the ids of absent targets that were asked and are silent."""
+        return {
+            target_id
+            for target_id in self.absent_pools_by_id
+            if self._is_answering_by_id.get(target_id) is False
+        }
+
     def settle_departures(self) -> None:
         """Record departures that an acknowledged commit has settled.
 
@@ -451,6 +479,18 @@
             ]
         )
 
+    def settle_departed(
+        self, target_ids: collections.abc.Collection[str]
+    ) -> None:
+        """Record departures after which another replica had everything."""
+        self._targets.settle_departures(
+            [
+                each.target.start
+                for each in self._targets.departed_replicas(self.service)
+                if each.target.target_id in target_ids
+            ]
+        )
+
     def unconfirmed_departures(self) -> list[str]:
         """Return the ids of departed replicas that may hold the only copy.
 
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -10,6 +10,8 @@
 from samphirestand import catalog as catalog_module
 from samphirestand import clock as clock_module
 from samphirestand import exceptions
+from samphirestand.gateway import copies
+from samphirestand.gateway import copy_review
 from samphirestand.gateway import fencing
 from samphirestand.gateway import gateway as gateway_module
 from samphirestand.gateway import group as group_module
@@ -88,6 +90,15 @@
         """Return the newest term that a target knows of; 0 without answers."""
         return max((each.term for each in self.states.values()), default=0)
 
+    @property
+    def replica_ids(self) -> set[str]:
+        """Return the ids of the targets that answered as replicas."""
+        return {
+            target_id
+            for target_id, status in self.states.items()
+            if not status.is_primary
+        }
+
     def joined(self, others: '_Answers') -> '_Answers':
         """Return these answers and those of other targets."""
         return _Answers(
@@ -149,6 +160,7 @@
         self._clock = clock
         self._store = store
         self._tokens = fencing.FencingTokens(host_id, clock, store)
+        self._copy_reviews = copy_review.CopyReviews(clock, self._tokens)
         self._promotions = promotions
         self._tasks: set[asyncio.Task[Any]] = set()
         # Held while this host may hold the token of a service, which the
@@ -164,6 +176,24 @@
         """
         return await self._tokens.read_ordered_ids(service)
 
+    def known_holders(self, service: str) -> copies.HoldersById | None:
+        """Return the holders of copies that this host knows to be recorded."""
+        duty = self._tokens.known_duty(service)
+        return None if duty is None else duty.holders_by_id
+
+    def is_copy_review_due(self, group: group_module.TargetGroup) -> bool:
+        """Tell whether the recorded holders of copies may have to change."""
+        return self._copy_reviews.is_due(group)
+
+    async def review_copies(
+        self, gateway: gateway_module.ServiceGateway
+    ) -> None:
+        """Record which holders of copies have joined and which have gone.
+
+        Raises ``PlatformError`` while the store can't be reached.
+        """
+        await self._copy_reviews.review(gateway)
+
     def has_reached_store(self, since_ms: int) -> bool:
         """Tell whether the store has answered a call of this host since."""
         answered_ms = self._store.answered_ms
@@ -244,7 +274,7 @@
             return False
         token = await self._tokens.acquire(
             service.name,
-            lambda duty: _lost_commit_reason(service, duty, answers),
+            lambda duty: _lost_commit_reason(group, service, duty, answers),
         )
         if token is None:
             return False
@@ -298,7 +328,17 @@
         await self._resume_followers(
             pools, promoted_term, self._may_resume(token)
         )
-        await self._tokens.release(plan.token)
+        await self._tokens.release(
+            dataclasses.replace(
+                plan.token,
+                holders_by_id={
+                    target_id: copies.to_holder(pools[target_id].target)
+                    for target_id in plan.answers.replica_ids
+                },
+            )
+            if service.is_synchronous
+            else plan.token
+        )
         gateway.note_orders_settled()
         return True
 
@@ -350,6 +390,10 @@
                 group.acknowledged_position, token.required_position
             ),
         )
+        if wait_reason is None:
+            wait_reason = _missing_holders_reason(
+                group, service, token.holders_by_id, answers
+            )
         if needed is not None and wait_reason is None:
             wait_reason = _behind_reason(candidate, answers, needed)
         if wait_reason is not None:
@@ -1030,14 +1074,34 @@
     return None
 
 
+def _missing_holders_reason(
+    group: group_module.TargetGroup,
+    service: catalog_module.Service,
+    holders_by_id: copies.HoldersById | None,
+    answers: _Answers,
+) -> str | None:
+    """Return why holders of copies that don't answer are needed, or None."""
+    if not service.is_synchronous:
+        return None
+    return copies.missing_reason(
+        holders_by_id,
+        [each.target for each in group.pools_by_id.values()],
+        answers.replica_ids,
+    )
+
+
 def _lost_commit_reason(
-    service: catalog_module.Service, duty: fencing.Duty, answers: _Answers
+    group: group_module.TargetGroup,
+    service: catalog_module.Service,
+    duty: fencing.Duty,
+    answers: _Answers,
 ) -> str | None:
     """Return why a promotion would lose an acknowledged commit, or None."""
-    required_position = duty.required_position
-    if not service.is_synchronous or required_position is None:
-        return None
-    received = [each.received for each in answers.states.values()]
-    if any(each >= required_position for each in received):
+    if not service.is_synchronous:
         return None
-    return f'no replica that answers has received {required_position}'
+    required_position = duty.required_position
+    if required_position is not None and not any(
+        each.received >= required_position for each in answers.states.values()
+    ):
+        return f'no replica that answers has received {required_position}'
+    return _missing_holders_reason(group, service, duty.holders_by_id, answers)
--- a/standins/database_group.py
+++ b/standins/database_group.py
@@ -52,8 +52,8 @@
 
     With ``primaries_go_on``, a primary that is replaced doesn't notice it: it
     acts as the primary of its term until it is told to step down. With
-    ``keeps_logs``, a server that crashes or receives nothing keeps its log over
-    a promotion, and positions have the term of the last entry.
+    ``keeps_logs``, a server that crashes or receives nothing keeps its log
+    over a promotion, and positions have the term of the last entry.
     """
 
     def __init__(self, service: str, store: store_module.StoreStandin) -> None:
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -1,9 +1,11 @@
 """Crashes after which few servers have all acknowledged commits."""
 
 import asyncio
+import json
 
 import pytest
 
+from samphirestand.gateway import copies
 from tests.gateway import writers as writers_module
 from tests import nodes
 
@@ -11,19 +13,26 @@
 REFUSED_S = 6
 
 
-def run_scenario(scenario, hosts=2):
+def run_scenario(scenario, is_served_at_end=True, hosts=2):
     async def main():
         async with nodes.running(hosts) as fleet:
             fleet.group.keeps_logs = True
             async with writers_module.Writers(fleet) as writers:
                 await writers.until_served()
                 await scenario(fleet, writers)
-                await writers.until_served()
+                if is_served_at_end:
+                    await writers.until_served()
                 assert writers.lost() == []
 
     asyncio.run(main())
 
 
+def recorded_ids(fleet):
+    """Return the ids of the holders that the store has."""
+    row = fleet.store.get('duties', f'promotion/{nodes.SERVICE}')
+    return set(json.loads(row).get('holders') or ()) if row else set()
+
+
 def lose(fleet, server):
     """Let a server crash; its registration has lapsed."""
     server.crash()
@@ -104,3 +113,140 @@
         await fleet.until(lambda: fleet.group.primary is first)
 
     run_scenario(scenario)
+
+
+@changes_of_hosts
+def test_replica_that_was_lost_may_hold_the_only_copy(change_hosts):
+    """Guards against a host that doesn't know of a replica lost before.
+
+    The replica that remains has received nothing of what that one confirmed.
+    """
+
+    async def scenario(fleet, writers):
+        first, confirming, deaf = fleet.group.servers.values()
+        await fleet.until(lambda: len(recorded_ids(fleet)) == 3)
+        deaf.is_deaf = True
+        await writers.until_served()
+        lose(fleet, confirming)
+        await asyncio.sleep(0.5)
+        await change_hosts(fleet)
+        lose(fleet, first)
+        deaf.is_deaf = False
+        await refuse_promotions(fleet)
+        await first.come_back()
+        await fleet.until(lambda: fleet.group.primary is first)
+
+    run_scenario(scenario)
+
+
+async def lose_replica_for_good(fleet, change_hosts):
+    """Let a replica be lost, then the primary; the last one takes over.
+
+    It acknowledges nothing, as no replica is left to confirm it.
+    """
+    first, gone, staying = fleet.group.servers.values()
+    await fleet.until(lambda: len(recorded_ids(fleet)) == 3)
+    lose(fleet, gone)
+    await fleet.until(lambda: gone.server_id not in recorded_ids(fleet), 5)
+    await asyncio.sleep(0.5)  # until other hosts have heard of it
+    await change_hosts(fleet)
+    lose(fleet, first)
+    await fleet.until(lambda: fleet.group.primary is staying, 8)
+
+
+@changes_of_hosts
+def test_replica_that_is_gone_for_good_blocks_nothing(change_hosts):
+    """Guards against no primary though another replica has everything."""
+
+    async def scenario(fleet, writers):
+        await lose_replica_for_good(fleet, change_hosts)
+
+    run_scenario(scenario, is_served_at_end=False)
+
+
+def test_replica_that_is_gone_blocks_nothing_where_nobody_writes():
+    """Guards against waiting for commits that would settle its departure."""
+
+    async def main():
+        async with nodes.running() as fleet:
+            await lose_replica_for_good(fleet, keep_hosts)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize('pause_s', [0.5, 3])
+def test_primaries_that_are_gone_for_good_block_nothing(pause_s):
+    """Guards against waiting for an earlier primary after a second crash."""
+
+    async def scenario(fleet, writers):
+        await fleet.until(lambda: len(recorded_ids(fleet)) == 3)
+        second = await crash_primary(fleet)
+        await writers.until_served()
+        await asyncio.sleep(pause_s)
+        lose(fleet, second)
+        await fleet.until(lambda: fleet.group.primary not in (None, second), 4)
+
+    run_scenario(scenario, is_served_at_end=False)
+
+
+HOLDERS = {each: copies.Holder('10.0.0.1', ord(each), 1) for each in 'abc'}
+
+
+def target(target_id, port=None, started_ms=1):
+    holder = copies.Holder('10.0.0.1', port or ord(target_id), started_ms)
+    return copies.to_target(target_id, nodes.SERVICE, holder)
+
+
+@pytest.mark.parametrize(
+    ('registered', 'answered', 'is_missing'),
+    [
+        ('abc', 'bc', False),
+        ('bc', 'bc', False),
+        ('bc', 'c', True),
+        ('c', 'c', True),
+        ('ac', 'ac', False),
+        ('abcd', 'bc', True),
+        ('bcd', 'bcd', False),
+    ],
+)
+def test_holders_of_which_one_may_be_missing(registered, answered, is_missing):
+    """Guards against a choice that overlaps no two holders of a commit."""
+    reason = copies.missing_reason(
+        HOLDERS, [target(each) for each in registered], set(answered)
+    )
+    assert (reason is not None) is is_missing
+    assert not copies.missing_reason(None, [], set())
+
+
+def test_server_at_the_address_of_a_holder_counts_for_it():
+    """Guards against waiting for a server whose log another one has."""
+    successor = target('d', ord('a'))
+    assert not copies.missing_reason(
+        HOLDERS, [successor, target('c')], {'c', 'd'}
+    )
+    assert copies.missing_reason(HOLDERS, [successor, target('c')], {'c'})
+
+
+def test_changes_of_holders():
+    """Fails if servers that join, leave or restart aren't told apart."""
+
+    def find(reachable, silent=()):
+        found = copies.find_changes(
+            HOLDERS,
+            reachable,
+            {each.target_id for each in reachable},
+            set(silent),
+        )
+        return sorted(found.joined_ids), sorted(found.left_ids)
+
+    everyone = [target(each) for each in 'abc']
+    assert find(everyone) == ([], [])
+    assert find([*everyone, target('d')]) == (['d'], [])
+    # Not asked yet, and silent.
+    assert find(everyone[1:]) == ([], [])
+    assert find(everyone[1:], 'a') == ([], ['a'])
+    assert find([*everyone[1:], target('d', ord('a'))]) == (['d'], ['a'])
+    restarted = target('a', started_ms=2)
+    assert find([restarted, *everyone[1:]]) == ([], ['a'])
+    moved = target('a', 7)
+    assert find([moved, *everyone[1:]]) == (['a'], [])
