failover: Count holders whatever their last role was

Cause: a target that was last registered as primary isn't waited for, nor is the primary that is replaced, although both may have confirmed commits as replicas. What was left of this cause is the other direction: a former primary that the host knows as a replica was waited for, though all others answered.

Change: once holders are recorded, any one of them may be missing, and no more than one. Before that, the rule stays as it was.

--- a/samphirestand/gateway/copies.py
+++ b/samphirestand/gateway/copies.py
@@ -16,7 +16,7 @@
     'Holder',
     'HoldersById',
     'find_changes',
-    'missing_reason',
+    'find_missing',
     'to_holder',
     'to_target',
 ]
@@ -122,23 +122,27 @@
     return Changes(frozenset(joined_ids), frozenset(gone_ids | restarted_ids))
 
 
-def missing_reason(
+def find_missing(
     holders_by_id: HoldersById | None,
     registered: collections.abc.Iterable[catalog_module.Target],
+    unanswered_ids: collections.abc.Set[str],
     answered_ids: collections.abc.Set[str],
-) -> str | None:
-    """Return why holders that don't answer forbid a promotion, or None.
+) -> frozenset[str]:
+    """Return the targets without whose answers nothing may be promoted.
 
     For crashes in short order and servers that are lost for good, while some
-    replicas receive nothing. One holder may be missing, usually the primary
-    that is replaced. A holder that has gone counts as answering if a target at
-    its address answers, which has its log. None, too, if no holders have been
-    recorded yet.
+    replicas receive nothing. One holder may be missing, whichever it is; often
+    it is the primary that is replaced. A holder that has gone counts as
+    answering if a target at its address answers, which has its log.
+
+    ``unanswered_ids`` are those that were asked, or have left lately. While no
+    holders are recorded, all of them are needed: whether the primary counts
+    among them isn't known.
     """
     if holders_by_id is None:
-        return None
+        return frozenset(unanswered_ids)
     registered_by_id = {each.target_id: each for each in registered}
-    answering_addresses = {
+    answering_endpoints = {
         (each.address, each.port)
         for target_id, each in registered_by_id.items()
         if target_id in answered_ids
@@ -147,12 +151,11 @@
         target_id
         for target_id, holder in holders_by_id.items()
         if target_id not in registered_by_id
-        and holder.endpoint not in answering_addresses
+        and holder.endpoint not in answering_endpoints
     }
-    missing_ids = (registered_by_id.keys() | gone_ids) - answered_ids
+    missing_ids = (
+        registered_by_id.keys() | gone_ids | unanswered_ids
+    ) - answered_ids
     if len(missing_ids) <= MAX_MISSING:
-        return None
-    return (
-        f'no answer from {", ".join(sorted(missing_ids))}, of which two may '
-        'have the only copies of a commit'
-    )
+        return frozenset()
+    return frozenset(missing_ids)
--- a/samphirestand/gateway/fencing.py
+++ b/samphirestand/gateway/fencing.py
@@ -275,6 +275,10 @@
         """Return a service's row as this host knows it; None if it doesn't."""
         return self._duties_by_service.get(service)
 
+    def forget(self, service: str) -> None:
+        """Let a service's row be read again before it is used."""
+        self._duties_by_service.pop(service, None)
+
     async def read(self, service: str) -> Duty:
         """Return a service's row.
 
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -245,11 +245,15 @@
         answers = await self._send_to_all(pools, wire.STATUS)
         if await self._follow_existing_primary(gateway, pools, answers):
             return True
+        duty = self._tokens.known_duty(service.name)
+        if duty is None:
+            duty = await self._tokens.read(service.name)
         candidate = _choose_candidate(
             gateway,
             service,
             pools,
             answers,
+            duty.holders_by_id,
             zone=self._zone,
             may_catch_up=True,
         )
@@ -271,10 +275,14 @@
             _log.warning(
                 'succession_waits', service=service.name, reason=needed.reason
             )
+            # Another host may have recorded other holders meanwhile.
+            self._tokens.forget(service.name)
             return False
         token = await self._tokens.acquire(
             service.name,
-            lambda duty: _lost_commit_reason(group, service, duty, answers),
+            lambda duty: self._find_obstacle(
+                gateway, service, pools, answers, duty
+            ),
         )
         if token is None:
             return False
@@ -342,6 +350,32 @@
         gateway.note_orders_settled()
         return True
 
+    def _find_obstacle(
+        self,
+        gateway: gateway_module.ServiceGateway,
+        service: catalog_module.Service,
+        pools: dict[str, pool_module.TargetPool],
+        answers: _Answers,
+        duty: fencing.Duty,
+    ) -> str | None:
+        """Return why what is recorded forbids a promotion, or None."""
+        reason = _required_position_reason(service, duty, answers)
+        if reason is not None:
+            return reason
+        candidate = _choose_candidate(
+            gateway,
+            service,
+            pools,
+            answers,
+            duty.holders_by_id,
+            duty.ordered_ids,
+            zone=self._zone,
+            may_catch_up=True,
+        )
+        if isinstance(candidate, exceptions.Sentinel):
+            return candidate.reason
+        return None
+
     async def _prepare_order(
         self,
         gateway: gateway_module.ServiceGateway,
@@ -377,6 +411,7 @@
             service,
             pools,
             answers,
+            token.holders_by_id,
             token.ordered_ids,
             zone=self._zone,
         )
@@ -390,10 +425,6 @@
                 group.acknowledged_position, token.required_position
             ),
         )
-        if wait_reason is None:
-            wait_reason = _missing_holders_reason(
-                group, service, token.holders_by_id, answers
-            )
         if needed is not None and wait_reason is None:
             wait_reason = _behind_reason(candidate, answers, needed)
         if wait_reason is not None:
@@ -459,6 +490,7 @@
             service,
             pools,
             answers,
+            token.holders_by_id,
             token.ordered_ids,
             zone=self._zone,
         ):
@@ -940,6 +972,7 @@
     service: catalog_module.Service,
     pools: dict[str, pool_module.TargetPool],
     answers: _Answers,
+    holders_by_id: copies.HoldersById | None,
     ordered_ids: collections.abc.Set[str] = frozenset(),
     *,
     zone: str,
@@ -968,12 +1001,17 @@
             for target_id, status in answers.states.items()
             if target_id in group.pools_by_id or not status.is_primary
         ],
-        [
-            *answers.unanswered,
-            *group.unconfirmed_departures(),
-            # These were found to run after the attempt had begun.
-            *(group.answering_absent_pools().keys() - pools.keys()),
-        ],
+        copies.find_missing(
+            holders_by_id,
+            [each.target for each in group.pools_by_id.values()],
+            {
+                *answers.unanswered,
+                *group.unconfirmed_departures(),
+                # These were found to run after the attempt had begun.
+                *(group.answering_absent_pools().keys() - pools.keys()),
+            },
+            answers.replica_ids,
+        ),
         service.is_synchronous,
         ordered_ids,
         waiver=waiver,
@@ -1074,34 +1112,15 @@
     return None
 
 
-def _missing_holders_reason(
-    group: group_module.TargetGroup,
-    service: catalog_module.Service,
-    holders_by_id: copies.HoldersById | None,
-    answers: _Answers,
-) -> str | None:
-    """Return why holders of copies that don't answer are needed, or None."""
-    if not service.is_synchronous:
-        return None
-    return copies.missing_reason(
-        holders_by_id,
-        [each.target for each in group.pools_by_id.values()],
-        answers.replica_ids,
-    )
-
-
-def _lost_commit_reason(
-    group: group_module.TargetGroup,
-    service: catalog_module.Service,
-    duty: fencing.Duty,
-    answers: _Answers,
+def _required_position_reason(
+    service: catalog_module.Service, duty: fencing.Duty, answers: _Answers
 ) -> str | None:
-    """Return why a promotion would lose an acknowledged commit, or None."""
-    if not service.is_synchronous:
-        return None
+    """Return that each replica lacks what a primary must have, or None."""
     required_position = duty.required_position
-    if required_position is not None and not any(
+    if not service.is_synchronous or required_position is None:
+        return None
+    if any(
         each.received >= required_position for each in answers.states.values()
     ):
-        return f'no replica that answers has received {required_position}'
-    return _missing_holders_reason(group, service, duty.holders_by_id, answers)
+        return None
+    return f'no replica that answers has received {required_position}'
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -197,34 +197,45 @@
     return copies.to_target(target_id, nodes.SERVICE, holder)
 
 
+def find_missing(registered, answered, unanswered=()):
+    missing_ids = copies.find_missing(
+        HOLDERS, registered, set(unanswered), set(answered)
+    )
+    return ''.join(sorted(missing_ids))
+
+
 @pytest.mark.parametrize(
-    ('registered', 'answered', 'is_missing'),
+    ('registered', 'answered', 'unanswered', 'missing'),
     [
-        ('abc', 'bc', False),
-        ('bc', 'bc', False),
-        ('bc', 'c', True),
-        ('c', 'c', True),
-        ('ac', 'ac', False),
-        ('abcd', 'bc', True),
-        ('bcd', 'bcd', False),
+        ('abc', 'bc', '', ''),
+        ('bc', 'bc', '', ''),
+        ('ac', 'ac', 'b', ''),
+        ('bc', 'c', 'b', 'ab'),
+        ('c', 'c', '', 'ab'),
+        ('abcd', 'bc', '', 'ad'),
+        ('bcd', 'bcd', '', ''),
+        ('bc', 'bc', 'e', 'ae'),
     ],
 )
-def test_holders_of_which_one_may_be_missing(registered, answered, is_missing):
+def test_holders_of_which_one_may_be_missing(
+    registered, answered, unanswered, missing
+):
     """Guards against a choice that overlaps no two holders of a commit."""
-    reason = copies.missing_reason(
-        HOLDERS, [target(each) for each in registered], set(answered)
-    )
-    assert (reason is not None) is is_missing
-    assert not copies.missing_reason(None, [], set())
+    targets = [target(each) for each in registered]
+    assert find_missing(targets, answered, unanswered) == missing
+
+
+def test_all_are_needed_while_no_holders_are_recorded():
+    """Guards against leaving out a replica beside an unknown primary."""
+    found = copies.find_missing(None, [target('b')], {'c'}, {'b'})
+    assert found == {'c'}
 
 
 def test_server_at_the_address_of_a_holder_counts_for_it():
     """Guards against waiting for a server whose log another one has."""
-    successor = target('d', ord('a'))
-    assert not copies.missing_reason(
-        HOLDERS, [successor, target('c')], {'c', 'd'}
-    )
-    assert copies.missing_reason(HOLDERS, [successor, target('c')], {'c'})
+    targets = [target('d', ord('a')), target('c')]
+    assert find_missing(targets, 'cd') == ''
+    assert find_missing(targets, 'c') == 'abd'
 
 
 def test_changes_of_holders():
@@ -250,3 +261,56 @@
     assert find([restarted, *everyone[1:]]) == ([], ['a'])
     moved = target('a', 7)
     assert find([moved, *everyone[1:]]) == (['a'], [])
+
+
+@changes_of_hosts
+def test_first_of_three_primaries_comes_back_with_an_old_log(change_hosts):
+    """Guards against a promotion without commits of two later primaries.
+
+    Both had confirmed them as replicas, and are down.
+    """
+
+    async def scenario(fleet, writers):
+        first = fleet.group.primary
+        second = await crash_primary(fleet)
+        await writers.until_served()
+        third = await crash_primary(fleet)
+        await asyncio.sleep(0.5)
+        await change_hosts(fleet)
+        lose(fleet, third)
+        await first.come_back()
+        await refuse_promotions(fleet)
+        await second.come_back()
+        await fleet.until(lambda: fleet.group.primary is second)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('change_hosts', [keep_hosts, restart_hosts])
+def test_earlier_primary_confirms_without_registration(change_hosts):
+    """Guards against forgetting a former primary that confirmed commits.
+
+    It is cut off from the store and follows the next primary.
+    """
+
+    async def scenario(fleet, writers):
+        first = fleet.group.primary
+        first.register = lambda: None
+        fleet.store.delete('servers', first.server_id)
+        await fleet.until(lambda: fleet.group.primary not in (None, first))
+        second = fleet.group.primary
+        [deaf] = set(fleet.group.servers.values()) - {first, second}
+        await writers.until_served()
+        deaf.is_deaf = True
+        await writers.until_served()
+        await asyncio.sleep(2)
+        await change_hosts(fleet)
+        first.crash()
+        await asyncio.sleep(2)
+        lose(fleet, second)
+        await refuse_promotions(fleet)
+        deaf.is_deaf = False
+        await second.come_back()
+        await fleet.until(lambda: fleet.group.primary is second)
+
+    run_scenario(scenario)
