failover: Order nothing beside a replica that refused to be paused

It had received nothing in term 2, so the host asked for a term that wasn't above the newest.

Cause: the answer to a pause was taken for the pause. Change: a refused pause is repeated for the next terms; a replica that isn't paused counts as silent. The stand-in refuses such pauses where it keeps logs.

Measured: the new test fails on the code before (both replicas go on receiving when the order is sent) and passes now.

--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -56,6 +56,10 @@
 # it is in force or never will be.
 MAX_PROMOTION_MS = PROMOTION_TIMEOUT_MS
 
+# A replica is paused only for a term above the newest one. Replicas that have
+# received nothing since a promotion don't know the newest term.
+MAX_PAUSE_ATTEMPTS = 4
+
 # How long a staying replica may take to receive what leaving ones have, and
 # how often it is asked. A replica that follows its primary is some statements
 # behind; while the leaving ones are paused, commits wait for the staying one.
@@ -99,6 +103,27 @@
             if not status.is_primary
         }
 
+    def unpaused_ids(self, term: int) -> set[str]:
+        """Return the ids of replicas that refused to be paused for a term."""
+        return {
+            target_id
+            for target_id in self.replica_ids
+            if self.states[target_id].held < term
+        }
+
+    def without_unpaused(self, term: int) -> '_Answers':
+        """Return these answers, as if replicas that go on were silent."""
+        unpaused_ids = self.unpaused_ids(term)
+        return _Answers(
+            {
+                target_id: status
+                for target_id, status in self.states.items()
+                if target_id not in unpaused_ids
+            },
+            [*self.unanswered, *sorted(unpaused_ids)],
+            self.sent_ms,
+        )
+
     def joined(self, others: '_Answers') -> '_Answers':
         """Return these answers and those of other targets."""
         return _Answers(
@@ -398,13 +423,17 @@
         group = gateway.group
         old_primary = group.primary
         old_primary_id = group.primary_id
-        term = 1 + max(
+        first_term = 1 + max(
             max(each.term, each.held, each.received.term)
             for each in answers.states.values()
         )
-        answers = await self._pause(
-            group, pools, wire.pause_text(term), needed
-        )
+        for term in range(first_term, first_term + MAX_PAUSE_ATTEMPTS):
+            answers = await self._pause(
+                group, pools, wire.pause_text(term), needed
+            )
+            if not answers.unpaused_ids(term):
+                break
+        answers = answers.without_unpaused(term)
         paused_ms = self._clock.now()
         candidate = _choose_candidate(
             gateway,
@@ -483,7 +512,7 @@
                 },
                 wire.pause_text(term),
             )
-            answers = answers.updated(again)
+            answers = answers.updated(again).without_unpaused(term)
         recorded_token = await recording
         if candidate != _choose_candidate(
             gateway,
--- a/standins/database_group.py
+++ b/standins/database_group.py
@@ -401,7 +401,9 @@
         return f'COMPLETE {signature}\r\n'
 
     def _run_control_command(self, command: str, argument_text: str) -> str:
-        if command == 'PAUSE' and int(argument_text) > self.term:
+        # A server knows of later terms even if it has received nothing.
+        newest_term = self.group.term if self.group.keeps_logs else self.term
+        if command == 'PAUSE' and int(argument_text) > newest_term:
             self.paused_term = int(argument_text)
         if command == 'RESUME':
             self.paused_term = 0
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -314,3 +314,37 @@
         await fleet.until(lambda: fleet.group.primary is second)
 
     run_scenario(scenario)
+
+
+def test_replica_that_refuses_a_pause_for_an_old_term():
+    """Guards against a promotion beside a replica that goes on receiving.
+
+    It knows nothing of the term of the primary that crashed, as it received
+    nothing in it, and a pause for that term has no effect.
+    """
+
+    async def scenario(fleet, writers):
+        first, _, deaf = fleet.group.servers.values()
+        deaf.is_deaf = True
+        await writers.until_served()
+        second = await crash_primary(fleet)
+        await asyncio.sleep(0.5)
+        lose(fleet, second)
+        order = fleet.store.on_promotion
+        paused = []
+
+        def record_order(service, server_id):
+            paused.extend(
+                bool(each.paused_term)
+                for each in fleet.group.servers.values()
+                if each.is_running
+            )
+            return order(service, server_id)
+
+        fleet.store.on_promotion = record_order
+        await first.come_back()
+        deaf.is_deaf = False
+        await fleet.until(lambda: fleet.group.primary is first)
+        assert paused == [True, True]
+
+    run_scenario(scenario)
