fencing: Write the holders of copies again when the store has come back

What is recorded of holders stays safe without it, but for a server that joined after the copy and has left again: only hosts that have read its row know of it.

Change: the client of the store notes the era of each answer, and logs and counts a rise. A host that knew a service's row in an earlier era reads it again before it uses it, takes the union of the holders and the later position, and the gateway's host writes that. A write that was answered in another era than it was sent isn't relied on. The stand-in of the store can take a copy and come back with it.

Measured: test_store_that_comes_back_from_before_a_server_joined fails on (the server is never recorded again) and passes now; the two scenarios with a promotion after the copy pass on both.

--- a/samphirestand/gateway/copy_review.py
+++ b/samphirestand/gateway/copy_review.py
@@ -43,6 +43,7 @@
         return (
             duty is None
             or duty.holders_by_id is None
+            or duty.is_outdated
             or bool(_find_changes(group, duty))
         )
 
@@ -85,7 +86,9 @@
                     holders_by_id[target_id] = copies.to_holder(
                         restarted_pool.target
                     )
-        if not holders_by_id or holders_by_id == duty.holders_by_id:
+        if not holders_by_id or (
+            holders_by_id == duty.holders_by_id and not duty.is_outdated
+        ):
             return
         if not await self._tokens.record_holders(
             group.service, duty, holders_by_id, required_position
--- a/samphirestand/gateway/fencing.py
+++ b/samphirestand/gateway/fencing.py
@@ -102,12 +102,48 @@
     version: int
     required_position: types.Position | None = None
     holders_by_id: copies.HoldersById | None = None
+    # Whether this host knows more about copies than the row has.
+    is_outdated: bool = False
 
     @property
     def is_idle(self) -> bool:
         """Tell whether no promotion is under way or may still take effect."""
         return not self.held_ms and not self.ordered_ids
 
+    def with_copies_of(self, earlier: 'Duty') -> 'Duty':
+        """Return this row with what was recorded of copies in another one.
+
+        More holders or a later position are always safe.
+        """
+        required_position = max_position(
+            self.required_position, earlier.required_position
+        )
+        holders_by_id = self.holders_by_id
+        if earlier.holders_by_id is not None:
+            holders_by_id = {
+                **earlier.holders_by_id,
+                **(self.holders_by_id or {}),
+            }
+        return dataclasses.replace(
+            self,
+            required_position=required_position,
+            holders_by_id=holders_by_id,
+            is_outdated=(required_position, holders_by_id)
+            != (self.required_position, self.holders_by_id),
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class _KnownDuty:
+    """A row as this host read or wrote it last, in an era of the store.
+
+    ``is_current`` unless it must be read again before it is used.
+    """
+
+    duty: Duty
+    era: int | None
+    is_current: bool = True
+
 
 @dataclasses.dataclass(frozen=True)
 class Token:
@@ -143,8 +179,7 @@
         self._clock = clock
         self._store = store
         self._versions_by_service: dict[str, int] = {}
-        # What was read or written last, where nothing is under way since.
-        self._duties_by_service: dict[str, Duty] = {}
+        self._known_by_service: dict[str, _KnownDuty] = {}
 
     async def acquire(
         self,
@@ -261,23 +296,40 @@
         if isinstance(result, store_module.Conflict):
             return
         self._versions_by_service[token.service] = result
-        self._duties_by_service[token.service] = Duty(
-            released.number,
-            self._host_id,
-            0,
-            released.ordered_ids,
-            result,
-            released.required_position,
-            released.holders_by_id,
+        self._note_duty(
+            token.service,
+            Duty(
+                released.number,
+                self._host_id,
+                0,
+                released.ordered_ids,
+                result,
+                released.required_position,
+                released.holders_by_id,
+            ),
         )
 
     def known_duty(self, service: str) -> Duty | None:
-        """Return a service's row as this host knows it; None if it doesn't."""
-        return self._duties_by_service.get(service)
+        """Return a service's row as this host knows it.
+
+        None if it must be read first, also because the store has come back
+        from an older copy.
+        """
+        known = self._known_by_service.get(service)
+        if known is None or not known.is_current:
+            return None
+        return known.duty if known.era == self._store.era else None
+
+    def _note_duty(self, service: str, duty: Duty) -> None:
+        self._known_by_service[service] = _KnownDuty(duty, self._store.era)
 
     def forget(self, service: str) -> None:
         """Let a service's row be read again before it is used."""
-        self._duties_by_service.pop(service, None)
+        known = self._known_by_service.get(service)
+        if known is not None:
+            self._known_by_service[service] = dataclasses.replace(
+                known, is_current=False
+            )
 
     async def read(self, service: str) -> Duty:
         """Return a service's row.
@@ -303,6 +355,7 @@
             duty,
             holders_by_id=holders_by_id,
             required_position=required_position,
+            is_outdated=False,
         )
         model = _DutyModel(
             token=recorded.token,
@@ -310,13 +363,15 @@
             required=_encode_position(required_position),
             holders=_encode_holders(holders_by_id),
         )
-        self._duties_by_service.pop(service, None)
+        self.forget(service)
+        era = self._store.era
         result = await self._put(service, model, duty.version)
-        if isinstance(result, store_module.Conflict):
+        if isinstance(result, store_module.Conflict) or (
+            era != self._store.era
+        ):
+            # A version that is given out again may be that of another row.
             return False
-        self._duties_by_service[service] = dataclasses.replace(
-            recorded, version=result
-        )
+        self._note_duty(service, dataclasses.replace(recorded, version=result))
         return True
 
     async def read_ordered_ids(self, service: str) -> frozenset[str]:
@@ -337,7 +392,12 @@
             if row is None
             else _decode_duty(row, feed)
         )
-        self._duties_by_service[service] = duty
+        known = self._known_by_service.get(service)
+        if known is not None and (
+            known.era != self._store.era or known.duty.is_outdated
+        ):
+            duty = duty.with_copies_of(known.duty)
+        self._note_duty(service, duty)
         return duty, feed.now_ms
 
     async def _read_repeatedly(self, key: str) -> store_module.TableRows:
--- a/samphirestand/platform/store.py
+++ b/samphirestand/platform/store.py
@@ -34,6 +34,10 @@
 # A key followed by this is the next one in the order of the store.
 FIRST_KEY_SUFFIX = '\0'
 
+# Counts how often the store has come back from an older copy of itself.
+ERA_HEADER = 'Store-Era'
+MAX_ERA_DIGITS = 18
+
 _ERROR_STEP = 'store'
 
 _log = log.get_logger(__name__)
@@ -94,6 +98,10 @@
         self._clock = clock or clock_module.SystemClock()
         # When the store last answered a call of this host; None before.
         self.answered_ms: int | None = None
+        # Rises when the store has come back from an older copy: what was
+        # written for some seconds before is gone. None if it isn't known.
+        self.era: int | None = None
+        self._is_era_unreadable = False
         self._url = f'http://{endpoint}'
         self._client = httpclient.AsyncHTTPClient(
             force_instance=True, max_clients=16
@@ -244,6 +252,7 @@
             raise exceptions.PlatformUnavailable(
                 str(error), step=_ERROR_STEP, peer=self._url
             ) from error
+        self._note_era(response.headers.get(ERA_HEADER))
         if response.code in (200, 410, 412):
             self.answered_ms = self._clock.now()
             return response
@@ -257,6 +266,23 @@
             f'HTTP status {response.code}', step=_ERROR_STEP, peer=self._url
         )
 
+    def _note_era(self, text: str | None) -> None:
+        """Record the era of an answer; an older one is of a late answer."""
+        if text is None:
+            return
+        era = _decode_era(text)
+        if (era is None) is not self._is_era_unreadable:
+            self._is_era_unreadable = era is None
+            if era is None:
+                _log.warning('store_era_unreadable', length=len(text))
+        if era is None or (self.era is not None and era <= self.era):
+            return
+        if self.era is not None:
+            _log.warning('store_came_back', era=era, earlier=self.era)
+            if self._metrics is not None:
+                self._metrics.count('store_came_back')
+        self.era = era
+
     def close(self) -> None:
         self._client.close()
 
@@ -265,6 +291,12 @@
     """The store no longer keeps the requested changes."""
 
 
+def _decode_era(text: str) -> int | None:
+    if len(text) > MAX_ERA_DIGITS or not (text.isascii() and text.isdecimal()):
+        return None
+    return int(text)
+
+
 def _parse_answer(body: bytes) -> _RowsModel:
     try:
         return _RowsModel.model_validate_json(body)
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections.abc
+import copy
 import dataclasses
 import json
 import time
@@ -31,11 +32,13 @@
     connection is closed without an answer. Feeds that start before
     ``oldest_feed_version`` get status 410. While ``orders_are_held`` is set,
     orders to promote get no answer; ``carry_out_held_orders`` carries them
-    out, when their tokens are checked.
+    out, when their tokens are checked. ``come_back`` goes back to an earlier
+    copy of the rows; with an ``era``, each answer bears it.
     """
 
     def __init__(self) -> None:
         self.version = 0
+        self.era: int | None = None
         self.is_down = False
         self.loses_answers = False
         self.request_paths: list[str] = []
@@ -90,6 +93,30 @@
         row = self._rows_by_table_and_key.get((table, key))
         return None if row is None or row.is_deleted else row.value
 
+    def take_copy(self) -> tuple[int, dict[tuple[str, str], _Row]]:
+        """Return a copy to which ``come_back`` can go back."""
+        return self.version, copy.deepcopy(self._rows_by_table_and_key)
+
+    def come_back(
+        self, earlier: tuple[int, dict[tuple[str, str], _Row]]
+    ) -> None:
+        """Go back to an earlier copy.
+
+        The operator and the servers write again what they have written since.
+        """
+        kept_rows = [
+            row
+            for (table, _), row in self._rows_by_table_and_key.items()
+            if table in ('op', 'servers')
+        ]
+        self.version, self._rows_by_table_and_key = copy.deepcopy(earlier)
+        self.era = (self.era or 0) + 1
+        for row in kept_rows:
+            if row.is_deleted:
+                self.delete(row.table, row.key)
+            else:
+                self.put(row.table, row.key, row.value)
+
     def _notify_waiters(self) -> None:
         self._rows_changed.set()
         self._rows_changed = asyncio.Event()
@@ -216,6 +243,8 @@
         self.store = store
 
     def prepare(self) -> None:
+        if self.store.era is not None:
+            self.set_header('Store-Era', str(self.store.era))
         self.store.request_paths.append(self.request.path)
         if self.store.is_down:
             self.send_error(503)
@@ -230,7 +259,7 @@
     async def get(self) -> None:
         table = self.get_query_argument('Table')
         after = int(self.get_query_argument('after'))
-        if after < self.store.oldest_feed_version:
+        if not self.store.oldest_feed_version <= after <= self.store.version:
             self.set_status(410)
             return
         wait_ms = int(self.get_query_argument('WaitMs'))
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -348,3 +348,55 @@
         assert paused == [True, True]
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize('change_hosts', [keep_hosts, restart_hosts])
+def test_store_that_comes_back_from_before_a_promotion(change_hosts):
+    """Guards against losing what was recorded together with the order."""
+
+    async def scenario(fleet, writers):
+        first, _, deaf = fleet.group.servers.values()
+        await fleet.until(lambda: len(recorded_ids(fleet)) == 3)
+        deaf.is_deaf = True
+        await writers.until_served()
+        earlier = fleet.store.take_copy()
+        second = await crash_primary(fleet)
+        await asyncio.sleep(1)
+        fleet.store.come_back(earlier)
+        await change_hosts(fleet)
+        lose(fleet, second)
+        deaf.is_deaf = False
+        await refuse_promotions(fleet)
+        await first.come_back()
+        await fleet.until(lambda: fleet.group.primary is first)
+
+    run_scenario(scenario)
+
+
+def test_store_that_comes_back_from_before_a_server_joined():
+    """Guards against forgetting a server that has left again meanwhile.
+
+    Only the hosts know of it. They write it again.
+    """
+
+    async def scenario(fleet, writers):
+        first, *others = fleet.group.servers.values()
+        await fleet.until(lambda: len(recorded_ids(fleet)) == 3)
+        earlier = fleet.store.take_copy()
+        joined = await fleet.group.add('north', 0, is_primary=False)
+        await fleet.until(lambda: len(recorded_ids(fleet)) == 4)
+        for each in others:
+            each.is_deaf = True
+        await writers.until_served()
+        lose(fleet, joined)
+        fleet.store.come_back(earlier)
+        await fleet.until(lambda: joined.server_id in recorded_ids(fleet))
+        await restart_hosts(fleet)
+        lose(fleet, first)
+        await refuse_promotions(fleet)
+        await first.come_back()
+        for each in others:
+            each.is_deaf = False
+        await fleet.until(lambda: fleet.group.primary is first)
+
+    run_scenario(scenario)
--- a/tests/gateway/test_silent_store.py
+++ b/tests/gateway/test_silent_store.py
@@ -15,6 +15,8 @@
 class RecoveringStore:
     """A store that never answers the first reads, and then all."""
 
+    era = None
+
     def __init__(self, lost_reads):
         self.lost_reads = lost_reads
         self.read_count = 0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -95,3 +95,35 @@
     _, [query] = ask(answers, lambda store: store.read('t', 'a'))
     assert query['From'] == [b'a']
     assert query['To'] == [b'a\0']
+
+
+@pytest.mark.parametrize('odd_era', ['', 'x', '-1', '1.5', '9' * 300, '\xb2'])
+def test_era_that_cannot_be_read_changes_nothing(odd_era):
+    """Guards against taking odd or late answers for a store that came back."""
+    eras = ['3', odd_era, '2', '4', None]
+
+    class Handler(web.RequestHandler):
+        def get(self):
+            era = eras.pop(0)
+            if era is not None:
+                self.set_header('Store-Era', era)
+            self.write({'rows': [], 'Ver': 1})
+
+    async def scenario():
+        server = httpserver.HTTPServer(
+            web.Application(
+                [('/-/.*', Handler)], log_function=lambda handler: None
+            )
+        )
+        port = nodes.free_port()
+        server.listen(port, '127.0.0.1')
+        store = store_module.Store(node_settings.Endpoint('127.0.0.1', port))
+        seen = []
+        while eras:
+            await store.read('t')
+            seen.append(store.era)
+        store.close()
+        server.stop()
+        return seen
+
+    assert asyncio.run(scenario()) == [3, 3, 3, 4, 4]
