failover: Read the holders again when a host becomes the gateway's host

A host that was the gateway's host before went by the holders that it had known then. Found by reading the change.

Change: a host that isn't the gateway's host forgets what it knew of the row. Two tests: that, which fails before; and that a server that starts again is recorded anew with the position of another replica, which passes on both.

--- a/samphirestand/gateway/gateways.py
+++ b/samphirestand/gateway/gateways.py
@@ -534,6 +534,8 @@
             ),
         )
         if not is_owner:
+            if self._succession is not None:
+                self._succession.forget_holders(service.name)
             return
         self._adopt_observations(gateway)
         holders_by_id = (
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -206,6 +206,13 @@
         duty = self._tokens.known_duty(service)
         return None if duty is None else duty.holders_by_id
 
+    def forget_holders(self, service: str) -> None:
+        """Let the holders of copies be read again before they are used.
+
+        Another host may change them while it is the gateway's host.
+        """
+        self._tokens.forget(service)
+
     def is_copy_review_due(self, group: group_module.TargetGroup) -> bool:
         """Tell whether the recorded holders of copies may have to change."""
         return self._copy_reviews.is_due(group)
@@ -300,8 +307,7 @@
             _log.warning(
                 'succession_waits', service=service.name, reason=needed.reason
             )
-            # Another host may have recorded other holders meanwhile.
-            self._tokens.forget(service.name)
+            self.forget_holders(service.name)
             return False
         token = await self._tokens.acquire(
             service.name,
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -189,6 +189,55 @@
     run_scenario(scenario, is_served_at_end=False)
 
 
+def test_holders_are_read_again_by_a_host_that_takes_over():
+    """Guards against a host that goes by what it knew some time ago.
+
+    Another host has been the gateway's host meanwhile.
+    """
+
+    async def scenario(fleet, writers):
+        await fleet.until(lambda: len(recorded_ids(fleet)) == 3)
+        host_id = fleet.nodes[0].gateways.gateway_host_id(nodes.SERVICE)
+        [earlier] = [
+            each
+            for each in fleet.nodes
+            if each.members.local.host_id == host_id
+        ]
+        failover = earlier.gateways._succession
+        assert failover.known_holders(nodes.SERVICE)
+        await hand_over_gateway(fleet)
+        await fleet.until(
+            lambda: failover.known_holders(nodes.SERVICE) is None, 2
+        )
+
+    run_scenario(scenario)
+
+
+def test_server_that_starts_again_is_recorded_anew():
+    """Guards against going by the log that a server had before its start."""
+
+    async def scenario(fleet, writers):
+        replica = list(fleet.group.servers.values())[-1]
+        await fleet.until(lambda: len(recorded_ids(fleet)) == 3)
+
+        def recorded():
+            row = fleet.store.get('duties', f'promotion/{nodes.SERVICE}')
+            return json.loads(row)
+
+        assert recorded()['required'] is None
+        replica.born = 7
+        replica.register()
+        await fleet.until(
+            lambda: (
+                recorded()['holders'][replica.server_id]['started_ms'] == 7
+            ),
+            5,
+        )
+        assert recorded()['required']['offset'] > 0
+
+    run_scenario(scenario)
+
+
 def test_operator_gives_up_commits_of_servers_that_are_lost():
     """Guards against a service that no operator can bring back."""
 
