failover: Ask a target that is found to run before anything is ordered

Reading the change: a pause isn't repeated for a later term if another term has begun meanwhile, the review of holders waits for evidence for 1 s at most, and the field holders is called copy_holders, as holder is who holds the token.

--- a/samphirestand/gateway/copies.py
+++ b/samphirestand/gateway/copies.py
@@ -13,7 +13,7 @@
 
 __all__ = [
     'Changes',
-    'Holder',
+    'CopyHolder',
     'HoldersById',
     'find_changes',
     'find_missing',
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Holder:
+class CopyHolder:
     """A target that may hold a copy, and where it can be asked.
 
     It may have left the registry since it was recorded.
@@ -41,7 +41,7 @@
         return self.address, self.port
 
 
-HoldersById = collections.abc.Mapping[str, Holder]
+HoldersById = collections.abc.Mapping[str, CopyHolder]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,13 +59,13 @@
         return bool(self.joined_ids or self.left_ids)
 
 
-def to_holder(target: catalog_module.Target) -> Holder:
+def to_holder(target: catalog_module.Target) -> CopyHolder:
     """Return the holder that a target is."""
-    return Holder(target.address, target.port, target.started_ms)
+    return CopyHolder(target.address, target.port, target.started_ms)
 
 
 def to_target(
-    target_id: str, service: str, holder: Holder
+    target_id: str, service: str, holder: CopyHolder
 ) -> catalog_module.Target:
     """Return a holder as a target that can be asked, but gets no work."""
     return catalog_module.Target(
--- a/samphirestand/gateway/copy_review.py
+++ b/samphirestand/gateway/copy_review.py
@@ -18,6 +18,9 @@
 # A target answers within two round trips.
 STATUS_TIMEOUT_MS = 500
 
+# How long evidence for the primary is waited for.
+EVIDENCE_TIMEOUT_MS = 1_000
+
 _log = log.get_logger(__name__)
 
 
@@ -72,7 +75,11 @@
         shown_position = None
         if changes.left_ids:
             if group.leadership.needs_refresh(self._clock.now()):
-                await gateway.request_evidence()
+                # Goes on for as long as a waiting request lacks evidence.
+                await asyncio.wait(
+                    {gateway.request_evidence()},
+                    timeout=EVIDENCE_TIMEOUT_MS / 1000,
+                )
             shown_position = await _find_shown_position(group)
         if shown_position is not None:
             required_position = fencing.max_position(
--- a/samphirestand/gateway/fencing.py
+++ b/samphirestand/gateway/fencing.py
@@ -68,7 +68,7 @@
     offset: _Long
 
 
-class _HolderModel(pydantic.BaseModel):
+class _CopyHolderModel(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(strict=True)
 
     address: str = pydantic.Field(max_length=records.MAX_NAME_LENGTH)
@@ -84,7 +84,7 @@
     until_ms: int = pydantic.Field(default=0, ge=0)  # by the store's clock
     ordered: list[str] = pydantic.Field(default_factory=list)
     required: _PositionModel | None = None
-    holders: dict[str, _HolderModel] | None = None
+    copy_holders: dict[str, _CopyHolderModel] | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -361,7 +361,7 @@
             token=recorded.token,
             holder=recorded.holder,
             required=_encode_position(required_position),
-            holders=_encode_holders(holders_by_id),
+            copy_holders=_encode_holders(holders_by_id),
         )
         self.forget(service)
         era = self._store.era
@@ -432,7 +432,7 @@
             until_ms=token.until_ms,
             ordered=sorted(token.ordered_ids),
             required=_encode_position(token.required_position),
-            holders=_encode_holders(token.holders_by_id),
+            copy_holders=_encode_holders(token.holders_by_id),
         )
         return await self._put(token.service, model, version)
 
@@ -466,11 +466,11 @@
 
 def _encode_holders(
     holders_by_id: copies.HoldersById | None,
-) -> dict[str, _HolderModel] | None:
+) -> dict[str, _CopyHolderModel] | None:
     if holders_by_id is None:
         return None
     return {
-        target_id: _HolderModel(
+        target_id: _CopyHolderModel(
             address=each.address, port=each.port, started_ms=each.started_ms
         )
         for target_id, each in sorted(holders_by_id.items())
@@ -478,12 +478,12 @@
 
 
 def _decode_holders(
-    models: dict[str, _HolderModel] | None,
+    models: dict[str, _CopyHolderModel] | None,
 ) -> copies.HoldersById | None:
     if models is None:
         return None
     return {
-        target_id: copies.Holder(each.address, each.port, each.started_ms)
+        target_id: copies.CopyHolder(each.address, each.port, each.started_ms)
         for target_id, each in models.items()
     }
 
@@ -513,7 +513,7 @@
                 frozenset(model.ordered),
                 row.version,
                 _decode_position(model.required),
-                _decode_holders(model.holders),
+                _decode_holders(model.copy_holders),
             )
         reason = f'token {model.token}, held for {held_ms} ms'
     _log.error('duty_unreadable', key=row.key, reason=reason)
--- a/samphirestand/gateway/succession.py
+++ b/samphirestand/gateway/succession.py
@@ -437,6 +437,10 @@
             answers = await self._pause(
                 group, pools, wire.pause_text(term), needed
             )
+            if answers.newest_term >= first_term:
+                return exceptions.Sentinel(
+                    f'term {answers.newest_term} has begun meanwhile'
+                )
             if not answers.unpaused_ids(term):
                 break
         answers = answers.without_unpaused(term)
@@ -1039,14 +1043,12 @@
         copies.find_missing(
             holders_by_id,
             [each.target for each in group.pools_by_id.values()],
-            {
-                *answers.unanswered,
-                *group.unconfirmed_departures(),
-                # These were found to run after the attempt had begun.
-                *(group.answering_absent_pools().keys() - pools.keys()),
-            },
+            {*answers.unanswered, *group.unconfirmed_departures()},
             answers.replica_ids,
-        ),
+        )
+        # These were found to run after the attempt had begun. They can be
+        # asked and stopped in the next one.
+        | (group.answering_absent_pools().keys() - pools.keys()),
         service.is_synchronous,
         ordered_ids,
         waiver=waiver,
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -30,7 +30,7 @@
 def recorded_ids(fleet):
     """Return the ids of the holders that the store has."""
     row = fleet.store.get('duties', f'promotion/{nodes.SERVICE}')
-    return set(json.loads(row).get('holders') or ()) if row else set()
+    return set(json.loads(row).get('copy_holders') or ()) if row else set()
 
 
 def lose(fleet, server):
@@ -229,7 +229,8 @@
         replica.register()
         await fleet.until(
             lambda: (
-                recorded()['holders'][replica.server_id]['started_ms'] == 7
+                recorded()['copy_holders'][replica.server_id]['started_ms']
+                == 7
             ),
             5,
         )
@@ -255,18 +256,18 @@
                 await refuse_promotions(fleet)
                 key = f'promotion/{nodes.SERVICE}'
                 row = json.loads(fleet.store.get('duties', key))
-                del row['holders'], row['required']
+                del row['copy_holders'], row['required']
                 fleet.store.put('duties', key, row)
                 await fleet.until(lambda: fleet.group.primary is deaf, 5)
 
     asyncio.run(main())
 
 
-HOLDERS = {each: copies.Holder('10.0.0.1', ord(each), 1) for each in 'abc'}
+HOLDERS = {each: copies.CopyHolder('10.0.0.1', ord(each), 1) for each in 'abc'}
 
 
 def target(target_id, port=None, started_ms=1):
-    holder = copies.Holder('10.0.0.1', port or ord(target_id), started_ms)
+    holder = copies.CopyHolder('10.0.0.1', port or ord(target_id), started_ms)
     return copies.to_target(target_id, nodes.SERVICE, holder)
 
 
