--- a/review/13/case.py
+++ b/review/13/case.py
@@ -20,7 +20,7 @@
 async def _read_report(world, host, request_id):
     """Read the report once; returns what broke the rule, or None."""
     client = await world_module.Client.connect(host, 'bericht')
-    rows, result = await client.query(request_id, f'READ {reports.REPORT}', 5)
+    rows, result = await client.query(request_id, f'READ {reports.REPORT}', 6)
     client.close()
     world.record.note(
         f'client: {host.name} {request_id} READ {reports.REPORT} -> '
