review: Show a settled departure that counts twice

Cause: TargetWatch keeps for 40 s that the departure of a server's start is settled, and doesn't forget it when that start registers again. When the server leaves a second time, find_missing leaves it out at once, so that a replica is promoted while two of three holders of copies don't answer.

--- /dev/null
+++ b/review/11/case.py
@@ -0,0 +1,116 @@
+"""A departure that was settled counts again for a server that came back."""
+
+import asyncio
+import itertools
+import pathlib
+import signal
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / 'common-3'))
+
+import servers as servers_module  # noqa: E402
+import world as world_module  # noqa: E402
+
+FOLDER = pathlib.Path(__file__).parent
+
+# Doses of the site file: zone_cut 5.7 s, replica_lag "deaf" 6.0 s, srv_crash
+# of a primary 7.0 s.
+CUT_S = 5.7
+DEAF_S = 6.0
+CRASH_S = 7.0
+
+HOST_ZONES = ('oberland', 'oberland', 'niederbayern', 'niederbayern')
+
+
+async def _write(world, host, numbers):
+    """Write again and again; remember what was acknowledged."""
+    group = world.group
+    while True:
+        try:
+            client = await world_module.Client.connect(host, 'fiti832')
+        except (OSError, TimeoutError):
+            await asyncio.sleep(0.2)
+            continue
+        while True:
+            commit_id = f'c{next(numbers)}'
+            _, result = await client.query(
+                f'{next(numbers):016x}', f'WRITE k {commit_id}'
+            )
+            world.record.note(f'client: {host.name} {commit_id} -> {result}')
+            if result.startswith('COMPLETE sig'):
+                group.acknowledged[commit_id] = (
+                    asyncio.get_running_loop().time()
+                )
+            if not result:
+                break
+            await asyncio.sleep(0.1)
+        client.close()
+
+
+async def _disturb(world, primary, deaf, lost):
+    record = world.record
+    if world_module.has_first_cut():
+        lost.is_cut = True
+        record.note(f'network: the zone {lost.zone} is cut off')
+        await asyncio.sleep(CUT_S)
+        lost.is_cut = False
+        lost.register()
+        primary.send_log()
+        record.note(f'network: the zone {lost.zone} is back')
+    await asyncio.sleep(6)
+    deaf.is_deaf = True
+    record.note(f'servers: {deaf.server_id} receives nothing')
+    await asyncio.sleep(1)
+    lost.crash()
+    record.note(f'servers: {lost.server_id} is lost for good')
+    await asyncio.sleep(0.2)
+    gateway = await _gateway_host(world)
+    gateway.signal(signal.SIGTERM)
+    record.note(f'platform: SIGTERM to {gateway.name}')
+    await asyncio.sleep(DEAF_S - 1.2 - 0.1)
+    primary.crash()
+    record.note(f'servers: {primary.server_id} crashes')
+    await asyncio.sleep(0.1)
+    deaf.is_deaf = False
+    record.note(f'servers: {deaf.server_id} receives again')
+    await asyncio.sleep(CRASH_S)
+    await primary.come_back()
+    record.note(f'servers: {primary.server_id} is back')
+
+
+async def _gateway_host(world):
+    """Return the host that says last that it is the service's gateway."""
+    found = None
+    for host in world.hosts:
+        for line in host.log_path.read_text().splitlines():
+            if '"gateways_claimed"' in line and world_module.SERVICE in line:
+                stamp = line.partition('"timestamp": "')[2][:27]
+                found = max(found or ('', host), (stamp, host), key=_stamp)
+    if found is None:
+        raise world_module.CannotRunError('no host claims the gateway')
+    return found[1]
+
+
+def _stamp(pair):
+    return pair[0]
+
+
+async def _play(world):
+    group = world.group = servers_module.Group(
+        world_module.SERVICE, world.platform, world.record
+    )
+    world.platform.on_promotion = group.order_promotion
+    await world.start(HOST_ZONES)
+    primary, deaf, lost = group.servers.values()
+    numbers = itertools.count(1)
+    for host in world.hosts:
+        world.spawn(_write(world, host, numbers))
+    await asyncio.sleep(5)
+    if world_module.has_trouble():
+        await _disturb(world, primary, deaf, lost)
+    await asyncio.sleep(6)
+    return group.broken[0] if group.broken else None
+
+
+if __name__ == '__main__':
+    sys.exit(world_module.play(_play, FOLDER / 'record.txt'))
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -19,6 +19,7 @@
 import traceback
 from typing import Any
 
+import servers
 from tornado import web
 
 from standins import database_group
@@ -288,7 +289,7 @@
         self.folder = folder
         self.record = record
         self.platform = Platform(record)
-        self.group = database_group.DatabaseGroup(SERVICE, self.platform)
+        self.group: Any = database_group.DatabaseGroup(SERVICE, self.platform)
         self.group.promotion_ms = PROMOTE_MS
         self.hosts: list[Host] = []
         self._store_port = _free_port('127.0.0.1')
@@ -298,15 +299,20 @@
         self._random = random.Random(1)
         self.answers: list[tuple[str, str, str, str]] = []
 
-    async def start(self, host_count: int = 3) -> None:
+    async def start(self, host_zones: tuple[str, ...] = ZONES) -> None:
+        """Start one server a zone, the first as primary, and the hosts."""
         self.platform.listen(self._store_port)
         self.platform.listen_promotions(self._cloud_port)
         self.platform.put('op', 'config', configuration())
         for number, zone in enumerate(ZONES):
-            await self.group.add(zone, 0, is_primary=number == 0)
-        self.spawn(self._send_heartbeats())
-        for number in range(host_count):
-            zone = ZONES[number % len(ZONES)]
+            server = await self.group.add(zone, 0, is_primary=number == 0)
+            if isinstance(server, servers.Server):
+                self.spawn(server.send_heartbeats())
+        if isinstance(self.group, servers.Group):
+            self.spawn(self.group.remove_lapsed_entries())
+        else:
+            self.spawn(self._send_heartbeats())
+        for number, zone in enumerate(host_zones):
             host = Host(f'edge-{zone}-{number + 1}', zone, self.folder)
             host.write_settings(self._store_port, self._cloud_port)
             self.hosts.append(host)
@@ -464,6 +470,11 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+def has_first_cut() -> bool:
+    """Tell whether a case begins with its first disruption."""
+    return os.environ.get('FIRST', '1') != '0'
+
+
 def play(case: Any, record_path: pathlib.Path, limit_s: float = 110) -> int:
     """Play a case; returns 1 if the rule was broken, 0 if it held, else 2.
 
