--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,6 +8,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / 'common-3'))
 
+import failover  # noqa: E402
 import servers as servers_module  # noqa: E402
 import world as world_module  # noqa: E402
 
@@ -22,39 +23,13 @@
 HOST_ZONES = ('oberland', 'oberland', 'niederbayern', 'niederbayern')
 
 
-async def _write(world, host, numbers):
-    """Write again and again; remember what was acknowledged."""
-    group = world.group
-    while True:
-        try:
-            client = await world_module.Client.connect(host, 'fiti832')
-        except (OSError, TimeoutError):
-            await asyncio.sleep(0.2)
-            continue
-        while True:
-            commit_id = f'c{next(numbers)}'
-            _, result = await client.query(
-                f'{next(numbers):016x}', f'WRITE k {commit_id}'
-            )
-            world.record.note(f'client: {host.name} {commit_id} -> {result}')
-            if result.startswith('COMPLETE sig'):
-                group.acknowledged[commit_id] = (
-                    asyncio.get_running_loop().time()
-                )
-            if not result:
-                break
-            await asyncio.sleep(0.1)
-        client.close()
-
-
 async def _disturb(world, primary, deaf, lost):
     record = world.record
     if world_module.has_first_cut():
-        lost.is_cut = True
+        lost.cut_off()
         record.note(f'network: the zone {lost.zone} is cut off')
         await asyncio.sleep(CUT_S)
-        lost.is_cut = False
-        lost.register()
+        lost.reconnect()
         primary.send_log()
         record.note(f'network: the zone {lost.zone} is back')
     await asyncio.sleep(6)
@@ -64,7 +39,7 @@
     lost.crash()
     record.note(f'servers: {lost.server_id} is lost for good')
     await asyncio.sleep(0.2)
-    gateway = await _gateway_host(world)
+    gateway = await failover.find_gateway_host(world)
     gateway.signal(signal.SIGTERM)
     record.note(f'platform: SIGTERM to {gateway.name}')
     await asyncio.sleep(DEAF_S - 1.2 - 0.1)
@@ -78,23 +53,6 @@
     record.note(f'servers: {primary.server_id} is back')
 
 
-async def _gateway_host(world):
-    """Return the host that says last that it is the service's gateway."""
-    found = None
-    for host in world.hosts:
-        for line in host.log_path.read_text().splitlines():
-            if '"gateways_claimed"' in line and world_module.SERVICE in line:
-                stamp = line.partition('"timestamp": "')[2][:27]
-                found = max(found or ('', host), (stamp, host), key=_stamp)
-    if found is None:
-        raise world_module.CannotRunError('no host claims the gateway')
-    return found[1]
-
-
-def _stamp(pair):
-    return pair[0]
-
-
 async def _play(world):
     group = world.group = servers_module.Group(
         world_module.SERVICE, world.platform, world.record
@@ -104,7 +62,7 @@
     primary, deaf, lost = group.servers.values()
     numbers = itertools.count(1)
     for host in world.hosts:
-        world.spawn(_write(world, host, numbers))
+        world.spawn(failover.write_again_and_again(world, host, numbers))
     await asyncio.sleep(5)
     if world_module.has_trouble():
         await _disturb(world, primary, deaf, lost)
--- a/review/common-3/servers.py
+++ b/review/common-3/servers.py
@@ -102,7 +102,7 @@
     """One server.
 
     With ``is_cut`` it reaches neither the store nor hosts nor other servers,
-    with ``is_deaf`` it receives no log.
+    with ``is_hidden`` other servers only, with ``is_deaf`` it receives no log.
     """
 
     def __init__(
@@ -117,8 +117,9 @@
         self.log: list[tuple[int, str]] = []  # term and id of each commit
         self.is_running = False
         self.is_registered = False
-        self._linked = asyncio.Event()
-        self._linked.set()
+        self.is_cut = False
+        self._reaches_hosts = asyncio.Event()
+        self._reaches_hosts.set()
         self.is_deaf = False
         self.born = int(time.time() * 1000)
         self._sequence = 0
@@ -130,15 +131,23 @@
         self._server: asyncio.Server | None = None
 
     @property
-    def is_cut(self) -> bool:
-        return not self._linked.is_set()
+    def is_hidden(self) -> bool:
+        return not self._reaches_hosts.is_set()
 
-    @is_cut.setter
-    def is_cut(self, is_cut: bool) -> None:
-        if is_cut:
-            self._linked.clear()
+    @is_hidden.setter
+    def is_hidden(self, is_hidden: bool) -> None:
+        if is_hidden:
+            self._reaches_hosts.clear()
         else:
-            self._linked.set()
+            self._reaches_hosts.set()
+
+    def cut_off(self) -> None:
+        """Cut the server off from the store, the hosts and other servers."""
+        self.is_cut = self.is_hidden = True
+
+    def reconnect(self) -> None:
+        self.is_cut = self.is_hidden = False
+        self.register()
 
     @property
     def position(self) -> str:
@@ -161,7 +170,7 @@
             self.register()
 
     def register(self) -> None:
-        if not self.is_running or self.is_cut:
+        if not self.is_running or self.is_hidden:
             return
         self._sequence += 1
         self._heard_s = time.monotonic()
@@ -286,7 +295,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         line = (await reader.readuntil(b'\r\n')).decode()[:-2]
-        await self._linked.wait()
+        await self._reaches_hosts.wait()
         _, service, _, server_id = line.split(' ', 3)
         if (service, server_id) != (self.group.service, self.server_id):
             writer.write(b'ERROR WRONGNODE other\r\n')
@@ -294,10 +303,10 @@
         writer.write(f'READY I {self.position}\r\n'.encode())
         while True:
             line = (await reader.readuntil(b'\r\n')).decode()[:-2]
-            await self._linked.wait()
+            await self._reaches_hosts.wait()
             _, request_id, text = line.split(' ', 2)
             answer = await self._run(request_id, text)
-            await self._linked.wait()
+            await self._reaches_hosts.wait()
             writer.write(f'{answer}READY I {self.position}\r\n'.encode())
 
     async def _run(self, request_id: str, text: str) -> str:
