--- a/review/11/case.py
+++ b/review/11/case.py
@@ -25,7 +25,7 @@
 
 async def _disturb(world, primary, deaf, lost):
     record = world.record
-    if world_module.has_first_cut():
+    if world_module.has_first_cause():
         lost.cut_off()
         record.note(f'network: the zone {lost.zone} is cut off')
         await asyncio.sleep(CUT_S)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 # target/deps, so this only checks that they can be imported.
 cd "$(dirname "$0")/.." || exit 1
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:.:review/common-3" \
-    python3 -c 'import failover, memory, reports, servers, world'
+    python3 -c 'import failover, memory, servers, world'
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -470,8 +470,8 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
-def has_first_cut() -> bool:
-    """Tell whether a case begins with its first disruption."""
+def has_first_cause() -> bool:
+    """Tell whether what `FIRST=0` leaves out of a case is there."""
     return os.environ.get('FIRST', '1') != '0'
 
 
