review: Show a replica that starts again without its log

Cause: find_missing takes a holder of copies for answering if a server of its id answers, also if it started again since and holds nothing. PROTOCOL.md says that a server that starts again under its id knows nothing of before.

--- a/review/common-3/servers.py
+++ b/review/common-3/servers.py
@@ -1,8 +1,8 @@
 """Database servers of one service that send each other their logs.
 
 A commit is acknowledged once one replica has received it. Servers keep their
-log over a crash. Each has a link to the store, to the hosts and to the other
-servers, which a test can cut.
+log over a crash, or start again with nothing. Each has a link to the store, to
+the hosts and to the other servers, which a test can cut.
 """
 
 import asyncio
@@ -212,6 +212,17 @@
         if primary is not None and primary is not self:
             self.follow(primary)
 
+    async def start_empty(self) -> None:
+        """Start again under the same id; nothing is left of before."""
+        self.log = []
+        self.term = 1
+        self.born = int(time.time() * 1000)
+        self._sequence = 0
+        await self.start(self._port)
+        primary = self.group.primary
+        if primary is not None and primary.is_running:
+            primary.send_log()
+
     def lead(self, term: int) -> None:
         self.is_primary = True
         self.term = term
